testutils: give entries ports that nothing else can take

Cause: the tests reserved ports by listening on port 0 and letting go; they lie among those that the system gives to outgoing connections, and in a full run an entry found its port taken (1 of 6 tests failed: 'Address already in use', seen once in two runs of the whole suite).

Ruled out: a slow machine (the entry had exited at once).

Now ports come from 20000 to 31999, below the system's own range, each given once per process.

--- a/testutils/src/cluster.rs
+++ b/testutils/src/cluster.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cloverbend::configuration::ConfigDocument;
@@ -44,13 +46,32 @@
     ZONES[index % ZONES.len()]
 }
 
-/// Reserves a port by listening on it for a moment.
+/// The ports given to entries. They lie below those that the system gives to
+/// outgoing connections, so that no other test can take one in between.
+const FIRST_PORT: u16 = 20_000;
+const PORT_COUNT: u16 = 12_000;
+/// The ports between the first ones of two processes that run tests.
+const PROCESS_STRIDE: u32 = 64;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns an address that nobody listens on and that is given only once.
 ///
 /// # Errors
 ///
 /// A machine without free ports.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(any_port())?.local_addr()
+    let start = (std::process::id() * PROCESS_STRIDE) % u32::from(PORT_COUNT);
+    for _ in 0..PORT_COUNT {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let offset = (start + u32::from(step)) % u32::from(PORT_COUNT);
+        let port = FIRST_PORT + offset as u16;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::AddrInUse, "no port is free"))
 }
 
 /// The addresses of one entry.
@@ -72,24 +93,15 @@
 ///
 /// A machine without free ports.
 pub fn reserve_entries(count: usize) -> io::Result<Vec<EntryAddresses>> {
-    // All are bound before any is released, so that no two are the same.
-    let listeners: Vec<TcpListener> = (0..2 * count)
-        .map(|_| TcpListener::bind(any_port()))
-        .collect::<io::Result<_>>()?;
-    let addresses: Vec<SocketAddr> = listeners
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<io::Result<_>>()?;
-    let entries = addresses
-        .chunks(2)
-        .enumerate()
-        .map(|(index, pair)| EntryAddresses {
+    let entry = |index: usize| {
+        Ok(EntryAddresses {
             name: format!("entry-{}", index + 1),
             zone: zone(index),
-            http: pair[0],
-            peer: pair[1],
-        });
-    Ok(entries.collect())
+            http: free_address()?,
+            peer: free_address()?,
+        })
+    };
+    (0..count).map(entry).collect()
 }
 
 /// Where the platform is.
