holder, mirror: never say "did not run" of a request that moved unasked

Cause: a breadth-first search over all states of one request found that a repeatable request, handed to a mirror and then moved to another one without the first one's word, could be run by one and said not to have run by the other: (1) a hand-over carried may_have_run = false, (2) the confirmation of a withdrawal made the second mirror report 'did not run' although the holder that withdrew it knew that it may have run.

Ruled out: forbidding the second move, since a chat handed to a mirror that dies would then be lost.

Now a hand-over of a repeatable request always says that it may have run, and a withdrawal carries what its holder knows.

--- a/lib/src/holder.rs
+++ b/lib/src/holder.rs
@@ -586,7 +586,9 @@
             // There is nobody to hand it to, so it runs here to its end.
             return Vec::new();
         }
-        if request.phase == HolderPhase::Running {
+        // A repeatable request may move on to another mirror without the
+        // first one's word, so neither may say that it did not run.
+        if request.terms.rule == RepeatRule::Repeatable {
             request.terms.may_have_run = true;
         }
         request.phase = HolderPhase::PassingOn;
@@ -632,7 +634,9 @@
             payload: payload?,
         }),
         HolderPhase::Licensing => Some(MirrorRequest::AskLicence),
-        HolderPhase::Withdrawing => Some(MirrorRequest::Drop),
+        HolderPhase::Withdrawing => Some(MirrorRequest::Drop {
+            may_have_run: terms.may_have_run,
+        }),
         HolderPhase::Releasing => Some(MirrorRequest::Release),
         HolderPhase::PassingOn => Some(MirrorRequest::PassOn {
             terms,
--- a/lib/src/mirror.rs
+++ b/lib/src/mirror.rs
@@ -160,7 +160,9 @@
             MirrorRequest::Copy { terms, payload } => {
                 vec![reply(table.copy(key, terms, payload))]
             }
-            MirrorRequest::Drop => vec![reply(table.withdraw(key))],
+            MirrorRequest::Drop { may_have_run } => {
+                vec![reply(table.withdraw(key, may_have_run))]
+            }
             MirrorRequest::Release => vec![reply(table.release(key))],
             MirrorRequest::AskLicence => vec![reply(table.license(key))],
             MirrorRequest::Finish => vec![reply(table.finish(key))],
@@ -284,10 +286,15 @@
         }
     }
 
-    fn withdraw(&mut self, key: RequestKey) -> MirrorReply {
+    fn withdraw(&mut self, key: RequestKey, may_have_run: bool) -> MirrorReply {
         match self.copies.get(&key) {
             None | Some(CopyState::Held { .. } | CopyState::Licensed | CopyState::Dropped) => {
-                self.copies.insert(key, CopyState::Dropped);
+                let state = if may_have_run {
+                    CopyState::Released
+                } else {
+                    CopyState::Dropped
+                };
+                self.copies.insert(key, state);
                 MirrorReply::Dropped
             }
             // Only a delayed message can ask this: the holder has moved on.
--- a/lib/src/pair.rs
+++ b/lib/src/pair.rs
@@ -107,7 +107,10 @@
         payload: P,
     },
     /// Forget the copy: the holder has not dispatched it and never will.
-    Drop,
+    Drop {
+        /// Whether another entry may have run it, or may yet.
+        may_have_run: bool,
+    },
     /// Let go of the copy: the holder has not dispatched it and will carry it
     /// with another mirror.
     Release,
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -332,9 +332,10 @@
 const PASS_ON: u32 = 6;
 
 fn write_request(message: PairMessage<MirrorRequest<AcceptedRequest>>) -> RequestFrame {
+    let dropped_late = matches!(message.body, MirrorRequest::Drop { may_have_run: true });
     let (kind, content) = match message.body {
         MirrorRequest::Copy { terms, payload } => (COPY, Some((terms, payload))),
-        MirrorRequest::Drop => (DROP, None),
+        MirrorRequest::Drop { .. } => (DROP, None),
         MirrorRequest::Release => (RELEASE, None),
         MirrorRequest::AskLicence => (ASK_LICENCE, None),
         MirrorRequest::Finish => (FINISH, None),
@@ -346,7 +347,7 @@
         key: Some(message.key.into()),
         kind,
         at_most_once: terms.is_some_and(|terms| terms.rule == RepeatRule::AtMostOnce),
-        may_have_run: terms.is_some_and(|terms| terms.may_have_run),
+        may_have_run: dropped_late || terms.is_some_and(|terms| terms.may_have_run),
         payload: content.map(|(_, payload)| payload),
     }
 }
@@ -369,7 +370,9 @@
             terms,
             payload: payload?,
         },
-        DROP => MirrorRequest::Drop,
+        DROP => MirrorRequest::Drop {
+            may_have_run: frame.may_have_run,
+        },
         RELEASE => MirrorRequest::Release,
         ASK_LICENCE => MirrorRequest::AskLicence,
         FINISH => MirrorRequest::Finish,
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine_standin;
 pub mod fault;
 pub mod log_standin;
+pub mod pair_model;
 pub mod plain_standin;
 pub mod processes;
 pub mod sample;
