holder, mirror: requests that go round leaving entries are not lost

Cause: randomised histories (4 entries, 3 requests, 50 steps, then the network settles) found, in worlds with announced faults only, accepted requests that nobody ran: (1) a request handed round came back to an entry that still waited for its first mirror, and was ignored; (2) it was carried again in the pair in which its first mirror had adopted it, which refused it; (3) a mirror that had taken a pair over answered 'resigned' to a copy and then to the hand-over too; (4) two leaving entries that mirror each other handed a request back and forth for ever; (5) a fresh pair moved other repeatable requests along, which repeated (4).

Ruled out: ignoring a returning request and answering unknown, which is allowed for a crash but not for an announced reclaim; a hop counter, since the entry that gets a request back can simply run it.

Now a returning request is carried in a fresh pair and run by the entry it returns to, and a mirror adopts a hand-over in a pair it let go of.

--- a/lib/src/config_task.rs
+++ b/lib/src/config_task.rs
@@ -135,7 +135,7 @@
     let actions = members.update_own(|own| own.state = MemberState::Serving);
     drop(members);
     context.run_gossip_actions(actions);
-    context.pair_refused.notify_one();
+    context.pair_check.notify_one();
 }
 
 async fn restate_if_old(context: &Arc<EntryContext>, restated: &mut (LogOffset, Instant)) {
--- a/lib/src/entry_context.rs
+++ b/lib/src/entry_context.rs
@@ -87,8 +87,8 @@
     pub log: Logger,
     /// Ends everything, without draining.
     pub stop: CancellationToken,
-    /// Told when a mirror refuses the current pair, which must be replaced.
-    pub pair_refused: Notify,
+    /// Told when the pair, or one mirrored here, may have to change.
+    pub pair_check: Notify,
     started: Instant,
 }
 
@@ -135,7 +135,7 @@
             spans,
             log,
             stop,
-            pair_refused: Notify::new(),
+            pair_check: Notify::new(),
             started: Instant::now(),
             settings,
         })
--- a/lib/src/holder.rs
+++ b/lib/src/holder.rs
@@ -199,15 +199,7 @@
     /// progress move to it at once. Requests that may run only once stay with
     /// the old mirror, which may have taken them over unseen.
     pub fn form_pair(&mut self, mirror: Incarnation) -> Vec<HolderAction<P>> {
-        let epoch = PairEpoch(self.pair.epoch.0 + 1);
-        let pair = PairId {
-            holder: self.incarnation,
-            epoch,
-            mirror,
-        };
-        self.pair = pair;
-        self.next_serial = Serial(0);
-        self.expired.insert(pair, Serial(0));
+        self.renew_pair(mirror);
         let keys = self.select(|request| {
             request.terms.rule == RepeatRule::Repeatable
                 && request.phase != HolderPhase::Withdrawing
@@ -223,6 +215,18 @@
             .collect()
     }
 
+    /// Starts a fresh pair for new work and leaves all else where it is.
+    fn renew_pair(&mut self, mirror: Incarnation) {
+        let epoch = PairEpoch(self.pair.epoch.0 + 1);
+        self.pair = PairId {
+            holder: self.incarnation,
+            epoch,
+            mirror,
+        };
+        self.next_serial = Serial(0);
+        self.expired.insert(self.pair, Serial(0));
+    }
+
     /// Asks the mirrors of former pairs to let go of what was not dispatched.
     /// Used when such a mirror is leaving. A mirror that ended without a word
     /// cannot be asked, and may have handed its copies on before it ended:
@@ -341,23 +345,51 @@
     /// Takes in a request that another entry held, as its mirror or by being
     /// handed it. The caller makes sure that it can no longer run there.
     pub fn adopt(&mut self, key: RequestKey, terms: RunTerms, payload: P) -> Vec<HolderAction<P>> {
-        // A request that moved away may come back. One with any other end has
-        // been answered for good and must not run any more.
-        let returns = match self.phase(key) {
-            None => true,
-            Some(HolderPhase::Ended(HolderEnd::Moved(_))) => true,
-            Some(_) => false,
-        };
-        if !returns {
-            return Vec::new();
+        match self.phase(key) {
+            None => self.insert(key, terms, payload),
+            Some(HolderPhase::Ended(HolderEnd::Moved(_))) => {
+                return self.take_back(key, terms, payload);
+            }
+            // Answered for good: it must not run any more.
+            Some(HolderPhase::Ended(_)) => return Vec::new(),
+            Some(_) => return self.take_back(key, terms, payload),
         }
-        self.insert(key, terms, payload);
         if self.leaving {
             return self.pass_on(key);
         }
         self.start(key)
     }
 
+    /// Takes back a request that went round the entries. The first mirror has
+    /// adopted and handed it on, so that it would refuse it in the old pair;
+    /// a fresh pair makes it a new request there.
+    fn take_back(&mut self, key: RequestKey, terms: RunTerms, payload: P) -> Vec<HolderAction<P>> {
+        self.renew_pair(self.pair.mirror);
+        let pair = self.pair;
+        let mut actions = Vec::new();
+        let Some(request) = self.requests.get_mut(&key) else {
+            return actions;
+        };
+        request.terms.may_have_run |= terms.may_have_run;
+        request.carrier = pair;
+        request.payload.get_or_insert(payload);
+        match request.phase {
+            HolderPhase::Withdrawing => actions.extend(self.end_undispatched(key)),
+            HolderPhase::Running => actions.extend(self.resend(key)),
+            // Even a leaving entry runs it now: handing it on again could go
+            // round for ever between entries that all leave.
+            HolderPhase::Copying
+            | HolderPhase::Licensing
+            | HolderPhase::Releasing
+            | HolderPhase::PassingOn
+            | HolderPhase::Ended(_) => {
+                request.phase = HolderPhase::Copying;
+                actions.extend(self.start(key));
+            }
+        }
+        actions
+    }
+
     fn insert(&mut self, key: RequestKey, terms: RunTerms, payload: P) {
         let request = HeldRequest {
             phase: HolderPhase::Copying,
@@ -395,6 +427,17 @@
 
     /// Handles an answer of a mirror.
     pub fn receive(&mut self, message: PairMessage<MirrorReply>) -> Vec<HolderAction<P>> {
+        let refused = matches!(message.body, MirrorReply::Resigned | MirrorReply::Adopted);
+        if refused && message.carrier == self.pair && !self.leaving {
+            // The mirror refuses everything in this pair. It lives, since it
+            // answers, and will do for a fresh one until the entry chooses
+            // another; what else is carried in the old pair it will answer.
+            self.renew_pair(self.pair.mirror);
+        }
+        self.receive_for_request(message)
+    }
+
+    fn receive_for_request(&mut self, message: PairMessage<MirrorReply>) -> Vec<HolderAction<P>> {
         let key = message.key;
         let Some(request) = self.requests.get(&key) else {
             return Vec::new();
--- a/lib/src/member_task.rs
+++ b/lib/src/member_task.rs
@@ -14,7 +14,6 @@
 use crate::membership::GossipAction;
 use crate::membership::MemberHealth;
 use crate::membership::MemberRecord;
-use crate::membership::MemberState;
 use crate::wire::PeerMessage;
 
 /// The time between ticks of the membership protocol.
@@ -41,7 +40,7 @@
         context.take_over_from_gone();
         tokio::select! {
             () = tokio::time::sleep(PAIR_CHECK) => {}
-            () = context.pair_refused.notified() => {}
+            () = context.pair_check.notified() => {}
         }
     }
 }
@@ -93,41 +92,28 @@
                 .set_route(record.incarnation, record.peer_address);
         }
         // The pair, or a pair mirrored here, may have to change.
-        self.pair_refused.notify_one();
+        self.pair_check.notify_one();
     }
 
     /// Forms another pair if the mirror can no longer be used, or if there was
     /// none and now there is one.
     fn check_pair(self: &Arc<Self>) {
-        let (mirror, mirror_state, candidate) = {
+        let (mirror, usable, candidate) = {
             let members = self.tables.members.lock();
             let mirror = self.tables.requests.lock().holder.pair().mirror;
-            let state = members.find(mirror).map(|r| (r.health, r.state));
-            (mirror, state, members.choose_mirror())
+            let usable = members
+                .find(mirror)
+                .is_some_and(MemberRecord::takes_requests);
+            (mirror, usable, members.choose_mirror())
         };
-        let usable = mirror_state == Some((MemberHealth::Alive, MemberState::Serving));
         let solo = mirror == self.incarnation;
-        let refused = self.is_pair_refused(mirror);
-        let keep = if solo {
-            candidate.is_none()
-        } else {
-            usable && !refused
-        };
-        if keep {
+        if usable && !solo {
             return;
         }
         let next = candidate.unwrap_or(self.incarnation);
-        if next == mirror && !refused {
-            return;
+        if next != mirror {
+            self.form_pair(next);
         }
-        self.form_pair(next);
-    }
-
-    /// A mirror that resigned answers so; its own record does not show it.
-    fn is_pair_refused(&self, mirror: Incarnation) -> bool {
-        let table = self.tables.requests.lock();
-        let pair = table.holder.pair();
-        pair.mirror == mirror && table.refused_pair == Some(pair)
     }
 
     fn form_pair(self: &Arc<Self>, mirror: Incarnation) {
--- a/lib/src/mirror.rs
+++ b/lib/src/mirror.rs
@@ -352,13 +352,14 @@
     /// repeated hand-over finds it adopted already and adopts nothing.
     fn pass_on(&mut self, key: RequestKey) -> (MirrorReply, bool) {
         match self.copies.get(&key) {
-            None | Some(CopyState::Held { .. } | CopyState::Licensed) => {
+            // A holder that hands over in this pair has not moved elsewhere,
+            // even if it was told that it might.
+            None | Some(CopyState::Held { .. } | CopyState::Licensed | CopyState::Released) => {
                 self.copies.insert(key, CopyState::Adopted);
                 (MirrorReply::Adopted, true)
             }
             Some(CopyState::Adopted) => (MirrorReply::Adopted, false),
             Some(CopyState::Dropped) => (MirrorReply::Dropped, false),
-            Some(CopyState::Released) => (MirrorReply::Resigned, false),
             Some(CopyState::Finished) => (MirrorReply::Noted, false),
         }
     }
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -93,8 +93,6 @@
     pub mirror: RequestMirror<AcceptedRequest>,
     /// Their answers.
     pub answers: HashMap<RequestKey, AnswerEntry>,
-    /// The last pair whose mirror resigned from it.
-    pub refused_pair: Option<PairId>,
     marks: VecDeque<SerialMark>,
 }
 
@@ -105,7 +103,6 @@
             holder: RequestHolder::new(incarnation, HOLDER_CAPACITY),
             mirror: RequestMirror::new(incarnation),
             answers: HashMap::new(),
-            refused_pair: None,
             marks: VecDeque::new(),
         }
     }
--- a/lib/src/request_work.rs
+++ b/lib/src/request_work.rs
@@ -238,18 +238,16 @@
         self.run_mirror_actions(&mut table, actions);
     }
 
-    /// Handles an answer of a mirror. A mirror that resigned as a whole is
-    /// replaced by the next check of the pair.
+    /// Handles an answer of a mirror.
     pub fn receive_as_holder(self: &Arc<Self>, message: PairMessage<MirrorReply>) {
         let mut table = self.tables.requests.lock();
-        let current = message.carrier == table.holder.pair();
-        let gone = matches!(message.body, MirrorReply::Resigned | MirrorReply::Adopted);
-        if current && gone {
-            table.refused_pair = Some(message.carrier);
-            self.pair_refused.notify_one();
-        }
+        let before = table.holder.pair();
         let actions = table.holder.receive(message);
+        let changed = table.holder.pair() != before;
         self.run_holder_actions(&mut table, actions);
+        if changed {
+            self.pair_check.notify_one();
+        }
     }
 
     /// Handles progress of an answer that this entry mirrors.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine_model;
 pub mod engine_standin;
 pub mod fault;
+pub mod histories;
 pub mod log_standin;
 pub mod pair_model;
 pub mod plain_standin;
--- a/testutils/src/pair_model.rs
+++ b/testutils/src/pair_model.rs
@@ -151,11 +151,18 @@
     }
 }
 
+/// The most messages that a history of a few requests may need.
+const MAX_MESSAGES: usize = 1_000;
+/// The most rounds of deliveries until nothing changes.
+const MAX_ROUNDS: usize = 60;
+
 /// A rule of the users that a history broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum WorldViolation {
     /// A request that may run only once ran again.
     RanTwice,
+    /// The entries send to each other for ever.
+    NeverSettles,
     /// A request ran that was said not to have run, before or after.
     RanThoughDenied,
 }
@@ -344,10 +351,14 @@
         if phase == HolderPhase::Running {
             steps.push(WorldStep::Finish(index, key));
         }
-        if matches!(phase, HolderPhase::Withdrawing | HolderPhase::PassingOn) {
-            steps.push(WorldStep::GiveUpUnconfirmed(index, key));
-        } else if self.budget.give_ups > 0 {
-            steps.push(WorldStep::GiveUp(index, key));
+        match phase {
+            HolderPhase::Withdrawing => steps.push(WorldStep::GiveUpUnconfirmed(index, key)),
+            HolderPhase::PassingOn if self.budget.give_ups > 0 => {
+                steps.push(WorldStep::GiveUpUnconfirmed(index, key));
+            }
+            HolderPhase::PassingOn => {}
+            _ if self.budget.give_ups > 0 => steps.push(WorldStep::GiveUp(index, key)),
+            _ => {}
         }
     }
 
@@ -629,7 +640,7 @@
     /// Delivers every message of the entries that live until nothing changes,
     /// as a network does once its faults have ended.
     pub fn settle(&mut self) -> Option<WorldViolation> {
-        loop {
+        for _ in 0..MAX_ROUNDS {
             let before = self.clone();
             for step in self.enabled() {
                 let quiet = matches!(
@@ -642,11 +653,15 @@
                 if let Some(violation) = self.apply(&step) {
                     return Some(violation);
                 }
+                if self.messages.len() > MAX_MESSAGES {
+                    return Some(WorldViolation::NeverSettles);
+                }
             }
             if *self == before {
                 return None;
             }
         }
+        Some(WorldViolation::NeverSettles)
     }
 
     /// Returns the pair of the first entry's first ticket.
