policy: programs can no longer read the clock or sleep

Cause: rhai's standard engine carries timestamp() and sleep(), and disable_symbol works on keywords only, so a program could read the clock, which lets entries disagree, or hold a worker for as long as it liked, which the limit on operations does not see.

Ruled out: rhai's feature no_time, which would leave sleep().

Now the engine is built from chosen packages.

--- a/lib/src/policy.rs
+++ b/lib/src/policy.rs
@@ -19,6 +19,15 @@
 use rhai::Engine;
 use rhai::Map;
 use rhai::Scope;
+use rhai::packages::ArithmeticPackage;
+use rhai::packages::BasicArrayPackage;
+use rhai::packages::BasicIteratorPackage;
+use rhai::packages::BasicMapPackage;
+use rhai::packages::BasicMathPackage;
+use rhai::packages::BasicStringPackage;
+use rhai::packages::LogicPackage;
+use rhai::packages::MoreStringPackage;
+use rhai::packages::Package;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -136,7 +145,17 @@
 static ENGINE: LazyLock<Engine> = LazyLock::new(build_engine);
 
 fn build_engine() -> Engine {
-    let mut engine = Engine::new();
+    // Packages are chosen one by one: the standard set can read the clock and
+    // sleep, so that entries would disagree or a worker would be held.
+    let mut engine = Engine::new_raw();
+    ArithmeticPackage::new().register_into_engine(&mut engine);
+    LogicPackage::new().register_into_engine(&mut engine);
+    BasicStringPackage::new().register_into_engine(&mut engine);
+    MoreStringPackage::new().register_into_engine(&mut engine);
+    BasicIteratorPackage::new().register_into_engine(&mut engine);
+    BasicArrayPackage::new().register_into_engine(&mut engine);
+    BasicMapPackage::new().register_into_engine(&mut engine);
+    BasicMathPackage::new().register_into_engine(&mut engine);
     engine.set_max_operations(MAX_OPERATIONS);
     engine.set_max_call_levels(MAX_CALL_LEVELS);
     engine.set_max_string_size(MAX_COLLECTION_SIZE);
@@ -146,10 +165,7 @@
     engine.set_max_modules(0);
     engine.on_print(|_| {});
     engine.on_debug(|_, _, _| {});
-    // A decision must not depend on the clock, or entries would disagree.
     engine.disable_symbol("eval");
-    engine.disable_symbol("timestamp");
-    engine.disable_symbol("sleep");
     engine
 }
 
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod histories;
 pub mod log_standin;
+pub mod member_world;
 pub mod pair_model;
 pub mod plain_standin;
 pub mod processes;
