settings, revision: places of syntax errors, and tests

Cause: a syntax error of a settings file named the line behind the one that the parser meant (4 of a file of 2 lines), and places without a file began with a space.

--- a/lib/src/finding.rs
+++ b/lib/src/finding.rs
@@ -27,17 +27,20 @@
 
 impl fmt::Display for InputPlace {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if let Some(file) = &self.file {
-            write!(f, "{file}:")?;
-        }
-        if let Some(line) = self.line {
-            write!(f, "{line}:")?;
-        }
-        match (&self.section, &self.key) {
-            (Some(section), Some(key)) => write!(f, " [{section}] {key}"),
-            (Some(section), None) => write!(f, " {section}"),
-            (None, Some(key)) => write!(f, " {key}"),
-            (None, None) => Ok(()),
+        let mut parts = Vec::new();
+        parts.extend(self.file.clone());
+        parts.extend(self.line.map(|line| line.to_string()));
+        let names = match (&self.section, &self.key) {
+            (Some(section), Some(key)) => Some(format!("[{section}] {key}")),
+            (Some(section), None) => Some(section.clone()),
+            (None, Some(key)) => Some(key.clone()),
+            (None, None) => None,
+        };
+        let place = parts.join(":");
+        match names {
+            Some(names) if place.is_empty() => f.write_str(&names),
+            Some(names) => write!(f, "{place}: {names}"),
+            None => f.write_str(&place),
         }
     }
 }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -388,7 +388,7 @@
     let mut findings = FindingList::default();
     let place = InputPlace {
         file: Some(file.to_owned()),
-        line: Some(error.line + 1),
+        line: Some(error.line),
         ..InputPlace::default()
     };
     findings.add(place, &error.msg);
--- /dev/null
+++ b/lib/tests/test_settings.rs
@@ -0,0 +1,77 @@
+//! Settings files: every finding at once, each with its place.
+
+use cloverbend::settings::EntrySettings;
+use cloverbend::settings::SETTING_KEYS;
+
+const GOOD: &str = "[entry]
+name = entry-1
+zone = dakar-a
+http_address = 127.0.0.1:8101
+peer_address = 127.0.0.1:8201
+
+[platform]
+log_service = http://127.0.0.1:9001
+vm_list = http://127.0.0.1:9002
+cloud_api = http://127.0.0.1:9002
+";
+
+#[test]
+fn good_settings_have_defaults() {
+    let settings = EntrySettings::parse("good.ini", GOOD).unwrap();
+    assert_eq!(settings.vm.as_str(), "entry-1");
+    assert_eq!(settings.limits.max_body.0, 1_048_576);
+    assert_eq!(settings.weight, 100);
+}
+
+#[test]
+fn all_findings_are_reported_together_with_their_lines() {
+    let text = "[entry]
+name = entry one
+zone = dakar-a
+http_address = localhost:80
+colour = blue
+
+[peers]
+entry-2 = nowhere
+
+[log]
+format = xml
+
+[platform]
+log_service = https://127.0.0.1:9001
+";
+    let findings = EntrySettings::parse("bad.ini", text).unwrap_err();
+    insta::assert_snapshot!(findings, @r#"
+    bad.ini:5: [entry] colour: this key is not known
+    bad.ini:2: [entry] name: a name has letters, digits, '.', '_' and '-', not ' '
+    bad.ini:4: [entry] http_address: invalid socket address syntax
+    bad.ini:1: [entry] peer_address: this key is required
+    bad.ini:8: [peers] entry-2: invalid socket address syntax
+    bad.ini:14: [platform] log_service: "https://127.0.0.1:9001" is not of the form http://IP:PORT
+    bad.ini:13: [platform] vm_list: this key is required
+    bad.ini:13: [platform] cloud_api: this key is required
+    bad.ini:11: [log] format: "xml" is not one of text, json
+    "#);
+}
+
+#[test]
+fn a_syntax_error_names_its_line() {
+    let findings = EntrySettings::parse("bad.ini", "[entry]\nname\n").unwrap_err();
+    insta::assert_snapshot!(findings, @"bad.ini:3: expecting \"[Some('='), Some(':')]\" but found EOF.");
+}
+
+#[test]
+fn the_operators_page_has_every_key_with_unit_and_default() {
+    let page = include_str!("../../docs/operators/settings.md");
+    for key in SETTING_KEYS {
+        let default = key.default.unwrap_or("-");
+        let row = format!(
+            "| `{}` | `{}` | {} | {} | {} |",
+            key.section, key.key, key.unit, default, key.help
+        );
+        assert!(
+            page.contains(&row),
+            "docs/operators/settings.md lacks: {row}"
+        );
+    }
+}
