routing: count the work that other entries sent since the last report

Cause: an entry adds only its own work since an engine's report, which is 0.3 to 0.8 s old; with 9 entries it misses eight ninths of what arrived, so that an overloaded engine looks free and early refusal comes late.

Now own work counts as often as there are sharers.

--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -191,25 +191,33 @@
 }
 
 impl EngineSlot {
-    fn queued_tokens(&self) -> f64 {
-        (self.load.waiting_tokens + self.own_recent_tokens) as f64
+    /// Own work since the report, times the entries that send as much.
+    fn queued_tokens(&self, sharers: f64) -> f64 {
+        self.load.waiting_tokens as f64 + self.own_recent_tokens as f64 * sharers
     }
 
-    fn requests(&self) -> f64 {
+    fn requests(&self, sharers: f64) -> f64 {
         let reported = self.load.running + self.load.waiting;
-        f64::from(reported) + self.own_recent.len() as f64
+        f64::from(reported) + self.own_recent.len() as f64 * sharers
     }
 
     /// Returns the expected seconds until the first token of a request that
     /// has `uncached` prompt tokens to compute.
-    fn wait_seconds(&self, uncached: f64) -> f64 {
+    fn wait_seconds(&self, uncached: f64, sharers: f64) -> f64 {
         let rate = self.info.prefill_rate.max(1.0);
         let slots = f64::from(self.info.slots.max(1));
-        let beyond = (self.requests() - slots).max(0.0);
+        let beyond = (self.requests(sharers) - slots).max(0.0);
         // A request beyond the slots waits for a slot to become free, which
         // takes about one request's time over the number of slots.
         let slot_wait = beyond / slots * SLOT_HOLD_SECONDS;
-        (self.queued_tokens() + uncached) / rate + slot_wait
+        (self.queued_tokens(sharers) + uncached) / rate + slot_wait
+    }
+}
+
+impl EngineSlot {
+    /// Returns one number for how loaded the engine is.
+    fn load_seconds(&self, sharers: f64) -> f64 {
+        self.wait_seconds(0.0, sharers) + self.requests(sharers) * 1e-3
     }
 }
 
@@ -221,6 +229,7 @@
 pub struct EngineTable {
     strategy: RouteStrategy,
     weights: CostWeights,
+    sharers: f64,
     slots: Vec<EngineSlot>,
     by_vm: HashMap<VmId, EngineIndex>,
     prefixes: PrefixIndex,
@@ -236,6 +245,7 @@
         Self {
             strategy,
             weights,
+            sharers: 1.0,
             slots: Vec::new(),
             by_vm: HashMap::new(),
             prefixes: PrefixIndex::new(PREFIX_CAPACITY),
@@ -246,6 +256,13 @@
         }
     }
 
+    /// Sets the number of entries that send requests to these engines, this
+    /// one included. What they sent since the last report is not known, and
+    /// is taken to be as much as this entry sent.
+    pub fn set_sharers(&mut self, sharers: usize) {
+        self.sharers = sharers.max(1) as f64;
+    }
+
     /// Adds an engine, or brings one back.
     pub fn add(&mut self, info: EngineInfo) -> EngineIndex {
         if let Some(index) = self.by_vm.get(&info.vm).copied() {
@@ -344,7 +361,9 @@
         Some(RouteChoice {
             index,
             vm: slot.info.vm.clone(),
-            expected_wait: Duration::from_secs_f64(slot.wait_seconds(uncached as f64)),
+            expected_wait: Duration::from_secs_f64(
+                slot.wait_seconds(uncached as f64, self.sharers),
+            ),
             cached: TokenCount(cached),
         })
     }
@@ -387,11 +406,12 @@
         query: &RouteQuery<'_>,
         strict: bool,
     ) -> Option<EngineIndex> {
+        let sharers = self.sharers;
         match self.strategy {
             RouteStrategy::RoundRobin => self.choose_next(now, query, strict),
-            RouteStrategy::LeastLoaded => self.choose_lowest(now, query, strict, |slot| {
-                slot.wait_seconds(0.0) + slot.requests() * 1e-3
-            }),
+            RouteStrategy::LeastLoaded => {
+                self.choose_lowest(now, query, strict, |slot| slot.load_seconds(sharers))
+            }
             RouteStrategy::TwoChoices => self.choose_of_two(now, query, strict),
             RouteStrategy::PrefixHash => self.choose_by_hash(now, query, strict),
             RouteStrategy::BucketHash => self.choose_by_bucket(now, query, strict),
@@ -447,9 +467,7 @@
         }
         let first = candidates[self.generator.random_range(0..candidates.len())];
         let second = candidates[self.generator.random_range(0..candidates.len())];
-        let load = |index: usize| {
-            self.slots[index].wait_seconds(0.0) + self.slots[index].requests() * 1e-3
-        };
+        let load = |index: usize| self.slots[index].load_seconds(self.sharers);
         let lower = if load(second) < load(first) {
             second
         } else {
@@ -477,6 +495,7 @@
         query: &RouteQuery<'_>,
         strict: bool,
     ) -> Option<EngineIndex> {
+        let sharers = self.sharers;
         let bucket = (mix(hash_key(query)) % BUCKETS as u64) as usize;
         if self.buckets.is_empty() {
             let count = self.slots.len().max(1);
@@ -485,7 +504,7 @@
         let current = self.buckets[bucket] as usize;
         let usable = current < self.slots.len() && self.may_serve(current, now, query, strict);
         if !usable {
-            let target = self.choose_lowest(now, query, strict, EngineSlot::requests)?;
+            let target = self.choose_lowest(now, query, strict, |slot| slot.requests(sharers))?;
             self.buckets[bucket] = target;
         }
         self.bucket_load[bucket] += query.prompt.0 as f64;
@@ -587,10 +606,10 @@
         let slot = &self.slots[index];
         let uncached = query.prompt.0.saturating_sub(cached) as f64;
         let again = longest.saturating_sub(cached) as f64 / 1_000.0;
-        slot.wait_seconds(uncached)
+        slot.wait_seconds(uncached, self.sharers)
             + again * self.weights.recompute
             + slot.info.price.0 * self.weights.price
-            + slot.requests() * self.weights.crowding
+            + slot.requests(self.sharers) * self.weights.crowding
     }
 
     /// Notes that a request was sent to the engine chosen.
--- a/testutils/src/bin/cloverbend-experiment.rs
+++ b/testutils/src/bin/cloverbend-experiment.rs
@@ -19,6 +19,9 @@
 use cloverbend_testutils::load_model::run_load;
 use plotters::prelude::*;
 
+/// The expected wait beyond which requests are refused, in milliseconds.
+const DEFAULT_LIMIT: u64 = 1_000;
+
 /// What is compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Subject {
@@ -64,6 +67,9 @@
     /// Engines
     #[arg(long, default_value_t = 20)]
     engines: usize,
+    /// How many entries each takes to send as much as itself
+    #[arg(long, default_value_t = 3)]
+    sharers: usize,
     /// Write every run as CSV
     #[arg(long, value_name = "FILE")]
     csv: Option<PathBuf>,
@@ -137,10 +143,11 @@
         scenario: Scenario::Steady,
         strategy: RouteStrategy::FullCost,
         weights,
-        admission: Admission::EarlyRefusal,
+        admission: Admission::EarlyRefusal(Duration::from_millis(DEFAULT_LIMIT)),
         moves: MoveRule::MoveKv,
         engines: args.engines,
         entries: 9,
+        sharers: args.sharers,
         duration: Duration::from_secs(args.seconds),
         shape: EngineShape::default(),
     }
@@ -196,9 +203,17 @@
 }
 
 fn overload_rows(args: &ExperimentArgs) -> Vec<Row> {
+    let refusal = |millis| Admission::EarlyRefusal(Duration::from_millis(millis));
+    let limits = [
+        Admission::All,
+        refusal(1_600),
+        refusal(1_000),
+        refusal(700),
+        refusal(400),
+    ];
     let mut rows = Vec::new();
     for factor in [1.0, 1.3, 2.0, 5.0] {
-        for admission in [Admission::All, Admission::EarlyRefusal] {
+        for admission in limits {
             let name = format!("{factor} x, {admission:?}");
             rows.push(row(args, name, |run| {
                 run.rate *= factor;
--- a/testutils/src/load_model.rs
+++ b/testutils/src/load_model.rs
@@ -102,8 +102,8 @@
 pub enum Admission {
     /// Everything is taken.
     All,
-    /// What is expected to miss the target is refused.
-    EarlyRefusal,
+    /// What is expected to take longer than this is refused.
+    EarlyRefusal(Duration),
 }
 
 /// How running work leaves an engine that is reclaimed.
@@ -140,6 +140,8 @@
     pub engines: usize,
     /// Entries.
     pub entries: usize,
+    /// How many entries each takes to send as much as itself.
+    pub sharers: usize,
     /// How long requests arrive.
     pub duration: Duration,
     /// The shape of the engines.
@@ -275,7 +277,12 @@
             })
             .collect();
         let tables = (0..run.entries)
-            .map(|entry| EngineTable::new(run.strategy, run.weights, run.seed + entry as u64))
+            .map(|entry| {
+                let seed = run.seed + entry as u64;
+                let mut table = EngineTable::new(run.strategy, run.weights, seed);
+                table.set_sharers(run.sharers);
+                table
+            })
             .collect();
         let histogram = || Histogram::new(3).expect("three digits are allowed");
         Self {
@@ -477,8 +484,11 @@
             self.requests.remove(&id);
             return;
         };
-        let late = choice.expected_wait > FIRST_TOKEN_TARGET;
-        if first && late && self.run.admission == Admission::EarlyRefusal {
+        let late = match self.run.admission {
+            Admission::All => false,
+            Admission::EarlyRefusal(limit) => choice.expected_wait > limit,
+        };
+        if first && late {
             self.refused += 1;
             self.requests.remove(&id);
             return;
