lease, planner: plan the VMs of a service under a lease by log order

Cause: operators leave it to the system which VMs are used; until now it used only those that were there.

What it is: one lease per service, granted by log order, whose offset is the fence; a slot's plan counts only under the current fence and is read back before its VM is ordered; the order's token is service, slot and generation, so that two planners that both believe in their lease, or a lost answer, start one VM. A reader without the log's start waits until one claim builds on another, since a claim that lost looks like one that won.

Ruled out: a lease by clock (a paused holder believes in it); keeping the VMs' names in the log (sending the order again returns them).

Each service sets refuse_beyond_ms, 600 by default.

--- a/lib/src/backend_table.rs
+++ b/lib/src/backend_table.rs
@@ -20,6 +20,7 @@
 use crate::routing::RouteChoice;
 use crate::routing::RouteQuery;
 use crate::routing::RouteStrategy;
+use crate::routing::counted_sharers;
 
 /// The assumed speed of an engine that has not reported one.
 const DEFAULT_PREFILL_RATE: f64 = 8_000.0;
@@ -50,6 +51,7 @@
     services: BTreeMap<ServiceName, EngineTable>,
     left: BTreeSet<VmId>,
     seed: u64,
+    sharers: usize,
 }
 
 impl BackendTable {
@@ -62,6 +64,14 @@
         }
     }
 
+    /// Sets the number of entries that serve, this one included.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.sharers = counted_sharers(entries);
+        for table in self.services.values_mut() {
+            table.set_sharers(self.sharers);
+        }
+    }
+
     /// Takes in a page of the VM list. VMs that are known to be leaving stay
     /// so, however late the list is. Returns the VMs that the list reports
     /// as leaving for the first time.
@@ -108,6 +118,7 @@
             .services
             .entry(record.service.clone())
             .or_insert_with(|| EngineTable::new(strategy, CostWeights::default(), seed));
+        table.set_sharers(self.sharers);
         table.add(EngineInfo {
             vm: record.vm.clone(),
             zone: record.zone.clone(),
@@ -187,15 +198,14 @@
         })
     }
 
-    /// Returns when the first token may be expected, without sending.
-    pub fn expected_wait(
+    /// Returns what would be chosen now, without sending.
+    pub fn preview(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
         query: &RouteQuery<'_>,
-    ) -> Option<std::time::Duration> {
-        let table = self.services.get_mut(service)?;
-        Some(table.choose(now, query)?.expected_wait)
+    ) -> Option<RouteChoice> {
+        self.services.get_mut(service)?.choose(now, query)
     }
 
     /// Notes that a request ended on a backend server.
--- a/lib/src/caller.rs
+++ b/lib/src/caller.rs
@@ -17,6 +17,7 @@
 
 use crate::configuration::AccountConfig;
 use crate::configuration::ConfigView;
+use crate::configuration::ServiceConfig;
 use crate::entry_context::EntryContext;
 use crate::id::ServiceName;
 use crate::id::ZoneName;
@@ -31,6 +32,7 @@
 use crate::quantity::TokenCount;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalCode;
+use crate::routing::AdmissionRule;
 use crate::routing::RouteQuery;
 use crate::trace::TRACEPARENT;
 
@@ -229,45 +231,43 @@
         Ok(decision)
     }
 
-    /// Refuses at once what cannot meet its deadline.
+    /// Refuses at once what cannot meet its deadline, or would queue for
+    /// longer than its service allows.
     ///
     /// # Errors
     ///
-    /// No backend server, or an expected wait beyond the deadline.
-    pub fn check_deadline(
+    /// No backend server, or an expected wait that is too long.
+    pub fn check_wait(
         &self,
-        service: &ServiceName,
-        decision: &PolicyDecision,
-        blocks: &[u64],
-        prompt: TokenCount,
+        service: &ServiceConfig,
+        query: &RouteQuery<'_>,
         time_left: Duration,
     ) -> Result<(), Refusal> {
-        let query = RouteQuery {
-            blocks,
-            prompt,
-            zones: decision.zones.as_ref(),
-            max_price: decision.max_price,
-            avoid: None,
-        };
-        let wait = {
+        let choice = {
             let mut backends = self.tables.backends.lock();
-            backends.expected_wait(self.now(), service, &query)
+            backends.preview(self.now(), &service.name, query)
         };
-        let Some(wait) = wait else {
-            let message = format!("no backend server of {service} may serve this request");
+        let Some(choice) = choice else {
+            let message = format!(
+                "no backend server of {} may serve this request",
+                service.name
+            );
             return Err(Refusal::not_run(RefusalCode::NoBackend, message)
                 .retry_after(self.come_back(LATE_RETRY)));
         };
-        if wait > time_left {
-            let message = format!(
-                "the first token would take {} ms, longer than the {} ms left",
-                wait.as_millis(),
-                time_left.as_millis()
-            );
-            return Err(Refusal::not_run(RefusalCode::WouldBeLate, message)
-                .retry_after(self.come_back(wait - time_left)));
+        let limit = Duration::from_millis(service.refuse_beyond_ms);
+        let admitted = AdmissionRule::with_limit(limit).admits(&choice);
+        let wait = choice.expected_wait;
+        if admitted && wait <= time_left {
+            return Ok(());
         }
-        Ok(())
+        let message = format!(
+            "the first token would take {} ms, of which {} ms behind other requests",
+            wait.as_millis(),
+            choice.queue_wait.as_millis()
+        );
+        let excess = wait.saturating_sub(limit.min(time_left));
+        Err(Refusal::not_run(RefusalCode::WouldBeLate, message).retry_after(self.come_back(excess)))
     }
 
     /// Counts a request against its account's limits. The caller releases it
--- a/lib/src/chat_api.rs
+++ b/lib/src/chat_api.rs
@@ -31,6 +31,7 @@
 use crate::caller::price_number;
 use crate::caller::zone_texts;
 use crate::configuration::RepeatRule;
+use crate::configuration::ServiceConfig;
 use crate::configuration::ServiceKind;
 use crate::engine_client::DONE;
 use crate::entry_context::EntryContext;
@@ -46,6 +47,7 @@
 use crate::refusal::RefusalBody;
 use crate::refusal::RefusalCode;
 use crate::request::AcceptedRequest;
+use crate::routing::RouteQuery;
 use crate::trace::HopSpan;
 
 /// The header that tells a caller the name of its request.
@@ -138,7 +140,7 @@
             return self.resume(request, caller, event?).await;
         }
         let chat = parse_chat(&request.body)?;
-        check_model(&caller, &chat.model)?;
+        let service = find_model(&caller, &chat.model)?;
         let ticket = request.ticket()?;
         if let Some(key) = ticket {
             let routed = self
@@ -153,7 +155,7 @@
             .start("entry", SpanKind::Server, request.traceparent());
         span.set("service", &chat.model);
         span.set("account", &caller.account.name);
-        let accepted = self.accept_chat(&request, &caller, &chat, ticket, &span);
+        let accepted = self.accept_chat(&request, &caller, &chat, &service, ticket, &span);
         let key = accepted.inspect_err(|refusal| span.fail(refusal))?;
         span.set("request", key);
         let follower = self.follow(key, ChunkPosition(0));
@@ -165,6 +167,7 @@
         request: &CallerRequest,
         caller: &KnownCaller,
         chat: &ChatBody,
+        service: &ServiceConfig,
         ticket: Option<RequestKey>,
         span: &HopSpan,
     ) -> Result<RequestKey, Refusal> {
@@ -173,7 +176,14 @@
         let tokens = TokenCount(prompt.len().div_ceil(BYTES_PER_TOKEN) as u64);
         let blocks = prefix_blocks(prompt.as_bytes());
         let decision = self.decide_policy(caller, &chat.model, tokens)?;
-        self.check_deadline(&chat.model, &decision, &blocks, tokens, time_left)?;
+        let query = RouteQuery {
+            blocks: &blocks,
+            prompt: tokens,
+            zones: decision.zones.as_ref(),
+            max_price: decision.max_price,
+            avoid: None,
+        };
+        self.check_wait(service, &query, time_left)?;
         let key = match ticket {
             Some(key) => key,
             None => self.tables.requests.lock().holder.issue_ticket(),
@@ -397,13 +407,13 @@
     Ok(chat)
 }
 
-fn check_model(caller: &KnownCaller, model: &ServiceName) -> Result<(), Refusal> {
+fn find_model(caller: &KnownCaller, model: &ServiceName) -> Result<ServiceConfig, Refusal> {
     let service = caller.config.service(model);
-    if service.is_some_and(|service| service.kind == ServiceKind::Model) {
-        return Ok(());
-    }
-    let message = format!("body: no model service is named {model}");
-    Err(Refusal::not_run(RefusalCode::UnknownService, message))
+    let service = service.filter(|service| service.kind == ServiceKind::Model);
+    service.cloned().ok_or_else(|| {
+        let message = format!("body: no model service is named {model}");
+        Refusal::not_run(RefusalCode::UnknownService, message)
+    })
 }
 
 fn unknown_model() -> ServiceName {
--- a/lib/src/configuration.rs
+++ b/lib/src/configuration.rs
@@ -15,8 +15,10 @@
 use crate::finding::FindingList;
 use crate::finding::InputPlace;
 use crate::id::AccountName;
+use crate::id::MachineClass;
 use crate::id::PolicyName;
 use crate::id::ServiceName;
+use crate::id::ZoneName;
 use crate::policy::PolicyProgram;
 use crate::quantity::HourlyPrice;
 use crate::quantity::RequestRate;
@@ -54,6 +56,13 @@
     /// Retries allowed per hundred first tries.
     #[serde(default = "default_retry_percent")]
     pub retry_percent: u32,
+    /// The expected time until the first token, in milliseconds, beyond which
+    /// a request that would have to queue is refused at once.
+    #[serde(default = "default_refuse_beyond_ms")]
+    pub refuse_beyond_ms: u64,
+    /// The requests at once that one backend server shall carry.
+    #[serde(default = "default_requests_per_replica")]
+    pub requests_per_replica: u32,
     /// The fewest backend servers to keep.
     #[serde(default)]
     pub min_replicas: u32,
@@ -66,6 +75,14 @@
     10
 }
 
+fn default_refuse_beyond_ms() -> u64 {
+    600
+}
+
+fn default_requests_per_replica() -> u32 {
+    10
+}
+
 fn default_max_replicas() -> u32 {
     64
 }
@@ -167,9 +184,11 @@
 #[serde(deny_unknown_fields)]
 pub struct ClassConfig {
     /// The cloud's name of the class.
-    pub class: crate::id::MachineClass,
+    pub class: MachineClass,
     /// The price of an on-demand VM.
     pub on_demand: HourlyPrice,
+    /// The price of a reclaimable VM.
+    pub reclaimable: HourlyPrice,
 }
 
 /// One whole configuration, as operators write it.
@@ -182,9 +201,12 @@
     pub accounts: Vec<AccountConfig>,
     /// The policies.
     pub policies: Vec<PolicyConfig>,
-    /// The classes of VM.
+    /// The classes of VM that may be started. Without any, no VM is.
     #[serde(default)]
     pub classes: Vec<ClassConfig>,
+    /// The availability zones in which VMs may be started.
+    #[serde(default)]
+    pub zones: Vec<ZoneName>,
 }
 
 /// A checked configuration, indexed and with compiled policies. Immutable.
@@ -363,6 +385,9 @@
 fn check_services(document: &ConfigDocument, findings: &mut FindingList) {
     for (index, service) in document.services.iter().enumerate() {
         let place = |key: &str| InputPlace::path(format!("services[{index}].{key}"));
+        if service.requests_per_replica == 0 {
+            findings.add(place("requests_per_replica"), "must be at least 1");
+        }
         if service.min_replicas > service.max_replicas {
             findings.add(
                 place("min_replicas"),
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -25,6 +25,7 @@
 use crate::metrics_export;
 use crate::pair::RequestKey;
 use crate::peer_link::receive_frames;
+use crate::plan_task;
 use crate::platform_task;
 use crate::request_work::RESEND_AFTER;
 use crate::settings::EntrySettings;
@@ -187,6 +188,7 @@
     spawn_until_stop(context, platform_task::follow_vms(share()));
     spawn_until_stop(context, platform_task::follow_engines(share()));
     spawn_until_stop(context, platform_task::follow_notices(share(), reclaimed));
+    spawn_until_stop(context, plan_task::plan_vms(share()));
     spawn_until_stop(context, resend_pending(share()));
     spawn_until_stop(context, sweep(share()));
 }
--- /dev/null
+++ b/lib/src/plan_task.rs
@@ -0,0 +1,291 @@
+//! Plans the VMs of each service whose lease this entry holds.
+//!
+//! Each round reads the lease stream to its end first: without the log nobody
+//! plans. A slot's plan is appended before its VM is ordered, and ordered only
+//! once it was read back under the current fence.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::counter;
+use slog::info;
+use slog::warn;
+
+use crate::configuration::ConfigView;
+use crate::configuration::ServiceConfig;
+use crate::entry_context::EntryContext;
+use crate::http_client::HttpError;
+use crate::id::FenceToken;
+use crate::id::ServiceName;
+use crate::id::VmId;
+use crate::lease::LEASE_TERM;
+use crate::lease::LeaseFollower;
+use crate::lease::LeaseRecord;
+use crate::lease::SlotPlan;
+use crate::lease::VmPlacement;
+use crate::log_client::LEASE_STREAM;
+use crate::membership::MemberState;
+use crate::planner::PlanTarget;
+use crate::planner::SlotStatus;
+use crate::planner::VmOffer;
+use crate::planner::VmPlanner;
+use crate::platform_client::VmMarket;
+
+/// The time between rounds.
+const ROUND: Duration = Duration::from_secs(1);
+/// The share of the needed replicas left when any one zone is lost.
+const LEFT_AFTER_ZONE_LOSS: f64 = 0.6;
+/// How long demand must be lower before a replica is given up.
+const SHRINK_AFTER: Duration = Duration::from_secs(300);
+/// How long work may take to leave a VM before it is stopped.
+const STOP_GRACE: Duration = Duration::from_secs(30);
+/// The status with which the cloud refuses a start.
+const REFUSED: u16 = 503;
+
+/// What is known of the VMs started for one service.
+#[derive(Debug, Default)]
+struct ServicePlan {
+    planner: VmPlanner,
+    vms: BTreeMap<(u32, u32), VmId>,
+    listed: BTreeSet<VmId>,
+}
+
+struct PlanRound {
+    context: Arc<EntryContext>,
+    follower: LeaseFollower,
+    plans: BTreeMap<ServiceName, ServicePlan>,
+}
+
+/// Plans VMs until the entry stops.
+pub async fn plan_vms(context: Arc<EntryContext>) {
+    let mut round = PlanRound {
+        context,
+        follower: LeaseFollower::new(),
+        plans: BTreeMap::new(),
+    };
+    loop {
+        tokio::time::sleep(ROUND).await;
+        round.run().await;
+    }
+}
+
+impl PlanRound {
+    async fn run(&mut self) {
+        let Some(config) = self.context.config() else {
+            return;
+        };
+        let enabled = !config.document().classes.is_empty();
+        let serving = self.context.state() == MemberState::Serving;
+        if !enabled || !serving {
+            return;
+        }
+        if let Err(error) = self.read_leases().await {
+            slog::debug!(self.context.log, "no planning without the log"; "error" => %error);
+            return;
+        }
+        for service in config.services() {
+            self.run_service(&config, service).await;
+        }
+    }
+
+    async fn read_leases(&mut self) -> Result<(), HttpError> {
+        loop {
+            let from = self.follower.next_offset();
+            let log = &self.context.log_service;
+            let page = log.read(LEASE_STREAM, from, Duration::ZERO).await?;
+            let now = self.context.now();
+            for record in &page.records {
+                self.follower.apply(now, record.offset, &record.body);
+            }
+            if self.follower.next_offset() >= page.next || page.records.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn append(&self, record: &LeaseRecord) {
+        let Ok(body) = serde_json::to_string(record) else {
+            return;
+        };
+        // Whether it counts is told by reading it back.
+        if let Err(error) = self.context.log_service.append(LEASE_STREAM, body).await {
+            slog::debug!(self.context.log, "an append was not answered"; "error" => %error);
+        }
+    }
+
+    async fn run_service(&mut self, config: &ConfigView, service: &ServiceConfig) {
+        let name = &service.name;
+        let now = self.context.now();
+        let own = self.context.incarnation;
+        if let Some(claim) = self.follower.claim(now, name, own) {
+            self.append(&claim).await;
+        }
+        let lease = self.follower.lease(name);
+        let held = lease.holder == Some(own) && now.since(lease.seen) < LEASE_TERM / 2;
+        if !held {
+            return;
+        }
+        let slots: Vec<SlotPlan> = lease.slots.values().cloned().collect();
+        self.order_missing(name, &slots).await;
+        let changes = self.changes(config, service, &slots);
+        for plan in changes {
+            self.change_slot(name, lease.fence, &slots, plan).await;
+        }
+    }
+
+    /// Orders the VMs of slots whose VM is not known. Orders that were sent by
+    /// an earlier holder, or whose answer was lost, return the same VM.
+    async fn order_missing(&mut self, name: &ServiceName, slots: &[SlotPlan]) {
+        for slot in slots {
+            let key = (slot.slot, slot.generation);
+            let plan = self.plans.entry(name.clone()).or_default();
+            let Some(order) = slot.order(name).filter(|_| !plan.vms.contains_key(&key)) else {
+                continue;
+            };
+            let placement = slot.placement.clone();
+            match self.context.platform.start_vm(&order).await {
+                Ok(started) => {
+                    info!(self.context.log, "a VM was started"; "service" => %name,
+                        "token" => &order.token, "vm" => %started.vm);
+                    counter!("cloverbend_vm_starts_total", "outcome" => "started").increment(1);
+                    plan.vms.insert(key, started.vm);
+                    if let Some(placement) = &placement {
+                        plan.planner.started(placement);
+                    }
+                }
+                Err(HttpError::Status(REFUSED, _)) => {
+                    warn!(self.context.log, "a start was refused"; "token" => &order.token);
+                    counter!("cloverbend_vm_starts_total", "outcome" => "refused").increment(1);
+                    if let Some(placement) = &placement {
+                        plan.planner.refused(self.context.now(), placement);
+                    }
+                }
+                // The next round sends the same order again.
+                Err(_) => {
+                    counter!("cloverbend_vm_starts_total", "outcome" => "lost").increment(1);
+                }
+            }
+        }
+    }
+
+    fn changes(
+        &mut self,
+        config: &ConfigView,
+        service: &ServiceConfig,
+        slots: &[SlotPlan],
+    ) -> Vec<SlotPlan> {
+        let now = self.context.now();
+        let plan = self.plans.entry(service.name.clone()).or_default();
+        let own: BTreeSet<&VmId> = plan.vms.values().collect();
+        let mut demand = 0.0;
+        let mut foreign = 0;
+        let mut live = BTreeSet::new();
+        {
+            let backends = self.context.tables.backends.lock();
+            for (record, leaving) in backends.vms() {
+                if record.service != service.name || leaving {
+                    continue;
+                }
+                let load = backends.load(record).unwrap_or_default();
+                demand += f64::from(load.running + load.waiting);
+                foreign += u32::from(!own.contains(&record.vm));
+                live.insert(record.vm.clone());
+            }
+        }
+        let statuses: Vec<SlotStatus> = slots
+            .iter()
+            .map(|slot| {
+                let vm = plan.vms.get(&(slot.slot, slot.generation)).cloned();
+                // A VM that the list never named may not have got there yet.
+                let lost = vm
+                    .as_ref()
+                    .is_some_and(|vm| plan.listed.contains(vm) && !live.contains(vm));
+                SlotStatus {
+                    plan: slot.clone(),
+                    vm,
+                    lost,
+                }
+            })
+            .collect();
+        plan.listed.extend(live);
+        let target = plan_target(service, foreign);
+        let carried = f64::from(foreign * service.requests_per_replica);
+        let offers = offers(config);
+        plan.planner.plan(
+            now,
+            &target,
+            (demand - carried).max(0.0),
+            &statuses,
+            &offers,
+        )
+    }
+
+    async fn change_slot(
+        &self,
+        name: &ServiceName,
+        fence: FenceToken,
+        slots: &[SlotPlan],
+        plan: SlotPlan,
+    ) {
+        let former = slots.iter().find(|slot| slot.slot == plan.slot);
+        let vm = former.and_then(|former| {
+            let known = self.plans.get(name)?;
+            known.vms.get(&(former.slot, former.generation)).cloned()
+        });
+        let record = LeaseRecord::Slot {
+            service: name.clone(),
+            fence,
+            plan,
+        };
+        self.append(&record).await;
+        if let Some(vm) = vm {
+            self.retire(vm);
+        }
+    }
+
+    /// Lets work leave a VM, then stops it.
+    fn retire(&self, vm: VmId) {
+        self.context.announce_leaving_vm(vm.clone());
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            tokio::time::sleep(STOP_GRACE).await;
+            // A VM that the cloud took back already needs no stopping.
+            let _ = context.platform.stop_vm(&vm).await;
+        });
+    }
+}
+
+/// VMs that were not started from here count as kept.
+fn plan_target(service: &ServiceConfig, foreign: u32) -> PlanTarget {
+    PlanTarget {
+        min: service.min_replicas.saturating_sub(foreign),
+        max: service.max_replicas.saturating_sub(foreign),
+        requests_per_replica: f64::from(service.requests_per_replica),
+        left_after_zone_loss: LEFT_AFTER_ZONE_LOSS,
+        shrink_after: SHRINK_AFTER,
+    }
+}
+
+fn offers(config: &ConfigView) -> Vec<VmOffer> {
+    let document = config.document();
+    let mut offers = Vec::new();
+    for zone in &document.zones {
+        for class in &document.classes {
+            let markets = [
+                (VmMarket::Reclaimable, class.reclaimable),
+                (VmMarket::OnDemand, class.on_demand),
+            ];
+            for (market, price) in markets {
+                let placement = VmPlacement {
+                    zone: zone.clone(),
+                    class: class.class.clone(),
+                    market,
+                };
+                offers.push(VmOffer { placement, price });
+            }
+        }
+    }
+    offers
+}
--- a/lib/src/platform_client.rs
+++ b/lib/src/platform_client.rs
@@ -8,6 +8,7 @@
 
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
+use crate::http_client::build_request;
 use crate::id::MachineClass;
 use crate::id::ServiceName;
 use crate::id::VmId;
@@ -155,4 +156,16 @@
             serde_json::to_string(order).map_err(|error| HttpError::NotSent(error.to_string()))?;
         self.http.post_json(&url, body, QUERY_TIMEOUT).await
     }
+
+    /// Stops a VM. Stopping one that is gone changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpError`].
+    pub async fn stop_vm(&self, vm: &VmId) -> Result<(), HttpError> {
+        let url = self.cloud_api.join(&format!("/vms/{vm}"));
+        let request = build_request(http::Request::delete(url), bytes::Bytes::new())?;
+        let _: serde_json::Value = self.http.fetch_json(request, QUERY_TIMEOUT).await?;
+        Ok(())
+    }
 }
--- a/lib/src/platform_task.rs
+++ b/lib/src/platform_task.rs
@@ -48,13 +48,15 @@
     };
     gauge!("cloverbend_backend_servers").set(vms.len() as f64);
     let listed: Vec<VmId> = vms.iter().map(|vm| vm.vm.clone()).collect();
-    let news: Vec<VmId> = {
+    let (news, entries): (Vec<VmId>, usize) = {
         let members = context.tables.members.lock();
         let leaving = listed.into_iter().filter(|vm| members.is_vm_leaving(vm));
-        leaving.collect()
+        let serving = members.all().filter(|record| record.takes_requests());
+        (leaving.collect(), serving.count())
     };
     let newly_leaving = {
         let mut backends = context.tables.backends.lock();
+        backends.set_entries(entries);
         let newly_leaving = backends.update(Some(&config), vms);
         for vm in &news {
             backends.set_leaving(vm);
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -131,6 +131,40 @@
     pub as_of: Timestamp,
 }
 
+/// Which requests are refused at once because they would be late. Without a
+/// queue nothing is refused: a long prompt on an idle engine is not lateness
+/// that a refusal could mend. With one, requests that need much prefill go
+/// first, so that those with cached prefixes still meet the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionRule {
+    /// The wait behind others that does not count as a queue.
+    pub queue_floor: Duration,
+    /// The longest expected time until the first token, behind a queue.
+    pub limit: Duration,
+}
+
+impl AdmissionRule {
+    /// Returns the rule with a limit and the usual floor.
+    pub const fn with_limit(limit: Duration) -> Self {
+        Self {
+            queue_floor: Duration::from_millis(100),
+            limit,
+        }
+    }
+
+    /// Returns whether a request with this best choice is admitted.
+    pub fn admits(&self, choice: &RouteChoice) -> bool {
+        choice.queue_wait <= self.queue_floor || choice.expected_wait <= self.limit
+    }
+}
+
+/// Returns how many entries each takes to send as much as itself, of `entries`
+/// that serve. Counting all would spread requests further than their prefixes
+/// are worth; the square root did best, see docs/MEASUREMENTS.md.
+pub fn counted_sharers(entries: usize) -> usize {
+    (entries.max(1) as f64).sqrt().round() as usize
+}
+
 /// What is fixed about an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineInfo {
@@ -170,6 +204,8 @@
     pub vm: VmId,
     /// The expected time until the first token.
     pub expected_wait: Duration,
+    /// The part of that for which the request waits behind others.
+    pub queue_wait: Duration,
     /// The prompt tokens believed cached there.
     pub cached: TokenCount,
 }
@@ -364,6 +400,7 @@
             expected_wait: Duration::from_secs_f64(
                 slot.wait_seconds(uncached as f64, self.sharers),
             ),
+            queue_wait: Duration::from_secs_f64(slot.wait_seconds(0.0, self.sharers)),
             cached: TokenCount(cached),
         })
     }
--- a/testutils/src/bin/cloverbend-experiment.rs
+++ b/testutils/src/bin/cloverbend-experiment.rs
@@ -20,7 +20,7 @@
 use plotters::prelude::*;
 
 /// The expected wait beyond which requests are refused, in milliseconds.
-const DEFAULT_LIMIT: u64 = 1_000;
+const DEFAULT_LIMIT: u64 = 600;
 
 /// What is compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -206,10 +206,11 @@
     let refusal = |millis| Admission::EarlyRefusal(Duration::from_millis(millis));
     let limits = [
         Admission::All,
-        refusal(1_600),
+        Admission::QueueLimit(Duration::from_millis(300)),
         refusal(1_000),
-        refusal(700),
+        refusal(600),
         refusal(400),
+        refusal(300),
     ];
     let mut rows = Vec::new();
     for factor in [1.0, 1.3, 2.0, 5.0] {
--- a/testutils/src/cloud_standin.rs
+++ b/testutils/src/cloud_standin.rs
@@ -199,6 +199,12 @@
                 Ok(order) => self.start_vm(order),
                 Err(error) => json_answer(StatusCode::BAD_REQUEST, &error.to_string()),
             },
+            (&Method::DELETE, ["vms", name]) => {
+                if let Ok(vm) = name.parse() {
+                    self.remove_vm(&vm);
+                }
+                json_answer(StatusCode::OK, &"stopped")
+            }
             (&Method::POST, ["admin", "vms"]) => match serde_json::from_slice(&request.body) {
                 Ok(record) => {
                     self.add_vm(record);
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine_standin;
 pub mod fault;
 pub mod histories;
+pub mod linear_fit;
 pub mod load_model;
 pub mod log_standin;
 pub mod member_world;
--- a/testutils/src/load_model.rs
+++ b/testutils/src/load_model.rs
@@ -17,6 +17,7 @@
 use cloverbend::quantity::HourlyPrice;
 use cloverbend::quantity::Timestamp;
 use cloverbend::quantity::TokenCount;
+use cloverbend::routing::AdmissionRule;
 use cloverbend::routing::CostWeights;
 use cloverbend::routing::EngineInfo;
 use cloverbend::routing::EngineLoad;
@@ -102,7 +103,10 @@
 pub enum Admission {
     /// Everything is taken.
     All,
-    /// What is expected to take longer than this is refused.
+    /// What is expected to wait behind others for longer is refused.
+    QueueLimit(Duration),
+    /// What waits behind others at all and is expected to take longer until
+    /// its first token is refused.
     EarlyRefusal(Duration),
 }
 
@@ -486,7 +490,8 @@
         };
         let late = match self.run.admission {
             Admission::All => false,
-            Admission::EarlyRefusal(limit) => choice.expected_wait > limit,
+            Admission::QueueLimit(limit) => choice.queue_wait > limit,
+            Admission::EarlyRefusal(limit) => !AdmissionRule::with_limit(limit).admits(&choice),
         };
         if first && late {
             self.refused += 1;
--- a/testutils/src/sample.rs
+++ b/testutils/src/sample.rs
@@ -43,6 +43,8 @@
         kind,
         repeat,
         retry_percent: 20,
+        refuse_beyond_ms: 600,
+        requests_per_replica: 10,
         min_replicas: 1,
         max_replicas: 20,
     }
@@ -74,5 +76,6 @@
             program: POLICY.to_owned(),
         }],
         classes: Vec::new(),
+        zones: Vec::new(),
     }
 }
