routing: weigh recomputed tokens more, per service

Cause: with a weight of 0.2 s (cold chain) and 0.6 s (pet food) per thousand recomputed tokens, prompts left the engines that had their prefixes as soon as others were a little freer, and paid for it in prefill time.

Conclusion: 0.6 by default, a service may set recompute_weight; pet food 5.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -40,7 +40,15 @@
         println!("{}: settings are valid", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    match run(settings) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.limits.workers.get())
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(run(settings)),
+        Err(error) => Err(error.to_string()),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("{message}");
@@ -56,7 +64,6 @@
     EntrySettings::parse(&file, &text).map_err(|findings| findings.to_string())
 }
 
-#[tokio::main]
 async fn run(settings: EntrySettings) -> Result<(), String> {
     let log = build_logger(settings.log_format, settings.log_level);
     let daemon = EntryDaemon::start(settings, log)
--- a/lib/src/backend_table.rs
+++ b/lib/src/backend_table.rs
@@ -107,9 +107,12 @@
             return;
         }
         let seed = self.seed;
-        let kind = config
-            .and_then(|config| config.service(&record.service))
-            .map_or(ServiceKind::Model, |service| service.kind);
+        let service = config.and_then(|config| config.service(&record.service));
+        let kind = service.map_or(ServiceKind::Model, |service| service.kind);
+        let mut weights = CostWeights::default();
+        if let Some(service) = service {
+            weights.recompute = service.recompute_weight;
+        }
         let strategy = match kind {
             ServiceKind::Model => RouteStrategy::FullCost,
             ServiceKind::Plain => RouteStrategy::LeastLoaded,
@@ -117,8 +120,9 @@
         let table = self
             .services
             .entry(record.service.clone())
-            .or_insert_with(|| EngineTable::new(strategy, CostWeights::default(), seed));
+            .or_insert_with(|| EngineTable::new(strategy, weights, seed));
         table.set_sharers(self.sharers);
+        table.set_weights(weights);
         table.add(EngineInfo {
             vm: record.vm.clone(),
             zone: record.zone.clone(),
@@ -222,6 +226,19 @@
         }
     }
 
+    /// Takes in what an engine tells of its speed and size.
+    pub fn report_shape(
+        &mut self,
+        service: &ServiceName,
+        vm: &VmId,
+        slots: Option<u32>,
+        prefill_rate: Option<f64>,
+    ) {
+        if let Some(table) = self.services.get_mut(service) {
+            table.report_shape(vm, slots, prefill_rate);
+        }
+    }
+
     /// Takes in an engine's cache events.
     pub fn report_cache(
         &mut self,
--- a/lib/src/chat_api.rs
+++ b/lib/src/chat_api.rs
@@ -422,6 +422,29 @@
         .unwrap_or_else(|_| unreachable!("the name is valid"))
 }
 
+/// The usual size of an event with one chunk, in bytes.
+const EVENT_SIZE: usize = 320;
+
+#[derive(Serialize)]
+struct ChunkDelta<'a> {
+    content: &'a str,
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    delta: ChunkDelta<'a>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct ChunkEvent<'a> {
+    id: &'a str,
+    object: &'a str,
+    model: &'a str,
+    choices: [ChunkChoice<'a>; 1],
+}
+
 struct FrameState {
     follower: AnswerFollower,
     pending: Option<FollowEvent>,
@@ -514,19 +537,26 @@
     }
 
     fn render_chunks(&self, from: ChunkPosition, chunks: &[Bytes]) -> Bytes {
-        let mut text = String::new();
         let key = self.follower.key();
+        let id = key.to_string();
+        let mut text = Vec::with_capacity(chunks.len() * EVENT_SIZE);
         for (index, chunk) in chunks.iter().enumerate() {
             let next = ChunkPosition(from.0 + index as u64 + 1);
             let content = String::from_utf8_lossy(chunk);
-            let data = json!({
-                "id": key.to_string(),
-                "object": "chat.completion.chunk",
-                "model": self.model.as_str(),
-                "choices": [{"index": 0, "delta": {"content": content}, "finish_reason": null}],
-            });
-            let id = EventId { key, next };
-            text.push_str(&format!("id: {id}\ndata: {data}\n\n"));
+            let event = ChunkEvent {
+                id: &id,
+                object: "chat.completion.chunk",
+                model: self.model.as_str(),
+                choices: [ChunkChoice {
+                    index: 0,
+                    delta: ChunkDelta { content: &content },
+                    finish_reason: None,
+                }],
+            };
+            text.extend_from_slice(format!("id: {id}:{next}\ndata: ").as_bytes());
+            // Writing these plain fields to memory cannot fail.
+            let _ = serde_json::to_writer(&mut text, &event);
+            text.extend_from_slice(b"\n\n");
         }
         text.into()
     }
--- a/lib/src/configuration.rs
+++ b/lib/src/configuration.rs
@@ -60,6 +60,10 @@
     /// a request that would have to queue is refused at once.
     #[serde(default = "default_refuse_beyond_ms")]
     pub refuse_beyond_ms: u64,
+    /// The seconds of first-token time that a thousand recomputed tokens are
+    /// worth; more keeps prompts where their prefixes are cached.
+    #[serde(default = "default_recompute_weight")]
+    pub recompute_weight: f64,
     /// The requests at once that one backend server shall carry.
     #[serde(default = "default_requests_per_replica")]
     pub requests_per_replica: u32,
@@ -79,6 +83,10 @@
     600
 }
 
+fn default_recompute_weight() -> f64 {
+    0.6
+}
+
 fn default_requests_per_replica() -> u32 {
     10
 }
@@ -385,6 +393,10 @@
 fn check_services(document: &ConfigDocument, findings: &mut FindingList) {
     for (index, service) in document.services.iter().enumerate() {
         let place = |key: &str| InputPlace::path(format!("services[{index}].{key}"));
+        let weight = service.recompute_weight;
+        if !(weight.is_finite() && weight >= 0.0) {
+            findings.add(place("recompute_weight"), "must be zero or more");
+        }
         if service.requests_per_replica == 0 {
             findings.add(place("requests_per_replica"), "must be at least 1");
         }
--- a/lib/src/engine_client.rs
+++ b/lib/src/engine_client.rs
@@ -91,7 +91,7 @@
 }
 
 /// A load report of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Requests that decode.
     pub running: u32,
@@ -101,6 +101,12 @@
     pub waiting_tokens: u64,
     /// The age of the report when it was sent, in milliseconds.
     pub age_ms: u64,
+    /// Requests that can decode at once, if the engine tells.
+    #[serde(default)]
+    pub slots: Option<u32>,
+    /// Prompt tokens computed a second with a full batch, if it tells.
+    #[serde(default)]
+    pub prefill_rate: Option<f64>,
 }
 
 /// Cache events of an engine.
--- a/lib/src/platform_task.rs
+++ b/lib/src/platform_task.rs
@@ -160,19 +160,21 @@
     after: u64,
 ) -> Option<(VmId, u64)> {
     let asked = context.now();
-    let load = engines.load(record.address).await.ok()?;
+    let report = engines.load(record.address).await.ok()?;
     // The report was true `age_ms` before it was sent; taking the time of
     // asking as that of sending errs towards counting own work twice.
-    let as_of = asked.0.saturating_sub(load.age_ms * 1_000);
+    let as_of = asked.0.saturating_sub(report.age_ms * 1_000);
     let load = EngineLoad {
-        running: load.running,
-        waiting: load.waiting,
-        waiting_tokens: load.waiting_tokens,
+        running: report.running,
+        waiting: report.waiting,
+        waiting_tokens: report.waiting_tokens,
         as_of: crate::quantity::Timestamp(as_of),
     };
     {
         let mut backends = context.tables.backends.lock();
-        backends.report_load(&record.service, &record.vm, load);
+        let (service, vm) = (&record.service, &record.vm);
+        backends.report_load(service, vm, load);
+        backends.report_shape(service, vm, report.slots, report.prefill_rate);
     }
     let events = engines.cache_events(record.address, after).await.ok()?;
     let mut backends = context.tables.backends.lock();
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -111,9 +111,9 @@
 impl Default for CostWeights {
     fn default() -> Self {
         Self {
-            recompute: 0.2,
+            recompute: 0.6,
             price: 0.02,
-            crowding: 0.004,
+            crowding: 0.02,
         }
     }
 }
@@ -292,6 +292,11 @@
         }
     }
 
+    /// Sets the weights of full cost.
+    pub fn set_weights(&mut self, weights: CostWeights) {
+        self.weights = weights;
+    }
+
     /// Sets the number of entries that send requests to these engines, this
     /// one included. What they sent since the last report is not known, and
     /// is taken to be as much as this entry sent.
@@ -374,6 +379,17 @@
         slot.own_recent_tokens = slot.own_recent.iter().map(|(_, tokens)| tokens).sum();
     }
 
+    /// Takes in what an engine tells of its speed and size.
+    pub fn report_shape(&mut self, vm: &VmId, slots: Option<u32>, prefill_rate: Option<f64>) {
+        let Some(index) = self.by_vm.get(vm) else {
+            return;
+        };
+        let info = &mut self.slots[*index as usize].info;
+        info.slots = slots.filter(|slots| *slots > 0).unwrap_or(info.slots);
+        let usable = |rate: &f64| rate.is_finite() && *rate > 0.0;
+        info.prefill_rate = prefill_rate.filter(usable).unwrap_or(info.prefill_rate);
+    }
+
     /// Takes in cache events of an engine: blocks stored and blocks evicted.
     pub fn report_cache(&mut self, vm: &VmId, stored: &[u64], evicted: &[u64]) {
         let Some(index) = self.by_vm.get(vm).copied() else {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -251,6 +252,13 @@
         Some("info"),
         "least severe level logged",
     ),
+    setting(
+        "limits",
+        "workers",
+        "count",
+        Some("2"),
+        "worker threads; more than the VM has cores only adds switches",
+    ),
     setting(
         "limits",
         "max_body",
@@ -312,6 +320,8 @@
 /// Limits of one entry daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryLimits {
+    /// The number of worker threads.
+    pub workers: NonZeroUsize,
     /// The largest accepted request body.
     pub max_body: ByteCount,
     /// The most requests held at once.
@@ -523,6 +533,7 @@
     }
 
     fn read_limits(&mut self) -> Option<EntryLimits> {
+        let workers = self.defaulted("limits", "workers");
         let max_body = self.defaulted("limits", "max_body");
         let max_requests = self.defaulted("limits", "max_requests");
         let default_deadline = self.defaulted("limits", "default_deadline");
@@ -530,6 +541,7 @@
         let answer_lifetime = self.defaulted("limits", "answer_lifetime");
         let ticket_lifetime = self.defaulted("limits", "ticket_lifetime");
         Some(EntryLimits {
+            workers: workers?,
             max_body: max_body?,
             max_requests: max_requests?,
             default_deadline: Duration::from_millis(default_deadline?),
--- a/testutils/src/bin/cloverbend-experiment.rs
+++ b/testutils/src/bin/cloverbend-experiment.rs
@@ -70,6 +70,9 @@
     /// How many entries each takes to send as much as itself
     #[arg(long, default_value_t = 3)]
     sharers: usize,
+    /// Only rows whose names contain this
+    #[arg(long, value_name = "TEXT", default_value = "")]
+    only: String,
     /// Write every run as CSV
     #[arg(long, value_name = "FILE")]
     csv: Option<PathBuf>,
@@ -102,6 +105,9 @@
     let mut results: Vec<(String, Columns)> = Vec::new();
     let mut header_done = false;
     for row in rows(args) {
+        if !row.name.contains(&args.only) {
+            continue;
+        }
         let mut columns = Columns::new();
         for run in &row.runs {
             let figures = figure_columns(&run_load(*run));
@@ -161,7 +167,8 @@
 /// The weights of a user who weighs recomputed tokens more.
 fn pet_food_weights() -> CostWeights {
     CostWeights {
-        recompute: 0.6,
+        recompute: 5.0,
+        crowding: 0.004,
         ..CostWeights::default()
     }
 }
@@ -241,8 +248,8 @@
 
 fn weight_rows(args: &ExperimentArgs) -> Vec<Row> {
     let mut rows = Vec::new();
-    for recompute in [0.0, 0.1, 0.2, 0.6, 2.0] {
-        for crowding in [0.0, 0.004, 0.02, 0.08] {
+    for recompute in [0.0, 0.2, 0.6, 2.0, 5.0] {
+        for crowding in [0.004, 0.02] {
             let name = format!("recompute {recompute}, crowding {crowding}");
             rows.push(row(args, name, |run| {
                 run.admission = Admission::All;
--- a/testutils/src/engine_model.rs
+++ b/testutils/src/engine_model.rs
@@ -300,3 +300,10 @@
         tokens
     }
 }
+
+/// Returns the prompt tokens that a full batch computes a second.
+pub fn effective_prefill(shape: EngineShape) -> f64 {
+    let decode = shape.step_base + shape.step_per_request * shape.slots as u32;
+    let chunk = shape.chunk as f64;
+    chunk / (decode.as_secs_f64() + chunk / shape.prefill_rate)
+}
--- a/testutils/src/engine_standin.rs
+++ b/testutils/src/engine_standin.rs
@@ -41,6 +41,7 @@
 use crate::engine_model::EngineShape;
 use crate::engine_model::ModelRequest;
 use crate::engine_model::ModelToken;
+use crate::engine_model::effective_prefill;
 use crate::fault::Fault;
 use crate::fault::FaultSwitch;
 use crate::standin_server::Standin;
@@ -109,6 +110,8 @@
     loads: Vec<(Instant, LoadReport)>,
     generator: StdRng,
     fence: u64,
+    shape: EngineShape,
+    speed: f64,
 }
 
 /// The state of an engine.
@@ -134,6 +137,8 @@
                 loads: Vec::new(),
                 generator: StdRng::seed_from_u64(seed),
                 fence: 0,
+                shape,
+                speed,
             }),
             work: Notify::new(),
             faults: FaultSwitch::default(),
@@ -274,6 +279,8 @@
             waiting: self.model.waiting() as u32,
             waiting_tokens: self.model.waiting_tokens(),
             age_ms: 0,
+            slots: Some(self.shape.slots as u32),
+            prefill_rate: Some(effective_prefill(self.shape) * self.speed),
         };
         let now = Instant::now();
         self.loads.push((now, report));
@@ -286,15 +293,10 @@
         let now = Instant::now();
         let old = |(at, _): &&(Instant, LoadReport)| now.duration_since(*at) >= LOAD_LAG;
         let lagging = self.loads.iter().rev().find(old);
-        let (at, report) = lagging.or(self.loads.first()).cloned().unwrap_or((
-            now,
-            LoadReport {
-                running: 0,
-                waiting: 0,
-                waiting_tokens: 0,
-                age_ms: 0,
-            },
-        ));
+        let lagging = lagging.or(self.loads.first());
+        let Some((at, report)) = lagging.cloned() else {
+            unreachable!("a report was noted above");
+        };
         LoadReport {
             age_ms: now.duration_since(at).as_millis() as u64,
             ..report
--- a/testutils/src/load_model.rs
+++ b/testutils/src/load_model.rs
@@ -5,7 +5,6 @@
 //! that lag and have gaps, as in the daemon. Everything is drawn from a seed.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -34,6 +33,7 @@
 use crate::engine_model::EngineShape;
 use crate::engine_model::ModelRequest;
 use crate::engine_model::ModelToken;
+use crate::engine_model::effective_prefill;
 
 /// The time between load reports of an engine.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
@@ -764,18 +764,6 @@
     }
 }
 
-/// Returns the prompt tokens that a full batch computes a second.
-pub fn effective_prefill(shape: EngineShape) -> f64 {
-    let decode = shape.step_base + shape.step_per_request * shape.slots as u32;
-    let chunk = shape.chunk as f64;
-    chunk / (decode.as_secs_f64() + chunk / shape.prefill_rate)
-}
-
-/// The zones of a run, for queries that restrict them.
-pub fn all_zones() -> BTreeSet<ZoneName> {
-    (0..ZONES).map(zone_name).collect()
-}
-
 /// Figures by name, in the order of the tables.
 pub fn figure_columns(figures: &LoadFigures) -> BTreeMap<&'static str, f64> {
     BTreeMap::from([
--- a/testutils/src/processes.rs
+++ b/testutils/src/processes.rs
@@ -71,6 +71,37 @@
         Err(io::Error::other(format!("kill -{name} failed")))
     }
 
+    /// Returns the processor time used so far, in seconds.
+    ///
+    /// # Errors
+    ///
+    /// A process that ended, or a machine without `/proc`.
+    pub fn cpu_seconds(&self) -> io::Result<f64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        // The fields after the name, which is in parentheses; user and system
+        // time are the 14th and 15th of all, in ticks of 10 ms.
+        let fields = text.rsplit(')').next().unwrap_or_default();
+        let ticks: u64 = fields
+            .split_whitespace()
+            .skip(11)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        Ok(ticks as f64 / 100.0)
+    }
+
+    /// Returns the resident memory in kB.
+    ///
+    /// # Errors
+    ///
+    /// A process that ended, or a machine without `/proc`.
+    pub fn resident_kb(&self) -> io::Result<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        Ok(number.and_then(|number| number.parse().ok()).unwrap_or(0))
+    }
+
     /// Waits until the process ended, and returns whether it succeeded.
     ///
     /// # Errors
@@ -95,10 +126,12 @@
 /// A binary that was not built.
 pub fn find_binary(name: &str) -> io::Result<PathBuf> {
     let test = std::env::current_exe()?;
-    let folder = test.ancestors().nth(2).map(PathBuf::from);
-    let path = folder.unwrap_or_default().join(name);
-    if path.exists() {
-        return Ok(path);
+    // Tests lie in a folder below the binaries, other binaries beside them.
+    for folder in test.ancestors().skip(1).take(2) {
+        let path = folder.join(name);
+        if path.exists() {
+            return Ok(path);
+        }
     }
     let message = format!("{name} is not built: run `cargo build --workspace` first");
     Err(io::Error::new(io::ErrorKind::NotFound, message))
@@ -159,6 +192,20 @@
     ///
     /// A part that did not start in time.
     pub async fn start(entries: usize, engines: usize, plains: usize) -> io::Result<Self> {
+        Self::start_with(entries, engines, plains, &[]).await
+    }
+
+    /// Starts a deployment whose engines get further arguments.
+    ///
+    /// # Errors
+    ///
+    /// A part that did not start in time.
+    pub async fn start_with(
+        entries: usize,
+        engines: usize,
+        plains: usize,
+        engine_args: &[String],
+    ) -> io::Result<Self> {
         let (log, log_address) = start_standin(&["log"])?;
         let (cloud, cloud_address) = start_standin(&["cloud", "--lag", "300"])?;
         let platform = PlatformAddresses {
@@ -177,11 +224,13 @@
             http: HttpClient::new(),
         };
         for index in 0..engines {
-            let backend = cluster.start_backend("engine", REPORTS, index).await?;
+            let backend = cluster
+                .start_backend("engine", REPORTS, index, engine_args)
+                .await?;
             cluster.engines.push(backend);
         }
         for index in 0..plains {
-            let backend = cluster.start_backend("plain", ALERTS, index).await?;
+            let backend = cluster.start_backend("plain", ALERTS, index, &[]).await?;
             cluster.plains.push(backend);
         }
         cluster.publish().await?;
@@ -198,8 +247,11 @@
         kind: &str,
         service: &str,
         index: usize,
+        more: &[String],
     ) -> io::Result<BackendProcess> {
-        let (process, address) = start_standin(&[kind])?;
+        let mut args = vec![kind];
+        args.extend(more.iter().map(String::as_str));
+        let (process, address) = start_standin(&args)?;
         let vm = format!("{kind}-{}", index + 1);
         let record = vm_record(&vm, address, service, index);
         self.admin("/admin/vms", &json!(record)).await?;
--- a/testutils/src/sample.rs
+++ b/testutils/src/sample.rs
@@ -44,6 +44,7 @@
         repeat,
         retry_percent: 20,
         refuse_beyond_ms: 600,
+        recompute_weight: 0.6,
         requests_per_replica: 10,
         min_replicas: 1,
         max_replicas: 20,
@@ -56,7 +57,7 @@
         key_hash: KeyHash::of_key(key),
         policy: name("main"),
         request_rate: RequestRate(3_000.0),
-        concurrency: 3_000,
+        concurrency: 30_000,
     }
 }
 
