testutils: a leaving engine gets no new work, however late the list is

The test gives notice to an engine while the VM list is held as it was, and then sends chats through every entry. Seen failing with the notice ignored (the other entries never heard of it).

--- a/testutils/src/cloud_standin.rs
+++ b/testutils/src/cloud_standin.rs
@@ -61,6 +61,7 @@
     state: Mutex<CloudState>,
     faults: FaultSwitch,
     lag: Duration,
+    held: Mutex<Option<Vec<VmRecord>>>,
 }
 
 impl CloudStandin {
@@ -70,6 +71,7 @@
             state: Mutex::default(),
             faults: FaultSwitch::default(),
             lag,
+            held: Mutex::new(None),
         }
     }
 
@@ -110,7 +112,16 @@
         self.state.lock().started
     }
 
+    /// Holds the VM list as it is now, as if it lagged without end.
+    pub fn hold_list(&self) {
+        let listed = self.listed();
+        *self.held.lock() = Some(listed);
+    }
+
     fn listed(&self) -> Vec<VmRecord> {
+        if let Some(held) = &*self.held.lock() {
+            return held.clone();
+        }
         let mut state = self.state.lock();
         let Some(seen_at) = Instant::now().checked_sub(self.lag) else {
             return Vec::new();
--- a/testutils/tests/test_deployment.rs
+++ b/testutils/tests/test_deployment.rs
@@ -13,6 +13,7 @@
 use cloverbend_testutils::cluster::free_address;
 use cloverbend_testutils::demo::LocalDeployment;
 use cloverbend_testutils::demo::sample_call;
+use cloverbend_testutils::demo::sample_chat;
 use cloverbend_testutils::fault::Fault;
 use cloverbend_testutils::fault::FaultOrder;
 use cloverbend_testutils::sample::DEPOT_KEY;
@@ -215,3 +216,35 @@
     }
     assert!(deployment.platform.runs(&ticket) <= 1);
 }
+
+#[tokio::test]
+async fn a_leaving_engine_gets_no_new_work_however_late_the_list_is() {
+    let shape = PlatformShape {
+        engines: 2,
+        ..PlatformShape::default()
+    };
+    let deployment = LocalDeployment::start(3, shape, "").await.unwrap();
+    let platform = &deployment.platform;
+    platform.cloud.hold_list();
+    let leaving = &platform.engines[0];
+    let known_everywhere = || {
+        deployment.daemons.iter().all(|daemon| {
+            let backends = daemon.context().tables.backends.lock();
+            backends
+                .vms()
+                .any(|(record, left)| record.vm == leaving.vm && left)
+        })
+    };
+    platform
+        .cloud
+        .give_notice(leaving.vm.clone(), Duration::from_secs(600));
+    eventually("the notice was not heard", known_everywhere).await;
+    let before = leaving.engine.computed();
+    for first in 0..6 {
+        let (body, expected) = sample_chat(&format!("truck {first}"), 3);
+        let mut caller = deployment.caller(first % 3, DEPOT_KEY);
+        let outcome = caller.chat(body, None, |_| {}).await.unwrap();
+        assert_eq!(outcome.text, expected);
+    }
+    assert_eq!(leaving.engine.computed(), before);
+}
