--- a/lib/src/caller.rs
+++ b/lib/src/caller.rs
@@ -22,7 +22,6 @@
 use crate::id::ServiceName;
 use crate::id::ZoneName;
 use crate::limits::LimitRefusal;
-use crate::membership::MemberHealth;
 use crate::membership::MemberState;
 use crate::pair::RequestKey;
 use crate::plain_runner::IDEMPOTENCY_KEY;
@@ -279,9 +278,9 @@
     pub fn grant_limits(&self, caller: &KnownCaller) -> Result<(), Refusal> {
         let sharers = {
             let members = self.tables.members.lock();
-            let counts = |record: &&crate::membership::MemberRecord| {
-                record.health != MemberHealth::Gone && record.state == MemberState::Serving
-            };
+            // An entry that cannot be reached may be granting its share.
+            let counts =
+                |record: &&crate::membership::MemberRecord| record.state == MemberState::Serving;
             members.all().filter(counts).count()
         };
         let open = self.tables.requests.lock().holder.open_requests().count();
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -2,9 +2,10 @@
 //!
 //! Pure. Each entry grants its share of an account's rate and concurrency.
 //! The share is one over the number of entries that may be granting: those
-//! that serve, and those that merely cannot be reached. An entry stops
-//! counting only when it left by itself or its VM is gone, so that entries
-//! cut off from each other do not grant the same share twice.
+//! that serve, and those that served when they were last heard of. An entry
+//! that died without a word is forgotten after ten minutes; until then its
+//! share is unused, and entries cut off from each other grant no share twice.
+//! After that, each part of a partition grants the whole limit.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/testutils/src/fault.rs
+++ b/testutils/src/fault.rs
@@ -35,6 +35,7 @@
 struct FaultState {
     fault: Fault,
     remaining: Option<u32>,
+    posts_only: bool,
 }
 
 /// How a request must end after its effect.
@@ -56,6 +57,9 @@
     /// After how many requests it ends; never, if absent.
     #[serde(default)]
     pub requests: Option<u32>,
+    /// Whether it meets only requests that change something.
+    #[serde(default)]
+    pub posts_only: bool,
 }
 
 impl FaultSwitch {
@@ -64,10 +68,14 @@
         let mut state = self.0.lock();
         state.fault = order.fault;
         state.remaining = order.requests;
+        state.posts_only = order.posts_only;
     }
 
-    fn take(&self) -> Fault {
+    fn take(&self, is_post: bool) -> Fault {
         let mut state = self.0.lock();
+        if state.posts_only && !is_post {
+            return Fault::None;
+        }
         let fault = state.fault;
         if let Some(remaining) = &mut state.remaining {
             if *remaining == 0 {
@@ -86,8 +94,8 @@
     }
 
     /// Suffers the fault in force before a request's effect.
-    pub async fn suffer(&self) -> FaultVerdict {
-        match self.take() {
+    pub async fn suffer(&self, is_post: bool) -> FaultVerdict {
+        match self.take(is_post) {
             Fault::None => FaultVerdict::Answer,
             Fault::Refuse => FaultVerdict::Refuse,
             Fault::Delay { millis } => {
--- a/testutils/src/standin_server.rs
+++ b/testutils/src/standin_server.rs
@@ -160,13 +160,14 @@
         headers: HeaderMap::borrow_from(&state).clone(),
         body: body.map(|body| body.to_bytes()).unwrap_or_default(),
     };
+    let is_post = request.method == Method::POST;
     if request.uri.path() == "/admin/fault" {
         return (state, set_fault(standin.faults(), &request.body));
     }
     if request.uri.path().starts_with("/admin/") {
         return (state, standin.answer(request).await);
     }
-    let response = match standin.faults().suffer().await {
+    let response = match standin.faults().suffer(is_post).await {
         FaultVerdict::Answer => standin.answer(request).await,
         FaultVerdict::Refuse => json_answer(StatusCode::SERVICE_UNAVAILABLE, &"refused"),
         FaultVerdict::Swallow => {
--- a/testutils/tests/test_deployment.rs
+++ b/testutils/tests/test_deployment.rs
@@ -66,6 +66,7 @@
     cloud.faults().set(FaultOrder {
         fault,
         requests: Some(6),
+        posts_only: true,
     });
     deployment.platform.publish(planned()).await.unwrap();
     // One engine is there already; the least is four.
@@ -101,11 +102,13 @@
     deployment.platform.log.faults().set(FaultOrder {
         fault: Fault::Delay { millis: 2_500 },
         requests: Some(4),
+        posts_only: false,
     });
     let outcome = deployment.platform.publish(cold_chain()).await;
     deployment.platform.log.faults().set(FaultOrder {
         fault: Fault::None,
         requests: None,
+        posts_only: false,
     });
     // Whether or not the publisher could tell, no number is taken twice.
     let context = deployment.daemons[0].context();
@@ -188,6 +191,7 @@
         plain.faults().set(FaultOrder {
             fault,
             requests: None,
+            posts_only: false,
         });
     }
     let mut caller = deployment.caller(0, DISPATCH_KEY);
@@ -203,6 +207,7 @@
         plain.faults().set(FaultOrder {
             fault: Fault::None,
             requests: None,
+            posts_only: false,
         });
     }
     for outcome in outcomes {
