testutils: the planners' test loses the answers to orders

Cause: the fault met polls of the cloud instead of orders, and the test ended before an order was sent again, so that order tokens drawn at random passed it. Now three orders lose their answers and the test waits until they were repeated.

--- a/lib/src/planner.rs
+++ b/lib/src/planner.rs
@@ -252,10 +252,9 @@
             return;
         };
         let slot = kept.swap_remove(index);
-        if let Some(placement) = &slot.plan.placement {
-            if let Some(count) = zones.get_mut(&placement.zone) {
-                *count -= 1;
-            }
+        let placement = slot.plan.placement.as_ref();
+        if let Some(count) = placement.and_then(|placement| zones.get_mut(&placement.zone)) {
+            *count -= 1;
         }
         changes.push(emptied(&slot.plan));
     }
--- a/testutils/tests/test_deployment.rs
+++ b/testutils/tests/test_deployment.rs
@@ -65,13 +65,14 @@
     }
     cloud.faults().set(FaultOrder {
         fault,
-        requests: Some(6),
+        requests: Some(3),
         posts_only: true,
     });
     deployment.platform.publish(planned()).await.unwrap();
     // One engine is there already; the least is four.
     eventually("the VMs were not started", || cloud.started() >= 3).await;
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    // Lost answers take 2 s each; then the orders are sent again.
+    tokio::time::sleep(Duration::from_secs(12)).await;
     assert_eq!(cloud.started(), 3);
 }
 
