--- a/lib/src/api.rs
+++ b/lib/src/api.rs
@@ -27,7 +27,7 @@
 use serde::Serialize;
 
 use crate::caller::CallerRequest;
-use crate::chat_api::EventId;
+use crate::chat_stream::EventId;
 use crate::entry_context::EntryContext;
 use crate::metrics_export::render_metrics;
 use crate::refusal::Refusal;
--- a/lib/src/backend_table.rs
+++ b/lib/src/backend_table.rs
@@ -13,13 +13,13 @@
 use crate::platform_client::VmRecord;
 use crate::platform_client::VmState;
 use crate::quantity::Timestamp;
+use crate::route_strategy::RouteStrategy;
 use crate::routing::CostWeights;
 use crate::routing::EngineInfo;
 use crate::routing::EngineLoad;
 use crate::routing::EngineTable;
 use crate::routing::RouteChoice;
 use crate::routing::RouteQuery;
-use crate::routing::RouteStrategy;
 use crate::routing::counted_sharers;
 
 /// The assumed speed of an engine that has not reported one.
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -7,8 +7,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::fmt;
-use std::str::FromStr;
 use std::time::Duration;
 
 use rand::Rng;
@@ -23,6 +21,7 @@
 use crate::quantity::HourlyPrice;
 use crate::quantity::Timestamp;
 use crate::quantity::TokenCount;
+use crate::route_strategy::RouteStrategy;
 
 /// The blocks that a prefix index remembers.
 const PREFIX_CAPACITY: usize = 65_536;
@@ -31,71 +30,6 @@
 /// An engine counts as overloaded if its bucket load exceeds the mean by this.
 const OVERLOAD: f64 = 1.25;
 
-/// How an engine is chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RouteStrategy {
-    /// Each engine in turn.
-    RoundRobin,
-    /// The engine with the least known work.
-    LeastLoaded,
-    /// The less loaded of two engines drawn at random.
-    TwoChoices,
-    /// By rendezvous hash of the prompt's first block.
-    PrefixHash,
-    /// By hash buckets that move from overloaded to underloaded engines.
-    BucketHash,
-    /// The lowest expected cost: wait, prefill, price.
-    FullCost,
-}
-
-impl RouteStrategy {
-    /// All strategies, in the order of the tables.
-    pub const ALL: [Self; 6] = [
-        Self::RoundRobin,
-        Self::LeastLoaded,
-        Self::TwoChoices,
-        Self::PrefixHash,
-        Self::BucketHash,
-        Self::FullCost,
-    ];
-}
-
-impl fmt::Display for RouteStrategy {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.pad(match self {
-            Self::RoundRobin => "round-robin",
-            Self::LeastLoaded => "least-loaded",
-            Self::TwoChoices => "two-choices",
-            Self::PrefixHash => "prefix-hash",
-            Self::BucketHash => "bucket-hash",
-            Self::FullCost => "full-cost",
-        })
-    }
-}
-
-/// A text that names no strategy.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StrategyError(String);
-
-impl fmt::Display for StrategyError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} is not a routing strategy", self.0)
-    }
-}
-
-impl std::error::Error for StrategyError {}
-
-impl FromStr for RouteStrategy {
-    type Err = StrategyError;
-
-    fn from_str(text: &str) -> Result<Self, StrategyError> {
-        Self::ALL
-            .into_iter()
-            .find(|strategy| strategy.to_string() == text)
-            .ok_or_else(|| StrategyError(text.to_owned()))
-    }
-}
-
 /// The weights of [`RouteStrategy::FullCost`], in seconds of first-token time
 /// that one unit is worth.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -462,9 +396,9 @@
         let sharers = self.sharers;
         match self.strategy {
             RouteStrategy::RoundRobin => self.choose_next(now, query, strict),
-            RouteStrategy::LeastLoaded => {
-                self.choose_lowest(now, query, strict, |slot| slot.load_seconds(sharers))
-            }
+            RouteStrategy::LeastLoaded => self.choose_lowest(now, query, strict, |index| {
+                self.slots[index].load_seconds(sharers)
+            }),
             RouteStrategy::TwoChoices => self.choose_of_two(now, query, strict),
             RouteStrategy::PrefixHash => self.choose_by_hash(now, query, strict),
             RouteStrategy::BucketHash => self.choose_by_bucket(now, query, strict),
@@ -491,14 +425,14 @@
         now: Timestamp,
         query: &RouteQuery<'_>,
         strict: bool,
-        cost: impl Fn(&EngineSlot) -> f64,
+        cost: impl Fn(usize) -> f64,
     ) -> Option<EngineIndex> {
         let mut best: Option<(f64, usize)> = None;
         for index in 0..self.slots.len() {
             if !self.may_serve(index, now, query, strict) {
                 continue;
             }
-            let cost = cost(&self.slots[index]);
+            let cost = cost(index);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
             }
@@ -557,7 +491,9 @@
         let current = self.buckets[bucket] as usize;
         let usable = current < self.slots.len() && self.may_serve(current, now, query, strict);
         if !usable {
-            let target = self.choose_lowest(now, query, strict, |slot| slot.requests(sharers))?;
+            let target = self.choose_lowest(now, query, strict, |index| {
+                self.slots[index].requests(sharers)
+            })?;
             self.buckets[bucket] = target;
         }
         self.bucket_load[bucket] += query.prompt.0 as f64;
@@ -616,43 +552,22 @@
     ) -> Option<EngineIndex> {
         let matches = self.prefixes.matches(query.blocks);
         let longest = matches.iter().map(|(_, blocks)| *blocks).max().unwrap_or(0);
-        let base = self.cost_index(now, query, strict, longest as u64, &[])?;
+        let longest = longest as u64 * BLOCK_TOKENS;
+        let uncached = |index| self.cost(index, query, 0, longest);
+        let base = self.choose_lowest(now, query, strict, uncached)?;
         // Only engines with a match can be cheaper than they look without it.
-        let mut best = base;
-        for (engine, blocks) in &matches {
-            let index = *engine as usize;
+        let mut best = (uncached(base as usize), base);
+        for (engine, blocks) in matches {
+            let index = engine as usize;
             if !self.may_serve(index, now, query, strict) {
                 continue;
             }
-            let cached = *blocks as u64 * BLOCK_TOKENS;
-            let cost = self.cost(index, query, cached, longest as u64 * BLOCK_TOKENS);
+            let cost = self.cost(index, query, blocks as u64 * BLOCK_TOKENS, longest);
             if cost < best.0 {
-                best = (cost, index);
-            }
-        }
-        Some(best.1 as EngineIndex)
-    }
-
-    fn cost_index(
-        &self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-        longest_blocks: u64,
-        skip: &[usize],
-    ) -> Option<(f64, usize)> {
-        let longest = longest_blocks * BLOCK_TOKENS;
-        let mut best: Option<(f64, usize)> = None;
-        for index in 0..self.slots.len() {
-            if skip.contains(&index) || !self.may_serve(index, now, query, strict) {
-                continue;
-            }
-            let cost = self.cost(index, query, 0, longest);
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, index));
+                best = (cost, engine);
             }
         }
-        best
+        Some(best.1)
     }
 
     fn cost(&self, index: usize, query: &RouteQuery<'_>, cached: u64, longest: u64) -> f64 {
--- a/testutils/src/bin/cloverbend-experiment.rs
+++ b/testutils/src/bin/cloverbend-experiment.rs
@@ -7,8 +7,8 @@
 
 use clap::Parser;
 use clap::ValueEnum;
+use cloverbend::route_strategy::RouteStrategy;
 use cloverbend::routing::CostWeights;
-use cloverbend::routing::RouteStrategy;
 use cloverbend_testutils::engine_model::EngineShape;
 use cloverbend_testutils::load_model::Admission;
 use cloverbend_testutils::load_model::DemandKind;
