request_work: a fresh mirror is sent the whole answer

Cause: progress was sent from the chunk that callers had been shown, also to the mirror of a fresh pair, which has none before it. It kept what came as early chunks and confirmed nothing, so that a chat whose mirror died stalled until its deadline.

Ruled out: the take-over (it worked within 2 s) and the engine (another one was chosen).

Further tests: a zone lost without notice, a death during a hand-over, two reclaims in a row with the log frozen.

--- a/daemon/tests/test_processes.rs
+++ b/daemon/tests/test_processes.rs
@@ -110,3 +110,85 @@
     let mut caller = cluster.caller(2, DISPATCH_KEY);
     assert_eq!(caller.call(&sample_call(1)).await.unwrap().status, 200);
 }
+
+#[tokio::test]
+async fn a_zone_lost_without_notice_loses_no_stream() {
+    let cluster = ProcessCluster::start(4, 4, 2).await.unwrap();
+    let (body, expected) = sample_chat(&NOTES.repeat(40), 200);
+    let mut chats = Vec::new();
+    for first in [0, 0, 1, 2] {
+        let mut caller = cluster.caller(first, DEPOT_KEY);
+        let body = body.clone();
+        chats.push(tokio::spawn(async move {
+            caller.chat(body, None, |_| {}).await
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // Parts with the same number share a zone.
+    cluster.entries[0].signal("KILL").unwrap();
+    cluster.engines[0].process.signal("KILL").unwrap();
+    for chat in chats {
+        assert_eq!(chat.await.unwrap().unwrap().text, expected);
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_dies_while_handing_over_loses_no_stream() {
+    let cluster = ProcessCluster::start(3, 2, 2).await.unwrap();
+    let (body, expected) = sample_chat(&NOTES.repeat(40), 300);
+    let mut caller = cluster.caller(0, DEPOT_KEY);
+    let chat = tokio::spawn(async move { caller.chat(body, None, |_| {}).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let notice = Duration::from_secs(3);
+    cluster.give_notice("entry-1", notice).await.unwrap();
+    // It hands over when half the notice is left, and dies about then.
+    tokio::time::sleep(notice / 2 + Duration::from_millis(50)).await;
+    cluster.entries[0].signal("KILL").unwrap();
+    assert_eq!(chat.await.unwrap().unwrap().text, expected);
+}
+
+#[tokio::test]
+async fn two_reclaims_in_a_row_while_the_log_is_down_lose_nothing() {
+    let cluster = ProcessCluster::start(3, 2, 2).await.unwrap();
+    cluster.fault_log(&json!({"kind": "freeze"})).await.unwrap();
+    let (body, expected) = sample_chat(&NOTES.repeat(40), 450);
+    let mut caller = cluster.caller(0, DEPOT_KEY);
+    let chat = tokio::spawn(async move { caller.chat(body, None, |_| {}).await });
+    let mut calls = Vec::new();
+    for truck in 0..30 {
+        let mut caller = cluster.caller(truck as usize % 3, DISPATCH_KEY);
+        calls.push(tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(100 * u64::from(truck))).await;
+            caller.call(&sample_call(truck)).await
+        }));
+    }
+    let notice = Duration::from_secs(2);
+    cluster.give_notice("entry-1", notice).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    cluster.give_notice("entry-2", notice).await.unwrap();
+    assert_eq!(chat.await.unwrap().unwrap().text, expected);
+    for call in calls {
+        assert_eq!(call.await.unwrap().unwrap().status, 200);
+    }
+    assert_eq!(cluster.most_runs().await.unwrap(), 1);
+}
+
+#[tokio::test]
+async fn a_mirror_that_dies_mid_stream_is_replaced() {
+    let cluster = ProcessCluster::start(3, 2, 2).await.unwrap();
+    let mirror = cluster.status(0).await.unwrap().entry.mirror.unwrap();
+    let mut index = 0;
+    for other in 1..3 {
+        let status = cluster.status(other).await.unwrap();
+        if status.entry.incarnation == mirror {
+            index = other;
+        }
+    }
+    let (body, expected) = sample_chat(&NOTES.repeat(40), 200);
+    let mut caller = cluster.caller(0, DEPOT_KEY);
+    let deadline = Some(Duration::from_secs(20));
+    let chat = tokio::spawn(async move { caller.chat(body, deadline, |_| {}).await });
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    cluster.entries[index].signal("KILL").unwrap();
+    assert_eq!(chat.await.unwrap().unwrap().text, expected);
+}
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -11,6 +11,7 @@
 use crate::holder::HolderEnd;
 use crate::holder::RequestHolder;
 use crate::id::AccountName;
+use crate::id::ChunkPosition;
 use crate::id::Incarnation;
 use crate::id::Serial;
 use crate::mirror::RequestMirror;
@@ -50,6 +51,14 @@
     pub touched: Timestamp,
     /// When progress was last sent to the mirror.
     pub progress_sent: Timestamp,
+    copied: Option<CopiedPart>,
+}
+
+/// How much of an answer the mirror of one pair has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CopiedPart {
+    carrier: PairId,
+    length: ChunkPosition,
 }
 
 impl AnswerEntry {
@@ -67,9 +76,26 @@
             deadline,
             touched: now,
             progress_sent: now,
+            copied: None,
         }
     }
 
+    /// Returns how many chunks the mirror of a pair has said to have. The
+    /// mirror of a fresh pair has none, whatever callers were shown before.
+    pub fn copied_length(&self, carrier: PairId) -> ChunkPosition {
+        let copied = self.copied.filter(|copied| copied.carrier == carrier);
+        copied.map_or(ChunkPosition(0), |copied| copied.length)
+    }
+
+    /// Notes how many chunks the mirror of a pair has, and shows them to
+    /// callers. Notes that come late change nothing.
+    pub fn note_copied(&mut self, carrier: PairId, length: ChunkPosition) {
+        let length = length.min(self.log.len());
+        let length = length.max(self.copied_length(carrier));
+        self.copied = Some(CopiedPart { carrier, length });
+        self.log.confirm(length);
+    }
+
     /// Wakes those who wait for a change.
     pub fn notify(&mut self, now: Timestamp) {
         self.touched = now;
--- a/lib/src/request_work.rs
+++ b/lib/src/request_work.rs
@@ -296,7 +296,7 @@
             return;
         }
         if let Some(entry) = table.answers.get_mut(&note.key) {
-            entry.log.confirm(ChunkPosition(note.length));
+            entry.note_copied(note.carrier, ChunkPosition(note.length));
             entry.notify(now);
         }
         self.finish_if_confirmed(&mut table, note.key);
@@ -307,9 +307,12 @@
         let Some(entry) = table.answers.get(&key) else {
             return;
         };
+        let Some(carrier) = table.holder.carrier(key) else {
+            return;
+        };
         let whole = entry.log.end().is_some();
-        let confirmed = entry.log.confirmed() == entry.log.len();
-        if whole && confirmed {
+        let copied = entry.copied_length(carrier) == entry.log.len();
+        if whole && copied {
             let actions = table.holder.finish(key);
             self.run_holder_actions(table, actions);
         }
@@ -326,7 +329,7 @@
         };
         if carrier.is_solo() {
             let length = entry.log.len();
-            entry.log.confirm(length);
+            entry.note_copied(carrier, length);
             entry.notify(now);
             self.finish_if_confirmed(table, key);
             return;
@@ -408,7 +411,11 @@
                 continue;
             };
             let age = now.since(entry.touched);
-            let behind = entry.log.confirmed() < entry.log.len() || entry.log.end().is_some();
+            let copied = table
+                .holder
+                .carrier(key)
+                .map(|pair| entry.copied_length(pair));
+            let behind = copied < Some(entry.log.len()) || entry.log.end().is_some();
             let waits = now.since(entry.progress_sent) >= RESEND_AFTER;
             if phase == HolderPhase::Running {
                 if behind && waits {
@@ -445,7 +452,7 @@
     let from = if all {
         ChunkPosition(0)
     } else {
-        entry.log.confirmed()
+        entry.copied_length(carrier)
     };
     AnswerProgress {
         carrier,
