entry: hand a chat over only when its mirror has what its caller saw

Cause, found by reading: on a reclaim every running chat was handed over at once, also one whose mirror was fresh and still lacked chunks that its caller had been shown; the mirror would have continued from fewer.

Now such a chat waits until its mirror has them, as long as the notice lasts. Not injected in a test.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -27,6 +27,7 @@
 use crate::peer_link::receive_frames;
 use crate::plan_task;
 use crate::platform_task;
+use crate::request_table::RequestTable;
 use crate::request_work::RESEND_AFTER;
 use crate::settings::EntrySettings;
 use crate::trace::CollectorError;
@@ -240,7 +241,6 @@
     wait_or_pressed(&order, begun + context.answers_live_for()).await;
     leave(&context);
     wait_idle(&context, &order, begun + drain).await;
-    hand_over(&context);
     wait_handed_over(&context, &order).await;
     stop_accepting.cancel();
     // Relayed streams go on for a while; their callers continue elsewhere.
@@ -308,7 +308,10 @@
     }
 }
 
-fn hand_over(context: &Arc<EntryContext>) {
+/// Hands running requests over whose mirror has every chunk that their callers
+/// were shown; it would continue the others from fewer, with other words.
+/// Returns whether some still wait.
+fn hand_over(context: &Arc<EntryContext>) -> bool {
     let mut table = context.tables.requests.lock();
     let running: Vec<RequestKey> = table
         .holder
@@ -316,32 +319,47 @@
         .filter(|(_, phase)| *phase == HolderPhase::Running)
         .map(|(key, _)| key)
         .collect();
-    if !running.is_empty() {
-        warn!(context.log, "handing over"; "requests" => running.len());
-    }
     for key in running {
-        // The mirror must have every chunk before it continues the answer.
-        context.send_progress(&mut table, key, false);
+        if !mirror_has_shown(&table, key) {
+            context.send_progress(&mut table, key, false);
+            continue;
+        }
         let actions = table.holder.pass_on_running(key);
         context.run_holder_actions(&mut table, actions);
     }
+    let mut open = table.holder.open_requests();
+    open.any(|(key, phase)| match phase {
+        HolderPhase::PassingOn => true,
+        HolderPhase::Running => !mirror_has_shown(&table, key),
+        _ => false,
+    })
+}
+
+fn mirror_has_shown(table: &RequestTable, key: RequestKey) -> bool {
+    let carrier = table.holder.carrier(key);
+    let entry = table.answers.get(&key);
+    carrier
+        .zip(entry)
+        .is_none_or(|(carrier, entry)| entry.copied_length(carrier) >= entry.log.confirmed())
 }
 
 async fn wait_handed_over(context: &Arc<EntryContext>, order: &watch::Receiver<StopOrder>) {
+    let open = context
+        .tables
+        .requests
+        .lock()
+        .holder
+        .open_requests()
+        .count();
+    if open > 0 {
+        warn!(context.log, "handing over"; "requests" => open);
+    }
     let begun = Instant::now();
     let last = match *order.borrow() {
         StopOrder::Reclaimed(at) => at,
         StopOrder::None | StopOrder::Planned => begun + HAND_OVER_TIME,
     };
-    loop {
-        let waiting = {
-            let table = context.tables.requests.lock();
-            let mut open = table.holder.open_requests();
-            open.any(|(_, phase)| phase == HolderPhase::PassingOn)
-        };
-        if !waiting || Instant::now() >= last {
-            return;
-        }
+    while hand_over(context) && Instant::now() < last {
         tokio::time::sleep(STOP_CHECK).await;
     }
 }
