routing, entry: state a look over the engines, and the open requests, once

Cause: six searches of routing repeated time, query and strictness as three parameters, and the count of open requests stood three times.

Behaviour unchanged: the library's tests pass as they were.

--- a/lib/src/caller.rs
+++ b/lib/src/caller.rs
@@ -283,7 +283,7 @@
                 |record: &&crate::membership::MemberRecord| record.state == MemberState::Serving;
             members.all().filter(counts).count()
         };
-        let open = self.tables.requests.lock().holder.open_requests().count();
+        let open = self.open_requests();
         if open >= self.settings.limits.max_requests {
             let message = "this entry holds too many requests";
             return Err(Refusal::not_run(RefusalCode::Overloaded, message)
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -292,13 +292,7 @@
     until: Instant,
 ) {
     loop {
-        let open = context
-            .tables
-            .requests
-            .lock()
-            .holder
-            .open_requests()
-            .count();
+        let open = context.open_requests();
         let pressed = pressed_at(order);
         let until = pressed.map_or(until, |at| at.min(until));
         if open == 0 || Instant::now() >= until {
@@ -344,13 +338,7 @@
 }
 
 async fn wait_handed_over(context: &Arc<EntryContext>, order: &watch::Receiver<StopOrder>) {
-    let open = context
-        .tables
-        .requests
-        .lock()
-        .holder
-        .open_requests()
-        .count();
+    let open = context.open_requests();
     if open > 0 {
         warn!(context.log, "handing over"; "requests" => open);
     }
--- a/lib/src/entry_context.rs
+++ b/lib/src/entry_context.rs
@@ -161,6 +161,12 @@
         self.tables.members.lock().own().state
     }
 
+    /// Returns the number of requests held here that have not ended.
+    pub fn open_requests(&self) -> usize {
+        let table = self.tables.requests.lock();
+        table.holder.open_requests().count()
+    }
+
     /// Returns when a caller refused now should come back.
     pub fn come_back(&self, base: Duration) -> Duration {
         spread_retry_after(base, rand::rng().random())
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -209,6 +209,21 @@
     generator: StdRng,
 }
 
+/// One look over the engines for a request.
+#[derive(Clone, Copy, Debug)]
+struct RouteScan<'a> {
+    now: Timestamp,
+    query: &'a RouteQuery<'a>,
+    /// Whether engines to avoid are left out.
+    strict: bool,
+}
+
+impl<'a> RouteScan<'a> {
+    fn new(now: Timestamp, query: &'a RouteQuery<'a>, strict: bool) -> Self {
+        Self { now, query, strict }
+    }
+}
+
 impl EngineTable {
     /// Returns a table without engines.
     pub fn new(strategy: RouteStrategy, weights: CostWeights, seed: u64) -> Self {
@@ -338,8 +353,8 @@
     /// Chooses an engine, or none if no engine may serve the request.
     pub fn choose(&mut self, now: Timestamp, query: &RouteQuery<'_>) -> Option<RouteChoice> {
         let index = self
-            .choose_index(now, query, true)
-            .or_else(|| self.choose_index(now, query, false))?;
+            .choose_index(RouteScan::new(now, query, true))
+            .or_else(|| self.choose_index(RouteScan::new(now, query, false)))?;
         let cached = self.cached_tokens(index, query);
         let slot = &self.slots[index as usize];
         assert!(!slot.leaving, "a leaving engine must get no new work");
@@ -363,73 +378,60 @@
             .map_or(0, |(_, blocks)| *blocks as u64 * BLOCK_TOKENS)
     }
 
-    fn may_serve(
-        &self,
-        index: usize,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-    ) -> bool {
+    fn may_serve(&self, index: usize, scan: RouteScan<'_>) -> bool {
         let slot = &self.slots[index];
         if !slot.present || slot.leaving {
             return false;
         }
-        if query
+        if scan
+            .query
             .zones
             .is_some_and(|zones| !zones.contains(&slot.info.zone))
         {
             return false;
         }
-        if query.max_price.is_some_and(|price| slot.info.price > price) {
+        if scan
+            .query
+            .max_price
+            .is_some_and(|price| slot.info.price > price)
+        {
             return false;
         }
-        let avoided = query.avoid == Some(&slot.info.vm) || now < slot.avoid_until;
-        !(strict && avoided)
+        let avoided = scan.query.avoid == Some(&slot.info.vm) || scan.now < slot.avoid_until;
+        !(scan.strict && avoided)
     }
 
-    fn choose_index(
-        &mut self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-    ) -> Option<EngineIndex> {
+    fn choose_index(&mut self, scan: RouteScan<'_>) -> Option<EngineIndex> {
         let sharers = self.sharers;
         match self.strategy {
-            RouteStrategy::RoundRobin => self.choose_next(now, query, strict),
-            RouteStrategy::LeastLoaded => self.choose_lowest(now, query, strict, |index| {
-                self.slots[index].load_seconds(sharers)
-            }),
-            RouteStrategy::TwoChoices => self.choose_of_two(now, query, strict),
-            RouteStrategy::PrefixHash => self.choose_by_hash(now, query, strict),
-            RouteStrategy::BucketHash => self.choose_by_bucket(now, query, strict),
-            RouteStrategy::FullCost => self.choose_by_cost(now, query, strict),
+            RouteStrategy::RoundRobin => self.choose_next(scan),
+            RouteStrategy::LeastLoaded => {
+                self.choose_lowest(scan, |index| self.slots[index].load_seconds(sharers))
+            }
+            RouteStrategy::TwoChoices => self.choose_of_two(scan),
+            RouteStrategy::PrefixHash => self.choose_by_hash(scan),
+            RouteStrategy::BucketHash => self.choose_by_bucket(scan),
+            RouteStrategy::FullCost => self.choose_by_cost(scan),
         }
     }
 
-    fn choose_next(
-        &mut self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-    ) -> Option<EngineIndex> {
+    fn choose_next(&mut self, scan: RouteScan<'_>) -> Option<EngineIndex> {
         let count = self.slots.len();
         let offset = (0..count)
             .map(|step| (self.next + step) % count)
-            .find(|index| self.may_serve(*index, now, query, strict))?;
+            .find(|index| self.may_serve(*index, scan))?;
         self.next = offset + 1;
         Some(offset as EngineIndex)
     }
 
     fn choose_lowest(
         &self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
+        scan: RouteScan<'_>,
         cost: impl Fn(usize) -> f64,
     ) -> Option<EngineIndex> {
         let mut best: Option<(f64, usize)> = None;
         for index in 0..self.slots.len() {
-            if !self.may_serve(index, now, query, strict) {
+            if !self.may_serve(index, scan) {
                 continue;
             }
             let cost = cost(index);
@@ -440,14 +442,9 @@
         best.map(|(_, index)| index as EngineIndex)
     }
 
-    fn choose_of_two(
-        &mut self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-    ) -> Option<EngineIndex> {
+    fn choose_of_two(&mut self, scan: RouteScan<'_>) -> Option<EngineIndex> {
         let candidates: Vec<usize> = (0..self.slots.len())
-            .filter(|index| self.may_serve(*index, now, query, strict))
+            .filter(|index| self.may_serve(*index, scan))
             .collect();
         if candidates.is_empty() {
             return None;
@@ -463,40 +460,28 @@
         Some(lower as EngineIndex)
     }
 
-    fn choose_by_hash(
-        &self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-    ) -> Option<EngineIndex> {
-        let key = hash_key(query);
+    fn choose_by_hash(&self, scan: RouteScan<'_>) -> Option<EngineIndex> {
+        let key = hash_key(scan.query);
         (0..self.slots.len())
-            .filter(|index| self.may_serve(*index, now, query, strict))
+            .filter(|index| self.may_serve(*index, scan))
             .max_by_key(|index| mix(key ^ mix(*index as u64 + 1)))
             .map(|index| index as EngineIndex)
     }
 
-    fn choose_by_bucket(
-        &mut self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-    ) -> Option<EngineIndex> {
+    fn choose_by_bucket(&mut self, scan: RouteScan<'_>) -> Option<EngineIndex> {
         let sharers = self.sharers;
-        let bucket = (mix(hash_key(query)) % BUCKETS as u64) as usize;
+        let bucket = (mix(hash_key(scan.query)) % BUCKETS as u64) as usize;
         if self.buckets.is_empty() {
             let count = self.slots.len().max(1);
             self.buckets = (0..BUCKETS).map(|b| (b % count) as EngineIndex).collect();
         }
         let current = self.buckets[bucket] as usize;
-        let usable = current < self.slots.len() && self.may_serve(current, now, query, strict);
+        let usable = current < self.slots.len() && self.may_serve(current, scan);
         if !usable {
-            let target = self.choose_lowest(now, query, strict, |index| {
-                self.slots[index].requests(sharers)
-            })?;
+            let target = self.choose_lowest(scan, |index| self.slots[index].requests(sharers))?;
             self.buckets[bucket] = target;
         }
-        self.bucket_load[bucket] += query.prompt.0 as f64;
+        self.bucket_load[bucket] += scan.query.prompt.0 as f64;
         Some(self.buckets[bucket])
     }
 
@@ -544,25 +529,20 @@
         moves
     }
 
-    fn choose_by_cost(
-        &self,
-        now: Timestamp,
-        query: &RouteQuery<'_>,
-        strict: bool,
-    ) -> Option<EngineIndex> {
-        let matches = self.prefixes.matches(query.blocks);
+    fn choose_by_cost(&self, scan: RouteScan<'_>) -> Option<EngineIndex> {
+        let matches = self.prefixes.matches(scan.query.blocks);
         let longest = matches.iter().map(|(_, blocks)| *blocks).max().unwrap_or(0);
         let longest = longest as u64 * BLOCK_TOKENS;
-        let uncached = |index| self.cost(index, query, 0, longest);
-        let base = self.choose_lowest(now, query, strict, uncached)?;
+        let uncached = |index| self.cost(index, scan.query, 0, longest);
+        let base = self.choose_lowest(scan, uncached)?;
         // Only engines with a match can be cheaper than they look without it.
         let mut best = (uncached(base as usize), base);
         for (engine, blocks) in matches {
             let index = engine as usize;
-            if !self.may_serve(index, now, query, strict) {
+            if !self.may_serve(index, scan) {
                 continue;
             }
-            let cost = self.cost(index, query, blocks as u64 * BLOCK_TOKENS, longest);
+            let cost = self.cost(index, scan.query, blocks as u64 * BLOCK_TOKENS, longest);
             if cost < best.0 {
                 best = (cost, engine);
             }
