--- /dev/null
+++ b/daemon/src/gateway_entry.rs
@@ -0,0 +1,69 @@
+//! Runs an entry on the users' platform.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use cloverbend::gateway::gateway_context::PlatformEdges;
+use cloverbend::gateway::gateway_daemon::GatewayDaemon;
+use cloverbend::gateway::gateway_settings::GatewaySettings;
+use cloverbend::http_client::HttpClient;
+use cloverbend::logging::build_logger;
+use cloverbend_platform::CloudCalls;
+use cloverbend_platform::StoreCalls;
+use cloverbend_platform::WireFormat;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Serves until a signal stops the entry.
+///
+/// # Errors
+///
+/// An address that cannot be listened on, or a signal that cannot be caught.
+pub async fn run(settings: GatewaySettings, file: &Path) -> Result<(), String> {
+    let log = build_logger(settings.log_format, settings.log_level);
+    let http = HttpClient::new();
+    let edges = PlatformEdges {
+        format: Arc::new(WireFormat),
+        store: Arc::new(StoreCalls::new(http.clone(), settings.store)),
+        cloud: Arc::new(CloudCalls::new(http, settings.cloud)),
+    };
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|error| error.to_string())?;
+    let daemon = GatewayDaemon::start(settings.clone(), edges, log.clone())
+        .await
+        .map_err(|error| error.to_string())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&settings, file, &log),
+        }
+    }
+    daemon.stop().await;
+    Ok(())
+}
+
+/// Reads the settings again. Addresses and bounds only change with a restart;
+/// what differs is told, so that nobody takes it for being in force.
+fn reload(settings: &GatewaySettings, file: &Path, log: &Logger) {
+    let name = file.display().to_string();
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) => {
+            warn!(log, "settings not reloaded"; "file" => name, "error" => %error);
+            return;
+        }
+    };
+    match GatewaySettings::parse(&name, &text) {
+        Ok(read) => {
+            info!(log, "settings reloaded"; "file" => name, "needs_restart" => read != *settings);
+        }
+        Err(findings) => {
+            warn!(log, "settings not reloaded"; "file" => name, "error" => %findings);
+        }
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,20 +1,33 @@
 //! `cloverbendd`, the daemon of every entry VM.
 
+mod gateway_entry;
+mod own_entry;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
-use cloverbend::entry::EntryDaemon;
-use cloverbend::logging::build_logger;
+use clap::ValueEnum;
+use cloverbend::finding::FindingList;
+use cloverbend::gateway::gateway_settings::GatewaySettings;
 use cloverbend::settings::EntrySettings;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 
 /// The exit code for settings that are not valid.
 const BAD_SETTINGS: u8 = 2;
 /// The exit code for a daemon that could not start.
 const START_FAILED: u8 = 1;
 
+/// Which interface callers and the platform meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum InterfaceKind {
+    /// The product's own: tickets, chats, calls.
+    Own,
+    /// The users' platform.
+    Platform,
+}
+
 /// Serves callers and keeps their requests safe. SIGTERM is a planned stop.
 #[derive(Debug, Parser)]
 #[command(name = "cloverbendd", version)]
@@ -22,11 +35,20 @@
     /// The settings file (INI).
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
+    /// Which interface to serve.
+    #[arg(long, value_enum, default_value = "own")]
+    interface: InterfaceKind,
     /// Check the settings and exit.
     #[arg(long)]
     check: bool,
 }
 
+/// Checked settings of either interface.
+enum DaemonSettings {
+    Own(Box<EntrySettings>),
+    Platform(Box<GatewaySettings>),
+}
+
 fn main() -> ExitCode {
     let args = DaemonArgs::parse();
     let settings = match read_settings(&args) {
@@ -40,12 +62,15 @@
         println!("{}: settings are valid", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.limits.workers.get())
-        .enable_all()
-        .build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(run(settings)),
+    let result = match build_runtime(&settings) {
+        Ok(runtime) => runtime.block_on(async {
+            match settings {
+                DaemonSettings::Own(settings) => own_entry::run(*settings).await,
+                DaemonSettings::Platform(settings) => {
+                    gateway_entry::run(*settings, &args.settings).await
+                }
+            }
+        }),
         Err(error) => Err(error.to_string()),
     };
     match result {
@@ -57,27 +82,29 @@
     }
 }
 
-fn read_settings(args: &DaemonArgs) -> Result<EntrySettings, String> {
+/// Builds the runtime. An entry on the platform has a quarter of a core, which
+/// one thread uses best and with the least memory.
+fn build_runtime(settings: &DaemonSettings) -> std::io::Result<Runtime> {
+    match settings {
+        DaemonSettings::Own(settings) => Builder::new_multi_thread()
+            .worker_threads(settings.limits.workers.get())
+            .enable_all()
+            .build(),
+        DaemonSettings::Platform(_) => Builder::new_current_thread().enable_all().build(),
+    }
+}
+
+fn read_settings(args: &DaemonArgs) -> Result<DaemonSettings, String> {
     let file = args.settings.display().to_string();
     let text = std::fs::read_to_string(&args.settings)
         .map_err(|error| format!("{file}: cannot be read: {error}"))?;
-    EntrySettings::parse(&file, &text).map_err(|findings| findings.to_string())
-}
-
-async fn run(settings: EntrySettings) -> Result<(), String> {
-    let log = build_logger(settings.log_format, settings.log_level);
-    let daemon = EntryDaemon::start(settings, log)
-        .await
-        .map_err(|error| error.to_string())?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
-    // A reclaim notice stops the daemon without a signal.
-    let stop = daemon.context().stop.clone();
-    tokio::select! {
-        _ = terminate.recv() => daemon.stop(),
-        _ = interrupt.recv() => daemon.stop(),
-        () = stop.cancelled() => {}
+    let said = |findings: FindingList| findings.to_string();
+    match args.interface {
+        InterfaceKind::Own => EntrySettings::parse(&file, &text)
+            .map(|settings| DaemonSettings::Own(Box::new(settings)))
+            .map_err(said),
+        InterfaceKind::Platform => GatewaySettings::parse(&file, &text)
+            .map(|settings| DaemonSettings::Platform(Box::new(settings)))
+            .map_err(said),
     }
-    daemon.stopped().await;
-    Ok(())
 }
--- /dev/null
+++ b/lib/src/gateway/answer_relay.rs
@@ -0,0 +1,211 @@
+//! Passes streams of events on as they come.
+//!
+//! Dropping the body, as hyper does when a caller leaves, closes the
+//! connection to the backend server, which stops its work.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use metrics::counter;
+use metrics::histogram;
+use slog::info;
+
+use crate::gateway::backend_pool::KeptConnection;
+use crate::gateway::backend_set::BackendOutcome;
+use crate::gateway::call_service::AdmittedCall;
+use crate::gateway::call_service::SendGuard;
+use crate::gateway::call_service::SendPlan;
+use crate::gateway::call_service::SentCall;
+use crate::gateway::call_service::count_usage;
+use crate::gateway::call_service::log_send;
+use crate::gateway::call_service::next_send;
+use crate::gateway::call_service::note_outcome;
+use crate::gateway::call_service::onward_answer_headers;
+use crate::gateway::event_splitter::EventBatch;
+use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::gateway_context::OpenCall;
+
+/// Why the body of an answer ends early. hyper then closes the caller's
+/// connection without an end of the body.
+type RelayError = std::io::Error;
+
+/// The body of an answer to a caller.
+pub type CallBody = UnsyncBoxBody<Bytes, RelayError>;
+
+/// Makes a body of bytes that are all there.
+pub fn full_body(bytes: Bytes) -> CallBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+struct OpenAnswer {
+    body: Incoming,
+    connection: KeptConnection,
+    guard: SendGuard,
+    keep_idle: Option<std::time::Duration>,
+}
+
+/// Relays one stream of events.
+pub struct EventRelay {
+    context: Arc<GatewayContext>,
+    call: AdmittedCall,
+    plan: SendPlan,
+    answer: Option<OpenAnswer>,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    events: usize,
+    finished: bool,
+    _open: OpenCall,
+}
+
+impl EventRelay {
+    /// Builds the answer to the caller from the head of the first stream.
+    pub fn start(
+        context: Arc<GatewayContext>,
+        call: AdmittedCall,
+        plan: SendPlan,
+        sent: SentCall,
+    ) -> Response<CallBody> {
+        let mut response = Response::new(());
+        *response.status_mut() = sent.exchange.response.status();
+        let headers = sent.exchange.response.headers().clone();
+        *response.headers_mut() = onward_answer_headers(headers);
+        let relay = Self {
+            _open: context.open_call(),
+            last_event: call.head.last_event,
+            context,
+            call,
+            plan,
+            answer: Some(open_answer(sent)),
+            splitter: EventSplitter::new(),
+            events: 0,
+            finished: false,
+        };
+        let frames = stream::unfold(relay, EventRelay::next_frame);
+        response.map(|()| StreamBody::new(frames).boxed_unsync())
+    }
+
+    async fn next_frame(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
+        loop {
+            if self.finished {
+                return None;
+            }
+            let until = tokio::time::Instant::from_std(self.call.until);
+            let Some(answer) = self.answer.as_mut() else {
+                return self.resume_or_break().await;
+            };
+            match tokio::time::timeout_at(until, answer.body.frame()).await {
+                Err(_) => return Some(self.break_off("timed_out")),
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    let batch = self.splitter.push(&data);
+                    if !batch.bytes.is_empty() {
+                        self.note_events(&batch);
+                        return Some((Ok(Frame::data(batch.bytes)), self));
+                    }
+                }
+                Ok(Some(Err(_))) => {
+                    self.drop_answer("broken_off");
+                }
+                Ok(None) => return self.finish(),
+            }
+        }
+    }
+
+    fn note_events(&mut self, batch: &EventBatch) {
+        if self.events == 0 {
+            count_usage(&self.context, self.call.account_name());
+            let after = self.call.arrived.elapsed();
+            histogram!("cloverbend_first_event_seconds").record(after.as_secs_f64());
+        }
+        if let Some(answer) = self.answer.as_mut() {
+            answer.guard.note_read();
+        }
+        self.events += batch.count;
+        self.last_event = batch.last_id.or(self.last_event);
+    }
+
+    fn drop_answer(&mut self, word: &str) {
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
+        let backend = &answer.guard.backend;
+        note_outcome(&self.context, backend, BackendOutcome::Broken);
+        log_send(&self.context, &self.call, backend, word);
+        // The rest of an event is sent again by the next backend server.
+        self.splitter.take_rest();
+    }
+
+    async fn resume_or_break(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
+        let again =
+            self.plan.may_run_again(&self.call) && self.plan.take_budget(&self.context, &self.call);
+        if !again {
+            return Some(self.break_off("broken_off"));
+        }
+        let resumed = next_send(&self.context, &self.call, &mut self.plan, self.last_event).await;
+        match resumed {
+            Ok(sent) if sent.exchange.response.status().is_success() => {
+                info!(self.context.log, "stream resumed"; "request" => %self.call.head.id,
+                    "backend" => %sent.guard.backend, "after_event" => self.last_event);
+                counter!("cloverbend_streams_resumed_total").increment(1);
+                self.answer = Some(open_answer(sent));
+                let empty = Frame::data(Bytes::new());
+                Some((Ok(empty), self))
+            }
+            Ok(_) => Some(self.break_off("resume_refused")),
+            Err(refusal) => Some(self.break_off(refusal.word())),
+        }
+    }
+
+    fn break_off(mut self, word: &str) -> (Result<Frame<Bytes>, RelayError>, Self) {
+        counter!("cloverbend_streams_broken_total").increment(1);
+        info!(self.context.log, "stream broken off"; "request" => %self.call.head.id,
+            "reason" => word, "events" => self.events,
+            "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        self.finished = true;
+        self.answer = None;
+        let error = std::io::Error::other(format!("the stream broke off: {word}"));
+        (Err(error), self)
+    }
+
+    fn finish(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
+        self.finished = true;
+        let answer = self.answer.take()?;
+        let OpenAnswer {
+            connection,
+            guard,
+            keep_idle,
+            ..
+        } = answer;
+        self.context
+            .pool
+            .put_back(&guard.backend, connection, keep_idle);
+        counter!("cloverbend_calls_answered_total").increment(1);
+        info!(self.context.log, "request answered"; "request" => %self.call.head.id,
+            "backend" => %guard.backend, "events" => self.events,
+            "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        let rest = self.splitter.take_rest();
+        (!rest.is_empty()).then(|| (Ok(Frame::data(rest)), self))
+    }
+}
+
+fn open_answer(sent: SentCall) -> OpenAnswer {
+    OpenAnswer {
+        body: sent.exchange.response.into_body(),
+        connection: sent.exchange.connection,
+        guard: sent.guard,
+        keep_idle: sent.answer.keep_idle,
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/backend_set.rs
@@ -0,0 +1,362 @@
+//! The backend servers that are known, and what is believed of each.
+//!
+//! Pure. Records come from the store; load, failures and recently sent prompt
+//! parts are learnt from the requests that this entry sends.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::id::ServiceName;
+use crate::id::ZoneName;
+use crate::quantity::Timestamp;
+
+/// How long a record may be missing after the store came back before the
+/// backend server counts as gone: servers that live write theirs within two
+/// seconds, by the platform's description, and the list is read twice a second.
+const MISSING_GRACE: Duration = Duration::from_millis(2_300);
+/// The first time for which a backend server is left out after failures.
+const FIRST_EXCLUSION: Duration = Duration::from_millis(500);
+/// The longest such time; a server that is back is tried within it.
+const LONGEST_EXCLUSION: Duration = Duration::from_secs(4);
+/// Failures in a row after which a backend server is left out.
+const FAILURES_TO_EXCLUDE: u32 = 2;
+/// The weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// The most prompt parts remembered for a backend server.
+const MAX_PARTS: usize = 512;
+/// How long a report of load counts; later only the own count does.
+const LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// One life of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BackendId(pub String);
+
+impl fmt::Display for BackendId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// What a backend server tells of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendRecord {
+    /// This life of the server.
+    pub id: BackendId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes no new work because it is about to leave.
+    pub leaving: bool,
+    /// Whether its VM may be reclaimed.
+    pub reclaimable: bool,
+}
+
+/// The load that a backend server tells with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// How a request ended at a backend server, as far as it tells of the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendOutcome {
+    /// It answered as it should.
+    Served,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It could not be reached, or broke off.
+    Broken,
+    /// It refused for lack of room.
+    Full,
+}
+
+/// A backend server and what is believed of it.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Its newest record.
+    pub record: BackendRecord,
+    /// Requests of this entry that it has.
+    pub in_flight: u32,
+    /// Prompt tokens of those that have not begun to answer.
+    pub unread_tokens: u64,
+    /// Requests of other entries, as they told last.
+    pub others_in_flight: u32,
+    /// Unread prompt tokens of other entries.
+    pub others_unread: u64,
+    /// The share of requests that failed, weighted to the newest.
+    pub failure_share: f64,
+    load: Option<(Timestamp, LoadReport)>,
+    failures_in_row: u32,
+    excluded_until: Timestamp,
+    full_until: Timestamp,
+    missing_since: Option<Timestamp>,
+    parts: HashMap<u64, Timestamp>,
+}
+
+impl Backend {
+    fn new(record: BackendRecord) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            unread_tokens: 0,
+            others_in_flight: 0,
+            others_unread: 0,
+            failure_share: 0.0,
+            load: None,
+            failures_in_row: 0,
+            excluded_until: Timestamp(0),
+            full_until: Timestamp(0),
+            missing_since: None,
+            parts: HashMap::new(),
+        }
+    }
+
+    /// Returns whether new work may go to it.
+    pub fn takes_work(&self) -> bool {
+        !self.record.leaving
+    }
+
+    /// Returns whether it is left out for now because of failures.
+    pub fn is_excluded(&self, now: Timestamp) -> bool {
+        now < self.excluded_until
+    }
+
+    /// Returns whether it said a moment ago that it has no room.
+    pub fn is_full(&self, now: Timestamp) -> bool {
+        now < self.full_until
+    }
+
+    /// Returns whether its record is missing, though perhaps not for good.
+    pub fn is_missing(&self) -> bool {
+        self.missing_since.is_some()
+    }
+
+    /// Returns the requests that it probably has from all entries.
+    pub fn occupancy(&self, now: Timestamp) -> u32 {
+        let counted = self.in_flight + self.others_in_flight;
+        match self.load {
+            Some((at, load)) if now.since(at) < LOAD_LIFETIME => {
+                counted.max(load.running + load.waiting)
+            }
+            _ => counted,
+        }
+    }
+
+    /// Returns when this entry last sent it a part.
+    pub fn part_used_at(&self, part: u64) -> Option<Timestamp> {
+        self.parts.get(&part).copied()
+    }
+
+    fn note_part(&mut self, now: Timestamp, part: u64) {
+        self.parts.insert(part, now);
+        if self.parts.len() > MAX_PARTS {
+            let oldest = self
+                .parts
+                .iter()
+                .min_by_key(|(_, at)| **at)
+                .map(|(id, _)| *id);
+            oldest.map(|id| self.parts.remove(&id));
+        }
+    }
+}
+
+/// What changed in the set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BackendChange {
+    /// A backend server is new.
+    Joined(BackendRecord),
+    /// It takes no new work any more, or takes it again.
+    Leaving(BackendId, bool),
+    /// Its record is missing; it may be back.
+    Missing(BackendId),
+    /// It is gone.
+    Gone(BackendId),
+}
+
+/// All backend servers that are known.
+#[derive(Clone, Debug, Default)]
+pub struct BackendSet {
+    backends: BTreeMap<BackendId, Backend>,
+    store_back_at: Option<Timestamp>,
+}
+
+impl BackendSet {
+    /// Returns an empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Iterates over all backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.values()
+    }
+
+    /// Iterates over those of a service.
+    pub fn of_service<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Backend> {
+        let of = move |backend: &&Backend| backend.record.service == *service;
+        self.backends.values().filter(of)
+    }
+
+    /// Finds a backend server.
+    pub fn get(&self, id: &BackendId) -> Option<&Backend> {
+        self.backends.get(id)
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn note_store_back(&mut self, now: Timestamp) {
+        self.store_back_at = Some(now);
+    }
+
+    /// Takes over a record.
+    pub fn put(&mut self, record: BackendRecord) -> Option<BackendChange> {
+        let id = record.id.clone();
+        let Some(backend) = self.backends.get_mut(&id) else {
+            let change = BackendChange::Joined(record.clone());
+            self.backends.insert(id, Backend::new(record));
+            return Some(change);
+        };
+        backend.missing_since = None;
+        let changed = backend.record.leaving != record.leaving;
+        backend.record = record;
+        changed.then_some(BackendChange::Leaving(id, backend.record.leaving))
+    }
+
+    /// Notes that a record is not in the store.
+    pub fn note_absent(&mut self, now: Timestamp, id: &BackendId) -> Option<BackendChange> {
+        let backend = self.backends.get_mut(id)?;
+        let in_grace = self
+            .store_back_at
+            .is_some_and(|back| now.since(back) < MISSING_GRACE);
+        if in_grace && !backend.record.leaving {
+            let first = backend.missing_since.is_none();
+            backend.missing_since.get_or_insert(now);
+            return first.then(|| BackendChange::Missing(id.clone()));
+        }
+        self.backends.remove(id);
+        Some(BackendChange::Gone(id.clone()))
+    }
+
+    /// Takes over a whole list; what it does not have is absent.
+    pub fn replace(&mut self, now: Timestamp, records: Vec<BackendRecord>) -> Vec<BackendChange> {
+        let listed: Vec<BackendId> = records.iter().map(|record| record.id.clone()).collect();
+        let mut changes: Vec<BackendChange> =
+            records.into_iter().filter_map(|r| self.put(r)).collect();
+        let absent: Vec<BackendId> = self
+            .backends
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        changes.extend(absent.iter().filter_map(|id| self.note_absent(now, id)));
+        changes
+    }
+
+    /// Removes those that are still missing when the grace has passed.
+    pub fn expire_missing(&mut self, now: Timestamp) -> Vec<BackendChange> {
+        let over = self
+            .store_back_at
+            .is_none_or(|back| now.since(back) >= MISSING_GRACE);
+        if !over {
+            return Vec::new();
+        }
+        let gone: Vec<BackendId> = self
+            .backends
+            .iter()
+            .filter(|(_, backend)| backend.is_missing())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.backends.remove(id);
+        }
+        gone.into_iter().map(BackendChange::Gone).collect()
+    }
+
+    /// Notes that a request goes to a backend server.
+    pub fn note_sent(&mut self, now: Timestamp, id: &BackendId, unread: u64, parts: &[u64]) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        backend.in_flight += 1;
+        backend.unread_tokens += unread;
+        for part in parts {
+            backend.note_part(now, *part);
+        }
+    }
+
+    /// Notes that a request's prompt was read.
+    pub fn note_read(&mut self, id: &BackendId, unread: u64) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.unread_tokens = backend.unread_tokens.saturating_sub(unread);
+        }
+    }
+
+    /// Notes that a request is no longer there.
+    pub fn note_left(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.in_flight = backend.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes the load that a backend server told.
+    pub fn note_load(&mut self, now: Timestamp, id: &BackendId, load: LoadReport) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.load = Some((now, load));
+        }
+    }
+
+    /// Notes what other entries have at a backend server.
+    pub fn note_others(&mut self, id: &BackendId, in_flight: u32, unread: u64) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.others_in_flight = in_flight;
+            backend.others_unread = unread;
+        }
+    }
+
+    /// Notes how a request ended. Returns the time for which the backend
+    /// server is left out, if it is from now on.
+    pub fn note_outcome(
+        &mut self,
+        now: Timestamp,
+        id: &BackendId,
+        outcome: BackendOutcome,
+    ) -> Option<Duration> {
+        let backend = self.backends.get_mut(id)?;
+        let failed = matches!(outcome, BackendOutcome::Failed | BackendOutcome::Broken);
+        if outcome != BackendOutcome::Full {
+            let newest = f64::from(u8::from(failed));
+            backend.failure_share += (newest - backend.failure_share) * FAILURE_WEIGHT;
+        }
+        match outcome {
+            BackendOutcome::Served => backend.failures_in_row = 0,
+            BackendOutcome::Failed => {}
+            BackendOutcome::Full => backend.full_until = now.after(FULL_PAUSE),
+            BackendOutcome::Broken => {
+                backend.failures_in_row += 1;
+                if backend.failures_in_row >= FAILURES_TO_EXCLUDE {
+                    let doublings = (backend.failures_in_row - FAILURES_TO_EXCLUDE).min(4);
+                    let pause = (FIRST_EXCLUSION * (1 << doublings)).min(LONGEST_EXCLUSION);
+                    backend.excluded_until = now.after(pause);
+                    return Some(pause);
+                }
+            }
+        }
+        None
+    }
+}
+
+/// How long a backend server that refused is passed over: about the time in
+/// which one of its requests ends.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
--- /dev/null
+++ b/lib/src/gateway/duty_task.rs
@@ -0,0 +1,410 @@
+//! Carries out the duties of the lease: reports of usage, orders of replicas.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use metrics::counter;
+use slog::info;
+use slog::warn;
+
+use crate::gateway::duty_lease::DutyLease;
+use crate::gateway::duty_lease::DutyRecord;
+use crate::gateway::edge::LogSlice;
+use crate::gateway::edge::LogTopic;
+use crate::gateway::edge::ReplicaOrder;
+use crate::gateway::edge::StoreError;
+use crate::gateway::engine_choice::READ_RATE;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::replica_plan::ReplicaDemand;
+use crate::gateway::replica_plan::ReplicaPlanner;
+use crate::gateway::replica_plan::ReplicaSupply;
+use crate::gateway::usage_table::WindowCounts;
+use crate::gateway::usage_table::WindowNumber;
+use crate::id::FenceToken;
+use crate::id::LogOffset;
+use crate::id::ServiceName;
+use crate::id::ZoneName;
+use crate::quantity::Timestamp;
+
+/// The pause between looks at what is to do.
+const DUTY_PAUSE: Duration = Duration::from_millis(250);
+/// How long after its end a window is decided: every entry has told its
+/// counts by then, several times over.
+const DECIDE_AFTER: Duration = Duration::from_millis(1_500);
+/// How many windows back are still reported. Later reports count for nothing.
+const REPORTED_WINDOWS: u64 = 2;
+/// How long calls to the store may fail before the holder gives the lease up
+/// to an entry that reaches it.
+const FAILING_PATIENCE: Duration = Duration::from_millis(1_200);
+/// How much longer than the lease's bound a former holder waits to claim.
+const CLAIM_MARGIN: Duration = Duration::from_millis(1_000);
+/// The pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// The pause between looks at the replicas.
+const PLAN_PAUSE: Duration = Duration::from_millis(1_000);
+/// After how long an order that seems not to be carried out is given again:
+/// a replica starts in four seconds, and some orders are done late.
+const REORDER_AFTER: Duration = Duration::from_secs(7);
+
+/// What an entry does about the lease next.
+enum DutyStep {
+    /// Carry out the duties under a fence.
+    Work(FenceToken),
+    /// Take the lease.
+    Claim,
+    /// Nothing for now.
+    Wait,
+}
+
+/// Claims the lease when nobody holds it, and works while this entry does.
+pub async fn run_duties(context: Arc<GatewayContext>) {
+    let mut desk = DutyDesk::new();
+    loop {
+        tokio::time::sleep(DUTY_PAUSE).await;
+        match next_step(&context) {
+            DutyStep::Work(fence) => desk.work(&context, fence).await,
+            DutyStep::Claim => {
+                desk = DutyDesk::new();
+                claim_lease(&context).await;
+            }
+            DutyStep::Wait => {}
+        }
+    }
+}
+
+fn next_step(context: &GatewayContext) -> DutyStep {
+    let now = context.now();
+    let (heard, rank) = {
+        let peers = context.peers.lock();
+        (peers.heard_fence(now), peers.rank(now))
+    };
+    let mut duties = context.duties.lock();
+    if let Some(own) = duties.fence() {
+        let cause = match heard {
+            Some(other) if other > own => Some("another_holder"),
+            _ if context.is_leaving() => Some("leaving"),
+            _ => None,
+        };
+        return match cause {
+            Some(cause) => {
+                give_up(context, &mut duties, cause);
+                DutyStep::Wait
+            }
+            None => DutyStep::Work(own),
+        };
+    }
+    if duties.should_claim(now, heard.is_some(), rank) && !context.is_leaving() {
+        return DutyStep::Claim;
+    }
+    DutyStep::Wait
+}
+
+fn give_up(context: &GatewayContext, duties: &mut DutyLease, cause: &str) {
+    let pause = context.settings.bounds.lease + CLAIM_MARGIN;
+    duties.give_up(context.now(), pause);
+    info!(context.log, "lease given up"; "cause" => cause);
+}
+
+async fn claim_lease(context: &Arc<GatewayContext>) {
+    let result = read_duties(context).await;
+    if let Err(error) = result {
+        warn!(context.log, "lease not claimed"; "error" => %error);
+        tokio::time::sleep(FAILURE_PAUSE).await;
+        return;
+    }
+    let record = DutyRecord::Claim {
+        entry: context.settings.name.clone(),
+        incarnation: context.incarnation,
+    };
+    match append_duty(context, &record).await {
+        Ok(offset) => {
+            counter!("cloverbend_lease_claims_total").increment(1);
+            info!(context.log, "lease claimed"; "fence" => offset.0);
+        }
+        Err(error) => {
+            info!(context.log, "lease not claimed"; "error" => %error);
+            tokio::time::sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the duties' topic up to its end.
+async fn read_duties(context: &Arc<GatewayContext>) -> Result<(), StoreError> {
+    let store = &context.edges.store;
+    loop {
+        let from = context.duties.lock().next_offset();
+        let read = store.read(LogTopic::Duties, from, Duration::ZERO).await;
+        let slice = match read {
+            Ok(slice) => slice,
+            Err(StoreError::Forgotten(first)) => {
+                context.duties.lock().note_end(first);
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        apply_duties(context, &slice);
+        if slice.records.is_empty() {
+            context.duties.lock().note_end(slice.end);
+            return Ok(());
+        }
+    }
+}
+
+fn apply_duties(context: &GatewayContext, slice: &LogSlice) {
+    let mut duties = context.duties.lock();
+    for record in &slice.records {
+        match serde_json::from_slice::<DutyRecord>(&record.value) {
+            Ok(decoded) => duties.apply(record.offset, decoded),
+            Err(error) => {
+                warn!(context.log, "duty's record refused"; "offset" => record.offset.0,
+                    "error" => %error);
+                duties.note_end(LogOffset(record.offset.0 + 1));
+            }
+        }
+    }
+}
+
+/// Appends a record at the end that was read, and applies it.
+async fn append_duty(
+    context: &Arc<GatewayContext>,
+    record: &DutyRecord,
+) -> Result<LogOffset, StoreError> {
+    let end = context.duties.lock().next_offset();
+    let value = serde_json::to_vec(record).map_err(|e| StoreError::NotDone(e.to_string()))?;
+    let store = &context.edges.store;
+    let appended = store
+        .append(LogTopic::Duties, None, Bytes::from(value), Some(end))
+        .await;
+    match appended {
+        Ok(offset) => {
+            context.duties.lock().apply(offset, record.clone());
+            Ok(offset)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// What the holder has done so far.
+struct DutyDesk {
+    reported: BTreeMap<WindowNumber, ()>,
+    first_window: Option<WindowNumber>,
+    planners: BTreeMap<ServiceName, ReplicaPlanner>,
+    orders: BTreeMap<(ServiceName, ZoneName, bool), (u32, Timestamp)>,
+    planned_at: Option<Timestamp>,
+    failing_since: Option<Timestamp>,
+}
+
+impl DutyDesk {
+    fn new() -> Self {
+        Self {
+            reported: BTreeMap::new(),
+            first_window: None,
+            planners: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            planned_at: None,
+            failing_since: None,
+        }
+    }
+
+    async fn work(&mut self, context: &Arc<GatewayContext>, fence: FenceToken) {
+        let current = context.window();
+        let first = *self.first_window.get_or_insert(current);
+        let oldest = current
+            .saturating_sub(REPORTED_WINDOWS)
+            .max(first.saturating_sub(REPORTED_WINDOWS));
+        for window in oldest..current {
+            if self.reported.contains_key(&window) || !is_decidable(context, window) {
+                continue;
+            }
+            let result = report_window(context, fence, window).await;
+            if !self.note_result(context, &result) {
+                return;
+            }
+            if result.is_ok() {
+                self.reported.insert(window, ());
+            }
+        }
+        self.reported.retain(|window, ()| *window >= oldest);
+        self.order_replicas(context, fence).await;
+    }
+
+    /// Returns whether this entry goes on as the holder.
+    fn note_result(&mut self, context: &GatewayContext, result: &Result<(), StoreError>) -> bool {
+        let now = context.now();
+        match result {
+            Ok(()) => {
+                self.failing_since = None;
+                true
+            }
+            Err(StoreError::Fenced | StoreError::Conflict(_)) => {
+                give_up(context, &mut context.duties.lock(), "replaced");
+                false
+            }
+            Err(error) => {
+                let since = *self.failing_since.get_or_insert(now);
+                warn!(context.log, "duty failed"; "error" => %error);
+                if now.since(since) > FAILING_PATIENCE {
+                    give_up(context, &mut context.duties.lock(), "store_unreachable");
+                    self.failing_since = None;
+                }
+                false
+            }
+        }
+    }
+
+    async fn order_replicas(&mut self, context: &Arc<GatewayContext>, fence: FenceToken) {
+        let now = context.now();
+        if self.planned_at.is_some_and(|at| now.since(at) < PLAN_PAUSE) {
+            return;
+        }
+        self.planned_at = Some(now);
+        let config = context.config.lock().adopted().map(|a| a.config.clone());
+        let Some(config) = config else {
+            return;
+        };
+        let scaled = config
+            .services
+            .values()
+            .filter_map(|s| Some((s, s.scale.as_ref()?)));
+        for (service, rule) in scaled {
+            let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
+            let demand = measure_demand(context, &service.name, slots);
+            let supply = measure_supply(context, &service.name);
+            let planner = self.planners.entry(service.name.clone()).or_default();
+            let orders = planner.plan(now, &service.name, rule, demand, supply);
+            for order in orders {
+                if !self.give_order(context, fence, order).await {
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn give_order(
+        &mut self,
+        context: &Arc<GatewayContext>,
+        fence: FenceToken,
+        order: ReplicaOrder,
+    ) -> bool {
+        let now = context.now();
+        let key = (order.service.clone(), order.zone.clone(), order.reclaimable);
+        let given = self.orders.get(&key).copied();
+        let there = count_replicas(context, &order);
+        let fresh = given.is_some_and(|(_, at)| now.since(at) < REORDER_AFTER);
+        if given.is_some_and(|(count, _)| count == order.count) && (there == order.count || fresh) {
+            return true;
+        }
+        self.orders.insert(key, (order.count, now));
+        let name = &context.settings.name;
+        let result = context
+            .edges
+            .cloud
+            .order_replicas(name, fence, &order)
+            .await;
+        info!(context.log, "replicas ordered"; "service" => %order.service, "zone" => %order.zone,
+            "reclaimable" => order.reclaimable, "count" => order.count, "there" => there,
+            "fence" => fence.0, "error" => result.as_ref().err().map(ToString::to_string));
+        // Other failures are tried again when the plan is looked at later.
+        !matches!(result, Err(StoreError::Fenced))
+    }
+}
+
+fn count_replicas(context: &GatewayContext, order: &ReplicaOrder) -> u32 {
+    let backends = context.backends.lock();
+    let there = backends.of_service(&order.service).filter(|backend| {
+        let record = &backend.record;
+        record.zone == order.zone && record.reclaimable == order.reclaimable && !record.leaving
+    });
+    there.count() as u32
+}
+
+fn measure_demand(context: &GatewayContext, service: &ServiceName, slots: u32) -> ReplicaDemand {
+    let now = context.now();
+    let running: u32 = {
+        let backends = context.backends.lock();
+        backends.of_service(service).map(|b| b.occupancy(now)).sum()
+    };
+    let own = {
+        let work = context.work.lock();
+        let own = work.rates(now).find(|(name, _)| *name == service);
+        own.map_or(0.0, |(_, rate)| rate)
+    };
+    let others = context.peers.lock().work(now, service) as f64;
+    ReplicaDemand {
+        slots: f64::from(running) / f64::from(slots.max(1)),
+        reading: (own + others) / (READ_RATE * 1_000.0),
+    }
+}
+
+fn measure_supply(context: &GatewayContext, service: &ServiceName) -> ReplicaSupply {
+    let backends = context.backends.lock();
+    let mut supply = ReplicaSupply::default();
+    let working = backends
+        .of_service(service)
+        .filter(|backend| backend.takes_work() && !backend.is_missing());
+    for backend in working {
+        if backend.record.reclaimable {
+            supply.reclaimable += 1;
+        } else {
+            supply.fixed += 1;
+        }
+    }
+    supply
+}
+
+fn is_decidable(context: &GatewayContext, window: WindowNumber) -> bool {
+    let length = context.settings.bounds.usage_window_s;
+    let end = Duration::from_secs((window + 1) * length) + DECIDE_AFTER;
+    let now = std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH);
+    now.is_ok_and(|now| now >= end)
+}
+
+async fn report_window(
+    context: &Arc<GatewayContext>,
+    fence: FenceToken,
+    window: WindowNumber,
+) -> Result<(), StoreError> {
+    let decided = context.duties.lock().decided(window).cloned();
+    let counts = match decided {
+        Some(counts) => counts,
+        None => decide_window(context, window).await?,
+    };
+    let name = &context.settings.name;
+    let result = context
+        .edges
+        .cloud
+        .report_usage(name, fence, window, &counts)
+        .await;
+    info!(context.log, "usage reported"; "window" => window, "fence" => fence.0,
+        "requests" => counts.values().sum::<u64>(),
+        "error" => result.as_ref().err().map(ToString::to_string));
+    result
+}
+
+async fn decide_window(
+    context: &Arc<GatewayContext>,
+    window: WindowNumber,
+) -> Result<WindowCounts, StoreError> {
+    let counts = context.usage.lock().total(window);
+    let record = DutyRecord::Usage {
+        window,
+        counts: counts.clone(),
+    };
+    match append_duty(context, &record).await {
+        Ok(_) => Ok(counts),
+        Err(StoreError::Conflict(_)) => {
+            // Another holder appended, or an append of ours was done without
+            // an answer. Reading on tells which.
+            read_duties(context).await?;
+            let duties = context.duties.lock();
+            if duties.fence().is_none() {
+                return Err(StoreError::Fenced);
+            }
+            let decided = duties.decided(window).cloned();
+            decided.ok_or(StoreError::NotDone("the window is undecided".to_owned()))
+        }
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/edge.rs
@@ -0,0 +1,229 @@
+//! The edges of the gateway: formats, the log store and the cloud's orders.
+//!
+//! The gateway decides; what stands behind these traits only translates and
+//! calls. All futures end by themselves within a bounded time.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::HeaderMap;
+
+use crate::gateway::backend_set::BackendId;
+use crate::gateway::backend_set::BackendRecord;
+use crate::gateway::backend_set::LoadReport;
+use crate::gateway::call_head::CallHead;
+use crate::gateway::call_head::HeadError;
+use crate::gateway::site_config::SiteConfig;
+use crate::id::AccountName;
+use crate::id::EntryName;
+use crate::id::FenceToken;
+use crate::id::LogOffset;
+use crate::id::ServiceName;
+use crate::id::ZoneName;
+
+/// A document that could not be decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FormatError {
+    /// What was being decoded.
+    pub subject: &'static str,
+    /// What is wrong with it.
+    pub cause: String,
+}
+
+impl fmt::Display for FormatError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the {} cannot be read: {}", self.subject, self.cause)
+    }
+}
+
+impl std::error::Error for FormatError {}
+
+/// What the gateway adds to a request that it sends on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SendTerms<'a> {
+    /// The only backend server that may run it.
+    pub backend: &'a BackendId,
+    /// The time that is left.
+    pub left: Duration,
+    /// The client account of the caller's key.
+    pub account: Option<&'a AccountName>,
+    /// The urgency, 0 the most urgent.
+    pub priority: Option<u8>,
+    /// The last event that was received, to resume after it.
+    pub last_event: Option<u64>,
+}
+
+/// What a backend server's answer says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The request that it answers.
+    pub call: Option<String>,
+    /// Whether the backend server certainly did not run the request.
+    pub not_run: bool,
+    /// The load of the backend server, if it tells.
+    pub load: Option<LoadReport>,
+    /// How long the backend server keeps the connection when idle.
+    pub keep_idle: Option<Duration>,
+}
+
+/// The formats of requests, answers and documents.
+pub trait PlatformFormat: Send + Sync + 'static {
+    /// Decodes the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Headers that are missing or malformed.
+    fn decode_call(&self, headers: &HeaderMap) -> Result<CallHead, HeadError>;
+
+    /// Sets the headers of a request that is sent on. Those that concern one
+    /// connection are already gone; the caller's key is removed here.
+    fn encode_send(&self, headers: &mut HeaderMap, terms: &SendTerms<'_>);
+
+    /// Decodes the head of a backend server's answer.
+    fn decode_answer(&self, status: http::StatusCode, headers: &HeaderMap) -> AnswerHead;
+
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// A document of another form.
+    fn decode_config(&self, document: &[u8]) -> Result<SiteConfig, FormatError>;
+
+    /// Decodes the record of a backend server.
+    ///
+    /// # Errors
+    ///
+    /// A document of another form.
+    fn decode_backend(&self, id: &str, document: &[u8]) -> Result<BackendRecord, FormatError>;
+
+    /// Returns the path at which the readiness address is asked.
+    fn readiness_path(&self) -> &'static str;
+
+    /// Returns the key of the configuration among the records of its topic.
+    fn config_key(&self) -> &'static str;
+}
+
+/// The topics of the log store that the gateway uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LogTopic {
+    /// Keyed: the configuration that the operator publishes.
+    Configuration,
+    /// Keyed: the records that backend servers keep of themselves.
+    Backends,
+    /// Keyed: the entries, by name.
+    Entries,
+    /// Not keyed: claims of the lease, and what its holders decided.
+    Duties,
+}
+
+/// A record of the log. Records of keyed topics have a key; without a value
+/// the key is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogRecord {
+    /// The position.
+    pub offset: LogOffset,
+    /// The key, in keyed topics.
+    pub key: Option<String>,
+    /// The content.
+    pub value: Bytes,
+}
+
+/// A contiguous part of a topic.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LogSlice {
+    /// The records.
+    pub records: Vec<LogRecord>,
+    /// The oldest offset that is kept.
+    pub first: LogOffset,
+    /// The offset that the next append will get.
+    pub end: LogOffset,
+}
+
+/// Why a call to the store or the cloud failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// It was certainly not done: refused, or never sent.
+    NotDone(String),
+    /// There was no usable answer; it may have been done, or be done later.
+    Unknown(String),
+    /// The records asked for are no longer kept; the oldest kept is told.
+    Forgotten(LogOffset),
+    /// The condition did not hold; the topic ends elsewhere.
+    Conflict(LogOffset),
+    /// A call with a higher fence was seen.
+    Fenced,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotDone(cause) => write!(f, "not done: {cause}"),
+            Self::Unknown(cause) => write!(f, "no usable answer: {cause}"),
+            Self::Forgotten(first) => write!(f, "the records before {first} are gone"),
+            Self::Conflict(end) => write!(f, "the topic ends at {end}"),
+            Self::Fenced => write!(f, "a higher fence was seen"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// The platform's log store.
+pub trait LogStore: Send + Sync + 'static {
+    /// Reads records from an offset on; waits up to `wait` for the first.
+    fn read(
+        &self,
+        topic: LogTopic,
+        from: LogOffset,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<LogSlice, StoreError>>;
+
+    /// Reads the newest record of each key of a keyed topic.
+    fn newest(&self, topic: LogTopic) -> BoxFuture<'_, Result<LogSlice, StoreError>>;
+
+    /// Appends one record; with `expected_end` only if the topic ends there.
+    /// Returns the offset of the record.
+    fn append(
+        &self,
+        topic: LogTopic,
+        key: Option<&str>,
+        value: Bytes,
+        expected_end: Option<LogOffset>,
+    ) -> BoxFuture<'_, Result<LogOffset, StoreError>>;
+}
+
+/// The number of replicas wanted of a service in one zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReplicaOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The zone.
+    pub zone: ZoneName,
+    /// Whether the VMs may be reclaimed.
+    pub reclaimable: bool,
+    /// How many there are to be.
+    pub count: u32,
+}
+
+/// Calls that one entry at a time may make.
+pub trait CloudOrders: Send + Sync + 'static {
+    /// Reports the requests of each account that began in a window.
+    fn report_usage(
+        &self,
+        holder: &EntryName,
+        fence: FenceToken,
+        window: u64,
+        counts: &BTreeMap<AccountName, u64>,
+    ) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Orders a number of replicas.
+    fn order_replicas(
+        &self,
+        holder: &EntryName,
+        fence: FenceToken,
+        order: &ReplicaOrder,
+    ) -> BoxFuture<'_, Result<(), StoreError>>;
+}
--- /dev/null
+++ b/lib/src/gateway/engine_choice.rs
@@ -0,0 +1,158 @@
+//! The choice of a backend server for one request.
+//!
+//! Pure. Every candidate gets an estimated cost in milliseconds: the wait for
+//! a slot, the prompts that are read before, the own prompt as far as it is
+//! not kept there, and what failures cost. Where a shared part of the prompt
+//! has not been sent yet, rendezvous hashing decides where it goes, so that
+//! entries agree on a home for every part without talking.
+
+use std::hash::Hasher;
+
+use twox_hash::XxHash64;
+
+use crate::gateway::backend_set::Backend;
+use crate::gateway::backend_set::BackendId;
+use crate::gateway::backend_set::BackendSet;
+use crate::gateway::call_head::PromptPart;
+use crate::id::ServiceName;
+use crate::id::ZoneName;
+use crate::quantity::Timestamp;
+
+/// Prompt tokens that a model replica reads in a millisecond. The replicas of
+/// the described deployments read 64 to 68.
+pub const READ_RATE: f64 = 64.0;
+/// How much a token read again weighs against one that waits: reading shared
+/// parts again has a price of its own, several times its time.
+const RECOMPUTE_WEIGHT: f64 = 4.0;
+/// Milliseconds for every request beyond the slots. A request holds its slot
+/// for one to two seconds, shared over the slots.
+const WAIT_COST: f64 = 40.0;
+/// Milliseconds at full slots, rising with the square of the filling: replicas
+/// generate more slowly the more requests they run.
+const CROWD_COST: f64 = 60.0;
+/// Milliseconds for a certain failure; a caller's second try costs as much.
+const FAILURE_COST: f64 = 1_500.0;
+/// Milliseconds for another availability zone: two ways of a millisecond, and
+/// the price of bytes between zones.
+const ZONE_COST: f64 = 3.0;
+/// Milliseconds for a backend server that said a moment ago that it is full.
+const FULL_COST: f64 = 2_000.0;
+/// Milliseconds for one whose record is missing or that failed repeatedly; it
+/// is used only if there is no other.
+const DOUBT_COST: f64 = 100_000.0;
+
+/// What a choice depends on beside the backend servers.
+#[derive(Clone, Debug)]
+pub struct ChoiceQuery<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The entry's own availability zone.
+    pub zone: &'a ZoneName,
+    /// The parts of the prompt, the request's own part last.
+    pub parts: &'a [PromptPart],
+    /// Backend servers that this request has already been sent to.
+    pub tried: &'a [BackendId],
+}
+
+/// A chosen backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendChoice {
+    /// The server.
+    pub id: BackendId,
+    /// Its estimated cost in milliseconds.
+    pub cost: f64,
+    /// Prompt tokens that it probably has to read.
+    pub unread: u64,
+    /// The number of candidates.
+    pub candidates: usize,
+}
+
+/// Chooses the backend server of least cost.
+pub fn choose_backend(
+    set: &BackendSet,
+    now: Timestamp,
+    query: &ChoiceQuery<'_>,
+) -> Option<BackendChoice> {
+    let mut candidates: Vec<&Backend> = set
+        .of_service(query.service)
+        .filter(|backend| backend.takes_work() && !query.tried.contains(&backend.record.id))
+        .collect();
+    let homes = part_homes(&candidates, query.parts);
+    let count = candidates.len();
+    candidates
+        .drain(..)
+        .map(|backend| {
+            let unread = unread_tokens(backend, now, query.parts, &homes);
+            let cost = estimate(backend, now, query, unread);
+            (cost, unread, backend)
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(cost, unread, backend)| BackendChoice {
+            id: backend.record.id.clone(),
+            cost,
+            unread,
+            candidates: count,
+        })
+}
+
+/// Returns the home of every shared part among the candidates.
+fn part_homes<'a>(candidates: &[&'a Backend], parts: &[PromptPart]) -> Vec<Option<&'a BackendId>> {
+    let shared = parts.len().saturating_sub(1);
+    parts[..shared]
+        .iter()
+        .map(|part| rendezvous(candidates, part.id))
+        .collect()
+}
+
+fn rendezvous<'a>(candidates: &[&'a Backend], part: u64) -> Option<&'a BackendId> {
+    candidates
+        .iter()
+        .map(|backend| &backend.record.id)
+        .max_by_key(|id| {
+            let mut hasher = XxHash64::with_seed(part);
+            hasher.write(id.0.as_bytes());
+            hasher.finish()
+        })
+}
+
+/// Estimates the tokens that a backend server has to read: a part is kept only
+/// if every part before it is.
+fn unread_tokens(
+    backend: &Backend,
+    now: Timestamp,
+    parts: &[PromptPart],
+    homes: &[Option<&BackendId>],
+) -> u64 {
+    let total: u64 = parts.iter().map(|part| part.tokens.0).sum();
+    let mut kept = 0;
+    for (part, home) in parts.iter().zip(homes) {
+        let sent = backend.part_used_at(part.id).is_some_and(|at| at <= now);
+        if !sent && *home != Some(&backend.record.id) {
+            break;
+        }
+        kept += part.tokens.0;
+    }
+    total - kept
+}
+
+fn estimate(backend: &Backend, now: Timestamp, query: &ChoiceQuery<'_>, unread: u64) -> f64 {
+    let slots = f64::from(backend.record.slots.max(1));
+    let occupancy = f64::from(backend.occupancy(now));
+    let filling = occupancy / slots;
+    let waiting = (occupancy + 1.0 - slots).max(0.0);
+    let before = (backend.unread_tokens + backend.others_unread) as f64 / READ_RATE;
+    let own = unread as f64 / READ_RATE * RECOMPUTE_WEIGHT;
+    let mut cost = before + own;
+    cost += waiting * WAIT_COST + filling * filling * CROWD_COST;
+    cost += backend.failure_share * FAILURE_COST;
+    if backend.record.zone != *query.zone {
+        cost += ZONE_COST;
+    }
+    if backend.is_full(now) {
+        cost += FULL_COST;
+    }
+    if backend.is_missing() || backend.is_excluded(now) {
+        cost += DOUBT_COST;
+    }
+    cost
+}
--- /dev/null
+++ b/lib/src/gateway/gateway_context.rs
@@ -0,0 +1,182 @@
+//! What the parts of a gateway entry share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use parking_lot::Mutex;
+use rand::Rng;
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::account_limits::AccountLimits;
+use crate::gateway::backend_pool::BackendPool;
+use crate::gateway::backend_set::BackendSet;
+use crate::gateway::config_follower::ConfigFollower;
+use crate::gateway::duty_lease::DutyLease;
+use crate::gateway::edge::CloudOrders;
+use crate::gateway::edge::LogStore;
+use crate::gateway::edge::PlatformFormat;
+use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::peer_book::PeerBook;
+use crate::gateway::send_budget::SendBudget;
+use crate::gateway::usage_table::UsageTable;
+use crate::gateway::work_meter::WorkMeter;
+use crate::id::Incarnation;
+use crate::peer_link::PeerSender;
+use crate::quantity::Timestamp;
+
+/// The platform, as the gateway sees it.
+#[derive(Clone)]
+pub struct PlatformEdges {
+    /// Formats of requests and documents.
+    pub format: Arc<dyn PlatformFormat>,
+    /// The log store.
+    pub store: Arc<dyn LogStore>,
+    /// Calls to the cloud.
+    pub cloud: Arc<dyn CloudOrders>,
+}
+
+/// The tables and connections of one gateway entry.
+pub struct GatewayContext {
+    /// The settings.
+    pub settings: GatewaySettings,
+    /// This life of the entry.
+    pub incarnation: Incarnation,
+    /// The platform.
+    pub edges: PlatformEdges,
+    /// The log.
+    pub log: Logger,
+    /// The configuration.
+    pub config: Mutex<ConfigFollower>,
+    /// The backend servers.
+    pub backends: Mutex<BackendSet>,
+    /// The accounts' limits.
+    pub limits: Mutex<AccountLimits>,
+    /// The budget of sends beyond the first.
+    pub budget: Mutex<SendBudget>,
+    /// The work sent to each service.
+    pub work: Mutex<WorkMeter>,
+    /// Requests that began to run.
+    pub usage: Mutex<UsageTable>,
+    /// The other entries.
+    pub peers: Mutex<PeerBook>,
+    /// The lease.
+    pub duties: Mutex<DutyLease>,
+    /// Connections to backend servers.
+    pub pool: BackendPool,
+    /// Connections to other entries.
+    pub links: PeerSender,
+    /// Ends all tasks.
+    pub stop: CancellationToken,
+    leaving: AtomicBool,
+    refusing: AtomicBool,
+    open_calls: AtomicUsize,
+    started: Instant,
+}
+
+impl std::fmt::Debug for GatewayContext {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("GatewayContext")
+            .field("name", &self.settings.name)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
+
+impl GatewayContext {
+    /// Builds the context of an entry that starts.
+    pub fn new(settings: GatewaySettings, edges: PlatformEdges, log: Logger) -> Arc<Self> {
+        let stop = CancellationToken::new();
+        let incarnation = Incarnation(rand::rng().random());
+        let now = Timestamp(0);
+        Arc::new(Self {
+            incarnation,
+            edges,
+            config: Mutex::new(ConfigFollower::new()),
+            backends: Mutex::new(BackendSet::new()),
+            limits: Mutex::new(AccountLimits::new(settings.first_start)),
+            budget: Mutex::new(SendBudget::new()),
+            work: Mutex::new(WorkMeter::new()),
+            usage: Mutex::new(UsageTable::new(incarnation)),
+            peers: Mutex::new(PeerBook::new(settings.name.clone())),
+            duties: Mutex::new(DutyLease::new(now, incarnation)),
+            pool: BackendPool::new(),
+            links: PeerSender::new(stop.clone(), log.clone()),
+            stop,
+            leaving: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            open_calls: AtomicUsize::new(0),
+            started: Instant::now(),
+            settings,
+            log,
+        })
+    }
+
+    /// Returns the time since the start of this process by the steady clock.
+    pub fn now(&self) -> Timestamp {
+        Timestamp(0).after(self.started.elapsed())
+    }
+
+    /// Returns the window of usage at this moment by the wall clock.
+    pub fn window(&self) -> u64 {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        // A clock before 1970 is broken; its counts would be refused anyway.
+        let seconds = since.unwrap_or(Duration::ZERO).as_secs();
+        seconds / self.settings.bounds.usage_window_s
+    }
+
+    /// Returns whether this entry calls itself ready.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.config.lock().adopted().is_some()
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether new requests are refused.
+    pub fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Relaxed)
+    }
+
+    /// Refuses new requests from now on.
+    pub fn begin_refusing(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests that have no whole answer yet.
+    pub fn open_calls(&self) -> usize {
+        self.open_calls.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn open_call(self: &Arc<Self>) -> OpenCall {
+        self.open_calls.fetch_add(1, Ordering::Relaxed);
+        OpenCall {
+            context: Arc::clone(self),
+        }
+    }
+}
+
+/// Counts a request as open.
+#[derive(Debug)]
+pub struct OpenCall {
+    context: Arc<GatewayContext>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.context.open_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -0,0 +1,254 @@
+//! Starts and stops a gateway entry.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use slog::Logger;
+use slog::info;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::call_service::serve_call;
+use crate::gateway::duty_task::run_duties;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::gateway_context::PlatformEdges;
+use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::peer_task::exchange_news;
+use crate::gateway::peer_task::receive_news;
+use crate::gateway::store_task::follow_backends;
+use crate::gateway::store_task::follow_config;
+use crate::gateway::store_task::join_entries;
+use crate::http_server::serve_connections;
+use crate::metrics_export;
+use crate::peer_link::receive_frames;
+use crate::wire::PeerMessage;
+
+/// How long after SIGTERM new requests are still served: the platform asks
+/// every second, and stops sending callers after two answers.
+const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_600);
+/// How long before the end of the grace the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// The pause between looks at whether all requests have ended.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+/// The pause between removals of old connections.
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Why a gateway entry could not start.
+#[derive(Debug)]
+pub enum GatewayError {
+    /// An address cannot be listened on.
+    Listen(SocketAddr, std::io::Error),
+}
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(address, error) => write!(f, "cannot listen on {address}: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for GatewayError {}
+
+/// A running gateway entry.
+#[derive(Debug)]
+pub struct GatewayDaemon {
+    context: Arc<GatewayContext>,
+}
+
+impl GatewayDaemon {
+    /// Starts an entry. Must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// See [`GatewayError`].
+    pub async fn start(
+        settings: GatewaySettings,
+        edges: PlatformEdges,
+        log: Logger,
+    ) -> Result<Self, GatewayError> {
+        metrics_export::install_metrics();
+        let callers = listen(settings.caller_address).await?;
+        let readiness = listen(settings.readiness_address).await?;
+        let peers = listen(settings.peer_address).await?;
+        let metrics = match settings.metrics_address {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        let context = GatewayContext::new(settings, edges, log);
+        info!(context.log, "starting"; "entry" => %context.settings.name,
+            "zone" => %context.settings.zone, "incarnation" => %context.incarnation,
+            "callers" => %context.settings.caller_address);
+        serve_readiness(&context, readiness);
+        if let Some(listener) = metrics {
+            serve_metrics(&context, listener);
+        }
+        serve_callers(&context, callers);
+        start_tasks(&context, peers);
+        Ok(Self { context })
+    }
+
+    /// Returns what the parts of this entry share.
+    pub fn context(&self) -> &Arc<GatewayContext> {
+        &self.context
+    }
+
+    /// Stops as planned: callers are first sent elsewhere, then open requests
+    /// end, at the latest shortly before the grace is over.
+    pub async fn stop(self) {
+        let context = self.context;
+        let begun = Instant::now();
+        let grace = context.settings.bounds.grace;
+        context.begin_leaving();
+        info!(context.log, "stopping"; "open_requests" => context.open_calls(),
+            "grace_ms" => grace.as_millis() as u64);
+        let serve = SERVE_AFTER_STOP.min(grace / 2);
+        tokio::time::sleep(serve).await;
+        context.begin_refusing();
+        let last = begun + grace.saturating_sub(END_MARGIN);
+        while context.open_calls() > 0 && Instant::now() < last {
+            tokio::time::sleep(STOP_CHECK).await;
+        }
+        info!(context.log, "stopped"; "open_requests" => context.open_calls(),
+            "after_ms" => begun.elapsed().as_millis() as u64);
+        context.stop.cancel();
+    }
+
+    /// Ends the entry at once.
+    pub fn kill(&self) {
+        self.context.stop.cancel();
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| GatewayError::Listen(address, error))
+}
+
+fn serve_callers(context: &Arc<GatewayContext>, listener: TcpListener) {
+    let shared = Arc::clone(context);
+    let service = move |_: SocketAddr| {
+        let context = Arc::clone(&shared);
+        service_fn(move |request: Request<Incoming>| {
+            let context = Arc::clone(&context);
+            async move {
+                let open = context.open_call();
+                let response = serve_call(context, request).await;
+                drop(open);
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
+    spawn_server(context, listener, service);
+}
+
+fn spawn_server<M, S, B>(context: &Arc<GatewayContext>, listener: TcpListener, make: M)
+where
+    M: Fn(SocketAddr) -> S + Send + 'static,
+    S: hyper::service::Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
+        + Send
+        + 'static,
+    S::Future: Send,
+    B: hyper::body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let stop = context.stop.clone();
+    tokio::spawn(serve_connections(listener, make, stop, Duration::ZERO));
+}
+
+fn serve_readiness(context: &Arc<GatewayContext>, listener: TcpListener) {
+    let shared = Arc::clone(context);
+    let service = move |_: SocketAddr| {
+        let context = Arc::clone(&shared);
+        service_fn(move |request: Request<Incoming>| {
+            let known = request.uri().path() == context.edges.format.readiness_path();
+            let status = match (known, context.is_ready()) {
+                (true, true) => StatusCode::OK,
+                (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+                (false, _) => StatusCode::NOT_FOUND,
+            };
+            async move { Ok::<_, Infallible>(short_answer(status, Bytes::new())) }
+        })
+    };
+    spawn_server(context, listener, service);
+}
+
+fn serve_metrics(context: &Arc<GatewayContext>, listener: TcpListener) {
+    let service = move |_: SocketAddr| {
+        service_fn(move |request: Request<Incoming>| {
+            let known = request.uri().path() == METRICS_PATH;
+            async move {
+                Ok::<_, Infallible>(if known {
+                    let text = metrics_export::render_metrics();
+                    short_answer(StatusCode::OK, Bytes::from(text))
+                } else {
+                    short_answer(StatusCode::NOT_FOUND, Bytes::new())
+                })
+            }
+        })
+    };
+    spawn_server(context, listener, service);
+}
+
+fn short_answer(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+fn start_tasks(context: &Arc<GatewayContext>, peers: TcpListener) {
+    let receiving = Arc::clone(context);
+    let receive = move |message| receive_message(&receiving, message);
+    let (stop, log) = (context.stop.clone(), context.log.clone());
+    tokio::spawn(receive_frames(peers, stop, log, receive));
+    let share = || Arc::clone(context);
+    spawn_until_stop(&context.stop, follow_config(share()));
+    spawn_until_stop(&context.stop, follow_backends(share()));
+    spawn_until_stop(&context.stop, join_entries(share()));
+    spawn_until_stop(&context.stop, exchange_news(share()));
+    spawn_until_stop(&context.stop, run_duties(share()));
+    spawn_until_stop(&context.stop, sweep(share()));
+}
+
+fn receive_message(context: &GatewayContext, message: PeerMessage) {
+    match message {
+        PeerMessage::News(news) => receive_news(context, *news),
+        _ => slog::warn!(context.log, "peer message refused"; "cause" => "not for a gateway"),
+    }
+}
+
+async fn sweep(context: Arc<GatewayContext>) {
+    loop {
+        tokio::time::sleep(SWEEP_PAUSE).await;
+        context.pool.sweep();
+        metrics_export::run_upkeep();
+    }
+}
+
+fn spawn_until_stop<F>(stop: &CancellationToken, task: F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let stop = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = task => {}
+        }
+    });
+}
--- /dev/null
+++ b/lib/src/gateway/gateway_settings.rs
@@ -0,0 +1,260 @@
+//! Settings of a gateway entry, read from an INI file.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::finding::FindingList;
+use crate::gateway::send_budget::SendBudgetRule;
+use crate::id::EntryName;
+use crate::id::ZoneName;
+use crate::settings::LogFormat;
+use crate::settings::LogLevel;
+use crate::settings::SettingKey;
+use crate::settings::SettingReader;
+use crate::settings::setting;
+
+/// Every key of a gateway's settings file.
+pub const GATEWAY_KEYS: &[SettingKey] = &[
+    setting(
+        "gateway",
+        "name",
+        "name",
+        None,
+        "name of this entry VM; required",
+    ),
+    setting(
+        "gateway",
+        "zone",
+        "name",
+        None,
+        "availability zone; required",
+    ),
+    setting(
+        "gateway",
+        "caller_address",
+        "IP:PORT",
+        None,
+        "address for callers; required",
+    ),
+    setting(
+        "gateway",
+        "readiness_address",
+        "IP:PORT",
+        None,
+        "address that says whether this entry is ready; required",
+    ),
+    setting(
+        "gateway",
+        "peer_address",
+        "IP:PORT",
+        None,
+        "address for other entries; required",
+    ),
+    setting(
+        "gateway",
+        "metrics_address",
+        "IP:PORT",
+        None,
+        "address of /metrics; none if absent",
+    ),
+    setting(
+        "gateway",
+        "first_start",
+        "true or false",
+        Some("false"),
+        "whether all entries start for the first time",
+    ),
+    setting(
+        "store",
+        "address",
+        "IP:PORT",
+        None,
+        "the platform's log store; required",
+    ),
+    setting(
+        "cloud",
+        "address",
+        "IP:PORT",
+        None,
+        "the cloud's interface for usage and replicas; required",
+    ),
+    setting(
+        "bounds",
+        "key_age_ms",
+        "milliseconds",
+        Some("5000"),
+        "the longest time after which a revoked key may still work",
+    ),
+    setting(
+        "bounds",
+        "drain_ms",
+        "milliseconds",
+        Some("2000"),
+        "how long a leaving backend server may get new work",
+    ),
+    setting(
+        "bounds",
+        "grace_s",
+        "seconds",
+        Some("8"),
+        "time from SIGTERM to the end of the process",
+    ),
+    setting(
+        "bounds",
+        "lease_ms",
+        "milliseconds",
+        Some("3000"),
+        "how long a holder that lost the lease takes no other",
+    ),
+    setting(
+        "bounds",
+        "resend_ratio",
+        "share",
+        Some("0.2"),
+        "sends beyond the first, for each request",
+    ),
+    setting(
+        "bounds",
+        "resend_reserve",
+        "number",
+        Some("50"),
+        "sends beyond the first that are always allowed, over all entries",
+    ),
+    setting(
+        "bounds",
+        "resend_window_s",
+        "seconds",
+        Some("10"),
+        "the window of the two",
+    ),
+    setting(
+        "bounds",
+        "usage_window_s",
+        "seconds",
+        Some("5"),
+        "the length of a window of usage",
+    ),
+    setting(
+        "log",
+        "format",
+        "text or json",
+        Some("json"),
+        "form of log lines",
+    ),
+    setting(
+        "log",
+        "level",
+        "error, warning, info or debug",
+        Some("info"),
+        "least severe level logged",
+    ),
+];
+
+/// Times and rates that operators are promised.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GatewayBounds {
+    /// How long after its removal a key may still work.
+    pub key_age: Duration,
+    /// How long a leaving backend server may get new work.
+    pub drain: Duration,
+    /// The time from SIGTERM to the end of the process.
+    pub grace: Duration,
+    /// How long a holder that lost the lease takes no other.
+    pub lease: Duration,
+    /// The bound on sends beyond the first.
+    pub resend: SendBudgetRule,
+    /// The length of a window of usage, in seconds.
+    pub usage_window_s: u64,
+}
+
+/// The checked settings of one gateway entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// The name of this entry VM.
+    pub name: EntryName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The address for callers.
+    pub caller_address: SocketAddr,
+    /// The address that says whether this entry is ready.
+    pub readiness_address: SocketAddr,
+    /// The address for other entries.
+    pub peer_address: SocketAddr,
+    /// The address of the metrics, if they are served.
+    pub metrics_address: Option<SocketAddr>,
+    /// Whether all entries start for the first time.
+    pub first_start: bool,
+    /// The log store.
+    pub store: SocketAddr,
+    /// The cloud's interface.
+    pub cloud: SocketAddr,
+    /// What operators are promised.
+    pub bounds: GatewayBounds,
+    /// The form of log lines.
+    pub log_format: LogFormat,
+    /// The least severe level logged.
+    pub log_level: LogLevel,
+}
+
+impl GatewaySettings {
+    /// Parses the text of a settings file. `file` is only used to name places.
+    ///
+    /// # Errors
+    ///
+    /// Every unknown section or key, missing key and malformed value.
+    pub fn parse(file: &str, text: &str) -> Result<Self, FindingList> {
+        SettingReader::read_file(file, text, GATEWAY_KEYS, read_settings)
+    }
+}
+
+fn read_settings(reader: &mut SettingReader<'_>) -> Option<GatewaySettings> {
+    let name = reader.required("gateway", "name");
+    let zone = reader.required("gateway", "zone");
+    let caller_address = reader.required("gateway", "caller_address");
+    let readiness_address = reader.required("gateway", "readiness_address");
+    let peer_address = reader.required("gateway", "peer_address");
+    let metrics_address = reader.optional("gateway", "metrics_address");
+    let first_start = reader.defaulted("gateway", "first_start");
+    let store = reader.required("store", "address");
+    let cloud = reader.required("cloud", "address");
+    let bounds = read_bounds(reader);
+    let log_format = reader.defaulted("log", "format");
+    let log_level = reader.defaulted("log", "level");
+    Some(GatewaySettings {
+        name: name?,
+        zone: zone?,
+        caller_address: caller_address?,
+        readiness_address: readiness_address?,
+        peer_address: peer_address?,
+        metrics_address,
+        first_start: first_start?,
+        store: store?,
+        cloud: cloud?,
+        bounds: bounds?,
+        log_format: log_format?,
+        log_level: log_level?,
+    })
+}
+
+fn read_bounds(reader: &mut SettingReader<'_>) -> Option<GatewayBounds> {
+    let key_age = reader.defaulted("bounds", "key_age_ms");
+    let drain = reader.defaulted("bounds", "drain_ms");
+    let grace = reader.defaulted("bounds", "grace_s");
+    let lease = reader.defaulted("bounds", "lease_ms");
+    let ratio = reader.defaulted("bounds", "resend_ratio");
+    let reserve = reader.defaulted("bounds", "resend_reserve");
+    let window = reader.defaulted("bounds", "resend_window_s");
+    let usage_window_s: Option<u64> = reader.defaulted("bounds", "usage_window_s");
+    Some(GatewayBounds {
+        key_age: Duration::from_millis(key_age?),
+        drain: Duration::from_millis(drain?),
+        grace: Duration::from_secs(grace?),
+        lease: Duration::from_millis(lease?),
+        resend: SendBudgetRule {
+            ratio: ratio?,
+            reserve: reserve?,
+            window: Duration::from_secs(window?),
+        },
+        usage_window_s: usage_window_s?.max(1),
+    })
+}
--- /dev/null
+++ b/lib/src/gateway/mod.rs
@@ -0,0 +1,42 @@
+//! The gateway: one pipeline from a caller's request to a backend server.
+//!
+//! A request passes the modules in this order: [`call_head`] (what the caller
+//! asked), [`site_config`] (its route, its client account), [`account_limits`]
+//! (its account's rate), [`engine_choice`] (which backend server),
+//! [`backend_pool`] (a connection), [`call_service`] (sending, and sending
+//! again where that is safe) and [`answer_relay`] (passing the answer on).
+//!
+//! Beside it run tasks that keep beliefs fresh: [`store_task`] follows the
+//! configuration and the backend servers, [`peer_task`] exchanges news with
+//! other entries, [`duty_task`] reports usage and orders replicas while this
+//! entry holds the lease.
+//!
+//! The formats of the platform stand behind the traits of [`edge`].
+//!
+//! Lock order: `config`, `backends`, `limits`, `usage`, `peers`, `duties`.
+//! None is held across an await.
+
+pub mod account_limits;
+pub mod answer_relay;
+pub mod backend_pool;
+pub mod backend_set;
+pub mod call_head;
+pub mod call_service;
+pub mod config_follower;
+pub mod duty_lease;
+pub mod duty_task;
+pub mod edge;
+pub mod engine_choice;
+pub mod event_splitter;
+pub mod gateway_context;
+pub mod gateway_daemon;
+pub mod gateway_settings;
+pub mod peer_book;
+pub mod peer_news;
+pub mod peer_task;
+pub mod replica_plan;
+pub mod send_budget;
+pub mod site_config;
+pub mod store_task;
+pub mod usage_table;
+pub mod work_meter;
--- /dev/null
+++ b/lib/src/gateway/store_task.rs
@@ -0,0 +1,270 @@
+//! Keeps the configuration, the backend servers and the list of entries fresh
+//! from the platform's store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use metrics::counter;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::info;
+use slog::warn;
+
+use crate::gateway::backend_set::BackendChange;
+use crate::gateway::backend_set::BackendId;
+use crate::gateway::edge::LogSlice;
+use crate::gateway::edge::LogTopic;
+use crate::gateway::edge::StoreError;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::id::EntryName;
+use crate::id::LogOffset;
+use crate::id::RevisionNumber;
+use std::net::SocketAddr;
+
+/// How long a read of the configuration waits for news. Its answer, also an
+/// empty one, proves that the configuration is the newest.
+const CONFIG_WAIT: Duration = Duration::from_millis(900);
+/// The pause between reads of the backend servers. A server that leaves may
+/// get new work for two seconds after it said so.
+const BACKENDS_PAUSE: Duration = Duration::from_millis(600);
+/// The pause after a failed call to the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// The pause between attempts to be listed among the entries.
+const LISTING_PAUSE: Duration = Duration::from_millis(500);
+
+/// Tells whether a dependency was lost or regained, once for each change.
+struct DependencyWatch {
+    name: &'static str,
+    is_up: bool,
+}
+
+impl DependencyWatch {
+    fn new(name: &'static str) -> Self {
+        Self { name, is_up: true }
+    }
+
+    /// Notes the outcome of a call; returns whether it ended an outage.
+    fn note<T>(&mut self, context: &GatewayContext, result: &Result<T, StoreError>) -> bool {
+        let up = match result {
+            Ok(_) | Err(StoreError::Forgotten(_) | StoreError::Conflict(_)) => true,
+            Err(StoreError::NotDone(_) | StoreError::Unknown(_) | StoreError::Fenced) => false,
+        };
+        let changed = up != self.is_up;
+        self.is_up = up;
+        if let (true, Err(error)) = (changed, result) {
+            counter!("cloverbend_dependency_losses_total").increment(1);
+            warn!(context.log, "dependency lost"; "dependency" => self.name, "error" => %error);
+        }
+        if changed && up {
+            info!(context.log, "dependency regained"; "dependency" => self.name);
+        }
+        changed && up
+    }
+}
+
+/// Follows the configuration until the entry stops.
+pub async fn follow_config(context: Arc<GatewayContext>) {
+    let mut watch = DependencyWatch::new("store: configuration");
+    let mut next: Option<LogOffset> = None;
+    loop {
+        let asked_at = context.now();
+        let store = &context.edges.store;
+        let topic = LogTopic::Configuration;
+        let result = match next {
+            None => store.newest(topic).await,
+            Some(from) => store.read(topic, from, CONFIG_WAIT).await,
+        };
+        watch.note(&context, &result);
+        match result {
+            Ok(slice) if next.is_some_and(|from| slice.first > from) => next = None,
+            Ok(slice) => {
+                next = Some(slice.end);
+                if apply_config(&context, &slice) {
+                    let mut config = context.config.lock();
+                    let revision = config.revision();
+                    config.confirm(revision, asked_at);
+                }
+            }
+            Err(StoreError::Forgotten(_)) => next = None,
+            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+/// Adopts what a slice has. Returns whether everything could be read.
+fn apply_config(context: &GatewayContext, slice: &LogSlice) -> bool {
+    let key = context.edges.format.config_key();
+    let mut whole = true;
+    for record in &slice.records {
+        if record.key.as_deref() == Some(key) && !record.value.is_empty() {
+            whole &= offer_config(context, &record.value, "store").is_some();
+        }
+    }
+    whole
+}
+
+/// Decodes and offers a configuration; returns its revision if it can be read.
+pub fn offer_config(
+    context: &GatewayContext,
+    document: &Bytes,
+    source: &str,
+) -> Option<RevisionNumber> {
+    let decoded = context.edges.format.decode_config(document);
+    let config = match decoded {
+        Ok(config) => config,
+        Err(error) => {
+            counter!("cloverbend_configs_unreadable_total").increment(1);
+            warn!(context.log, "configuration refused"; "source" => source, "error" => %error);
+            return None;
+        }
+    };
+    let revision = config.revision;
+    let routes = config.routes.len();
+    if context.config.lock().offer(config, document.clone()) {
+        counter!("cloverbend_configs_adopted_total").increment(1);
+        info!(context.log, "configuration adopted"; "revision" => revision.0,
+            "source" => source, "routes" => routes);
+    }
+    Some(revision)
+}
+
+/// Follows the backend servers until the entry stops.
+pub async fn follow_backends(context: Arc<GatewayContext>) {
+    let mut watch = DependencyWatch::new("store: backend servers");
+    let mut next: Option<LogOffset> = None;
+    loop {
+        let store = &context.edges.store;
+        let topic = LogTopic::Backends;
+        let result = match next {
+            None => store.newest(topic).await,
+            Some(from) => store.read(topic, from, Duration::ZERO).await,
+        };
+        if watch.note(&context, &result) {
+            let now = context.now();
+            context.backends.lock().note_store_back(now);
+        }
+        match result {
+            Ok(slice) if next.is_some_and(|from| slice.first > from) => next = None,
+            Ok(slice) => {
+                let whole = next.is_none();
+                next = Some(slice.end);
+                apply_backends(&context, &slice, whole);
+                tokio::time::sleep(BACKENDS_PAUSE).await;
+            }
+            Err(StoreError::Forgotten(_)) => next = None,
+            Err(_) => tokio::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+fn apply_backends(context: &GatewayContext, slice: &LogSlice, whole: bool) {
+    let now = context.now();
+    let mut records = Vec::new();
+    let mut changes = Vec::new();
+    let mut backends = context.backends.lock();
+    for record in &slice.records {
+        let Some(key) = record.key.as_deref() else {
+            continue;
+        };
+        if record.value.is_empty() {
+            changes.extend(backends.note_absent(now, &BackendId(key.to_owned())));
+            continue;
+        }
+        match context.edges.format.decode_backend(key, &record.value) {
+            Ok(decoded) if whole => records.push(decoded),
+            Ok(decoded) => changes.extend(backends.put(decoded)),
+            Err(error) => {
+                warn!(context.log, "backend server's record refused"; "backend" => key,
+                    "error" => %error);
+            }
+        }
+    }
+    if whole {
+        changes.extend(backends.replace(now, records));
+    }
+    changes.extend(backends.expire_missing(now));
+    drop(backends);
+    for change in changes {
+        note_backend_change(context, &change);
+    }
+}
+
+fn note_backend_change(context: &GatewayContext, change: &BackendChange) {
+    counter!("cloverbend_backend_changes_total").increment(1);
+    match change {
+        BackendChange::Joined(record) => {
+            info!(context.log, "backend server joined"; "backend" => %record.id,
+                "service" => %record.service, "zone" => %record.zone,
+                "address" => %record.address, "reclaimable" => record.reclaimable);
+        }
+        BackendChange::Leaving(id, leaving) => {
+            info!(context.log, "backend server leaving"; "backend" => %id, "leaving" => leaving);
+        }
+        BackendChange::Missing(id) => {
+            info!(context.log, "backend server missing"; "backend" => %id);
+        }
+        BackendChange::Gone(id) => {
+            context.pool.forget(id);
+            info!(context.log, "backend server gone"; "backend" => %id);
+        }
+    }
+}
+
+/// An entry in the store's list of entries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryListing {
+    /// Where it listens for other entries.
+    pub address: SocketAddr,
+}
+
+/// Lists this entry, then reads who else is listed. Of two entries that start
+/// together, the one that reads later sees both.
+pub async fn join_entries(context: Arc<GatewayContext>) {
+    let listing = EntryListing {
+        address: context.settings.peer_address,
+    };
+    // A struct of one address always has a JSON form.
+    let Ok(value) = serde_json::to_vec(&listing) else {
+        return;
+    };
+    let value = Bytes::from(value);
+    let mut watch = DependencyWatch::new("store: entries");
+    let store = &context.edges.store;
+    let name = context.settings.name.as_str();
+    loop {
+        let appended = store
+            .append(LogTopic::Entries, Some(name), value.clone(), None)
+            .await;
+        watch.note(&context, &appended);
+        if appended.is_ok() {
+            break;
+        }
+        tokio::time::sleep(LISTING_PAUSE).await;
+    }
+    loop {
+        let listed = store.newest(LogTopic::Entries).await;
+        watch.note(&context, &listed);
+        if let Ok(slice) = listed {
+            note_listed(&context, &slice);
+            return;
+        }
+        tokio::time::sleep(LISTING_PAUSE).await;
+    }
+}
+
+fn note_listed(context: &GatewayContext, slice: &LogSlice) {
+    let now = context.now();
+    let mut peers = context.peers.lock();
+    for record in &slice.records {
+        let name = record
+            .key
+            .as_deref()
+            .and_then(|key| key.parse::<EntryName>().ok());
+        let listing = serde_json::from_slice::<EntryListing>(&record.value);
+        match (name, listing) {
+            (Some(name), Ok(listing)) => peers.note_listed(now, name, listing.address),
+            _ => warn!(context.log, "entry's listing refused"; "key" => record.key.as_deref()),
+        }
+    }
+}
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -1,4 +1,5 @@
-//! Serves a gotham router on a listener that can be drained.
+//! Serves a gotham router, or any other service, on a listener that can be
+//! drained.
 //!
 //! `gotham::bind_server` accepts for ever, so the accept loop is our own: it
 //! hands each connection to hyper-util and lets open ones finish on a stop.
@@ -12,8 +13,11 @@
 use gotham::service::call_handler;
 use gotham::state::State;
 use http::Request;
+use http::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -23,29 +27,64 @@
 use tokio_util::sync::CancellationToken;
 
 /// How long a client may take to send the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Also how long a connection may rest between requests: some callers take up
+/// connections that have rested for twelve seconds.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
+/// The largest read buffer of a connection: twice the longest head allowed.
+const READ_BUFFER: usize = 64 * 1024;
+/// Any error of a service or body.
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// How long to wait after a failed accept, for example without descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections until `stop` is cancelled, then waits for the open ones
-/// for at most `drain`.
+/// Serves a router until `stop` is cancelled, then waits for the open
+/// connections for at most `drain`.
 pub async fn serve_router(
     listener: TcpListener,
     router: Router,
     stop: CancellationToken,
     drain: Duration,
 ) {
+    let make = move |client: SocketAddr| {
+        let router = router.clone();
+        service_fn(move |request: Request<Incoming>| {
+            let state = State::from_request(request, client);
+            call_handler(router.clone(), AssertUnwindSafe(state)).boxed()
+        })
+    };
+    serve_connections(listener, make, stop, drain).await;
+}
+
+/// Accepts connections until `stop` is cancelled and serves each with a
+/// service that `make` builds, then waits for the open ones for at most
+/// `drain`.
+pub async fn serve_connections<M, S, B>(
+    listener: TcpListener,
+    make: M,
+    stop: CancellationToken,
+    drain: Duration,
+) where
+    M: Fn(SocketAddr) -> S,
+    S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+    S::Future: Send,
+    S::Error: Into<BoxError>,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<BoxError>,
+{
     let graceful = GracefulShutdown::new();
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
+        .max_buf_size(READ_BUFFER)
         .header_read_timeout(HEAD_TIMEOUT);
     loop {
         tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => match accepted {
                 Ok((socket, client)) => {
-                    serve_connection(&builder, &graceful, socket, client, router.clone());
+                    serve_connection(&builder, &graceful, socket, make(client));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
@@ -56,19 +95,21 @@
     let _ = tokio::time::timeout(drain, graceful.shutdown()).await;
 }
 
-fn serve_connection(
+fn serve_connection<S, B>(
     builder: &http1::Builder,
     graceful: &GracefulShutdown,
     socket: TcpStream,
-    client: SocketAddr,
-    router: Router,
-) {
+    service: S,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+    S::Future: Send,
+    S::Error: Into<BoxError>,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<BoxError>,
+{
     // Small events must not wait for one another; a failure only adds delay.
     let _ = socket.set_nodelay(true);
-    let service = service_fn(move |request: Request<Incoming>| {
-        let state = State::from_request(request, client);
-        call_handler(router.clone(), AssertUnwindSafe(state)).boxed()
-    });
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection);
     // A broken connection is the client's affair; its request goes on.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod entry;
 pub mod entry_context;
 pub mod finding;
+pub mod gateway;
 pub mod holder;
 pub mod http_client;
 pub mod http_server;
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard error.
+//! Structured logs on standard output.
 
 use std::io;
 use std::sync::Mutex;
@@ -25,12 +25,12 @@
     };
     match format {
         LogFormat::Text => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(io::stdout());
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             finish(drain, level)
         }
         LogFormat::Json => {
-            let drain = Mutex::new(slog_json::Json::default(io::stderr())).fuse();
+            let drain = Mutex::new(slog_json::Json::default(io::stdout())).fuse();
             finish(drain, level)
         }
     }
--- a/lib/src/member_task.rs
+++ b/lib/src/member_task.rs
@@ -66,6 +66,9 @@
                 }
             }
             PeerMessage::ConfigPush(transfer) => self.receive_config(transfer),
+            PeerMessage::News(_) => {
+                warn!(self.log, "peer message refused"; "cause" => "only for a gateway");
+            }
         }
     }
 
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -150,7 +150,8 @@
     pub help: &'static str,
 }
 
-const fn setting(
+/// Builds the row of one key.
+pub const fn setting(
     section: &'static str,
     key: &'static str,
     unit: &'static str,
@@ -378,19 +379,7 @@
     ///
     /// Every unknown section or key, missing key and malformed value.
     pub fn parse(file: &str, text: &str) -> Result<Self, FindingList> {
-        let ini = Ini::load_from_str(text).map_err(|error| syntax_finding(file, &error))?;
-        let mut reader = SettingReader {
-            file,
-            lines: LineIndex::new(text),
-            ini: &ini,
-            findings: FindingList::default(),
-        };
-        reader.check_unknown_keys();
-        let settings = reader.read_settings();
-        match settings {
-            Some(settings) => reader.findings.into_result(settings),
-            None => Err(reader.findings),
-        }
+        SettingReader::read_file(file, text, SETTING_KEYS, |reader| reader.read_settings())
     }
 }
 
@@ -438,7 +427,9 @@
     }
 }
 
-struct SettingReader<'a> {
+/// Reads the values of a settings file and collects what is wrong with them.
+pub struct SettingReader<'a> {
+    keys: &'static [SettingKey],
     file: &'a str,
     lines: LineIndex,
     ini: &'a Ini,
@@ -446,6 +437,33 @@
 }
 
 impl SettingReader<'_> {
+    /// Reads a file of the keys of a table with `read`, which returns nothing
+    /// if a value is missing or malformed.
+    ///
+    /// # Errors
+    ///
+    /// Every unknown section or key, missing key and malformed value.
+    pub fn read_file<T>(
+        file: &str,
+        text: &str,
+        keys: &'static [SettingKey],
+        read: impl FnOnce(&mut SettingReader<'_>) -> Option<T>,
+    ) -> Result<T, FindingList> {
+        let ini = Ini::load_from_str(text).map_err(|error| syntax_finding(file, &error))?;
+        let mut reader = SettingReader {
+            keys,
+            file,
+            lines: LineIndex::new(text),
+            ini: &ini,
+            findings: FindingList::default(),
+        };
+        reader.check_unknown_keys();
+        match read(&mut reader) {
+            Some(settings) => reader.findings.into_result(settings),
+            None => Err(reader.findings),
+        }
+    }
+
     fn place(&self, section: &str, key: &str) -> InputPlace {
         InputPlace {
             file: Some(self.file.to_owned()),
@@ -460,7 +478,8 @@
         for (section, properties) in ini.iter() {
             let section = section.unwrap_or("");
             for (key, _) in properties.iter() {
-                let known = SETTING_KEYS
+                let known = self
+                    .keys
                     .iter()
                     .any(|k| k.section == section && (k.key == key || k.key == "*"));
                 if !known {
@@ -471,7 +490,8 @@
         }
     }
 
-    fn optional<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
+    /// Reads a value that may be absent.
+    pub fn optional<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
     where
         T::Err: fmt::Display,
     {
@@ -479,7 +499,8 @@
         self.parse_value(section, key, text.trim())
     }
 
-    fn required<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
+    /// Reads a value that must be there.
+    pub fn required<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
     where
         T::Err: fmt::Display,
     {
@@ -491,11 +512,13 @@
         self.optional(section, key)
     }
 
-    fn defaulted<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
+    /// Reads a value, or takes the default of its key.
+    pub fn defaulted<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
     where
         T::Err: fmt::Display,
     {
-        let default = SETTING_KEYS
+        let default = self
+            .keys
             .iter()
             .find(|k| k.section == section && k.key == key)
             .and_then(|k| k.default)?;
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -12,6 +12,8 @@
 
 use crate::answer::AnswerHead;
 use crate::configuration::RepeatRule;
+use crate::gateway::peer_news::GatewayNews;
+use crate::gateway::peer_news::NewsFrame;
 use crate::id::Incarnation;
 use crate::id::PairEpoch;
 use crate::id::RevisionNumber;
@@ -76,6 +78,8 @@
     },
     /// The configuration in force; number 0 if there is none.
     ConfigPush(ConfigTransfer),
+    /// What a gateway entry tells another.
+    News(Box<GatewayNews>),
 }
 
 /// New chunks of an answer.
@@ -271,11 +275,13 @@
     ConfigPull(PullFrame),
     #[prost(message, tag = "7")]
     ConfigPush(ConfigFrame),
+    #[prost(message, boxed, tag = "8")]
+    News(Box<NewsFrame>),
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct PeerFrame {
-    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     body: Option<FrameBody>,
 }
 
@@ -578,6 +584,7 @@
                 document: transfer.document,
                 serving: transfer.serving,
             }),
+            Self::News(news) => FrameBody::News(Box::new((*news).into())),
         };
         PeerFrame { body: Some(body) }.encode_to_vec().into()
     }
@@ -611,6 +618,7 @@
                 document: frame.document,
                 serving: frame.serving,
             }),
+            FrameBody::News(frame) => Self::News(Box::new((*frame).try_into()?)),
         })
     }
 }
