gateway: plan replicas by demand and supply; limits hold a part of the slack

Cause: the first plan saw one replica (records come over the first seconds) and shrank the service; buckets of one second's burst refused single long prompts that are within the limit over the window.

--- a/lib/src/gateway/account_limits.rs
+++ b/lib/src/gateway/account_limits.rs
@@ -23,6 +23,34 @@
 /// a bound on how long an account is refused for what went wrong elsewhere.
 const MAX_DEBT_BURSTS: f64 = 3.0;
 
+/// How far an account may go beyond its rate and burst, over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitSlack {
+    /// The window over which use is measured.
+    pub window: Duration,
+    /// The share of rate and burst by which use may be over.
+    pub overage: f64,
+    /// Units by which use may be over beside that.
+    pub units: f64,
+}
+
+impl LimitSlack {
+    /// Returns what a bucket holds: the burst, and a part of the slack. It
+    /// evens out single large requests, which would be refused although the
+    /// account stays below its limit over the window.
+    fn capacity(self, rule: &AccountRule) -> f64 {
+        let over = (rule.rate * self.window.as_secs_f64() + rule.burst) * self.overage;
+        rule.burst + (over + self.units) * USED_SLACK
+    }
+}
+
+/// The part of the slack that buckets use. The rest covers what entries admit
+/// before they hear of each other.
+const USED_SLACK: f64 = 0.35;
+/// The share of a full bucket from which on a request needs no more to be
+/// admitted. The largest requests hold about half of a bucket.
+const LARGE_REQUEST: f64 = 0.1;
+
 /// How many entries share the limits, and how many of them are heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShareView {
@@ -48,20 +76,23 @@
 }
 
 /// The buckets of all accounts on one entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct AccountLimits {
     buckets: BTreeMap<AccountName, AccountBucket>,
     told: BTreeMap<(Incarnation, AccountName), u64>,
     starts_full: bool,
+    slack: LimitSlack,
 }
 
 impl AccountLimits {
     /// Returns limits of an entry that starts. `starts_full` is only right for
     /// the first start of all entries, when nothing was admitted before.
-    pub fn new(starts_full: bool) -> Self {
+    pub fn new(starts_full: bool, slack: LimitSlack) -> Self {
         Self {
+            buckets: BTreeMap::new(),
+            told: BTreeMap::new(),
             starts_full,
-            ..Self::default()
+            slack,
         }
     }
 
@@ -81,20 +112,22 @@
             return Ok(());
         }
         let starts_full = self.starts_full;
+        let capacity = self.slack.capacity(rule);
         let bucket = self
             .buckets
             .entry(rule.name.clone())
             .or_insert_with(|| AccountBucket {
-                level: if starts_full { rule.burst } else { 0.0 },
+                level: if starts_full { capacity } else { 0.0 },
                 filled_at: now,
                 admitted: 0,
             });
         let fill = rule.rate * view.part();
         let passed = now.since(bucket.filled_at).as_secs_f64();
-        bucket.level = (bucket.level + passed * fill).min(rule.burst);
+        bucket.level = (bucket.level + passed * fill).min(capacity);
         bucket.filled_at = now;
-        // A request larger than the whole bucket is admitted when it is full.
-        let needed = (units as f64).min(rule.burst);
+        // Large requests need no fuller bucket than others, else they would
+        // hardly ever be admitted; what they overdraw is paid back first.
+        let needed = (units as f64).min(capacity * LARGE_REQUEST);
         if bucket.level < needed {
             let missing = (needed - bucket.level) / fill.max(f64::MIN_POSITIVE);
             return Err(Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX));
@@ -104,6 +137,11 @@
         Ok(())
     }
 
+    /// Returns the level of an account's bucket, if anything was admitted.
+    pub fn level(&self, account: &AccountName) -> Option<f64> {
+        self.buckets.get(account).map(|bucket| bucket.level)
+    }
+
     /// Gives back units whose request certainly did not run.
     pub fn give_back(&mut self, account: &AccountName, units: u64) {
         if let Some(bucket) = self.buckets.get_mut(account) {
@@ -133,7 +171,7 @@
         let debit = admitted as f64 - before as f64;
         if let Some(bucket) = self.buckets.get_mut(account) {
             let floor = -MAX_DEBT_BURSTS * burst;
-            bucket.level = (bucket.level - debit).max(floor).min(burst);
+            bucket.level = (bucket.level - debit).max(floor.min(bucket.level));
         }
     }
 
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -392,9 +392,16 @@
     let now = context.now();
     let view = context.peers.lock().share_view(now);
     let mut limits = context.limits.lock();
-    limits
-        .admit(now, account, units, view)
-        .map_err(CallRefusal::OverLimit)?;
+    let admitted = limits.admit(now, account, units, view);
+    let level = limits.level(&account.name);
+    drop(limits);
+    admitted.map_err(|after| {
+        info!(context.log, "limit reached"; "request" => %head.id, "account" => %account.name,
+            "units" => units, "level" => level, "rate" => account.rate,
+            "entries" => view.entries, "heard" => view.heard,
+            "retry_after_ms" => after.as_millis() as u64);
+        CallRefusal::OverLimit(after)
+    })?;
     Ok(units)
 }
 
--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -20,6 +20,8 @@
 use crate::gateway::replica_plan::ReplicaDemand;
 use crate::gateway::replica_plan::ReplicaPlanner;
 use crate::gateway::replica_plan::ReplicaSupply;
+use crate::gateway::replica_plan::ZoneSupply;
+use crate::gateway::site_config::ScaleRule;
 use crate::gateway::usage_table::WindowCounts;
 use crate::gateway::usage_table::WindowNumber;
 use crate::id::FenceToken;
@@ -44,6 +46,9 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// The pause between looks at the replicas.
 const PLAN_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long after the start of this process replicas are first planned: all of
+/// them have written their records by then, at least one every two seconds.
+const SETTLED_AFTER: Timestamp = Timestamp::from_millis(4_000);
 /// After how long an order that seems not to be carried out is given again:
 /// a replica starts in four seconds, and some orders are done late.
 const REORDER_AFTER: Duration = Duration::from_secs(7);
@@ -260,6 +265,9 @@
             return;
         }
         self.planned_at = Some(now);
+        if now < SETTLED_AFTER {
+            return;
+        }
         let config = context.config.lock().adopted().map(|a| a.config.clone());
         let Some(config) = config else {
             return;
@@ -271,9 +279,12 @@
         for (service, rule) in scaled {
             let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
             let demand = measure_demand(context, &service.name, slots);
-            let supply = measure_supply(context, &service.name);
-            let planner = self.planners.entry(service.name.clone()).or_default();
-            let orders = planner.plan(now, &service.name, rule, demand, supply);
+            let supply = measure_supply(context, &service.name, rule);
+            let planner = self
+                .planners
+                .entry(service.name.clone())
+                .or_insert_with(|| ReplicaPlanner::new(&supply));
+            let orders = planner.plan(now, &service.name, rule, demand, &supply);
             for order in orders {
                 if !self.give_order(context, fence, order).await {
                     return;
@@ -338,17 +349,19 @@
     }
 }
 
-fn measure_supply(context: &GatewayContext, service: &ServiceName) -> ReplicaSupply {
+fn measure_supply(context: &GatewayContext, service: &ServiceName, rule: &ScaleRule) -> ZoneSupply {
     let backends = context.backends.lock();
-    let mut supply = ReplicaSupply::default();
+    let zones = rule.zone_prices.keys().cloned();
+    let mut supply: ZoneSupply = zones.map(|zone| (zone, ReplicaSupply::default())).collect();
     let working = backends
         .of_service(service)
         .filter(|backend| backend.takes_work() && !backend.is_missing());
     for backend in working {
+        let zone = supply.entry(backend.record.zone.clone()).or_default();
         if backend.record.reclaimable {
-            supply.reclaimable += 1;
+            zone.reclaimable += 1;
         } else {
-            supply.fixed += 1;
+            zone.fixed += 1;
         }
     }
     supply
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -99,7 +99,10 @@
             edges,
             config: Mutex::new(ConfigFollower::new()),
             backends: Mutex::new(BackendSet::new()),
-            limits: Mutex::new(AccountLimits::new(settings.first_start)),
+            limits: Mutex::new(AccountLimits::new(
+                settings.first_start,
+                settings.bounds.limit_slack,
+            )),
             budget: Mutex::new(SendBudget::new()),
             work: Mutex::new(WorkMeter::new()),
             usage: Mutex::new(UsageTable::new(incarnation)),
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::finding::FindingList;
+use crate::gateway::account_limits::LimitSlack;
 use crate::gateway::send_budget::SendBudgetRule;
 use crate::id::EntryName;
 use crate::id::ZoneName;
@@ -127,6 +128,27 @@
         Some("10"),
         "the window of the two",
     ),
+    setting(
+        "bounds",
+        "limit_window_s",
+        "seconds",
+        Some("8"),
+        "the window over which an account's use is measured",
+    ),
+    setting(
+        "bounds",
+        "limit_overage",
+        "share",
+        Some("0.1"),
+        "how far an account may be over its rate and burst",
+    ),
+    setting(
+        "bounds",
+        "limit_slack",
+        "units",
+        Some("0"),
+        "units by which an account may be over beside that, over all entries",
+    ),
     setting(
         "bounds",
         "usage_window_s",
@@ -163,6 +185,8 @@
     pub lease: Duration,
     /// The bound on sends beyond the first.
     pub resend: SendBudgetRule,
+    /// How far accounts may go beyond their limits.
+    pub limit_slack: LimitSlack,
     /// The length of a window of usage, in seconds.
     pub usage_window_s: u64,
 }
@@ -244,6 +268,9 @@
     let ratio = reader.defaulted("bounds", "resend_ratio");
     let reserve = reader.defaulted("bounds", "resend_reserve");
     let window = reader.defaulted("bounds", "resend_window_s");
+    let limit_window = reader.defaulted("bounds", "limit_window_s");
+    let overage = reader.defaulted("bounds", "limit_overage");
+    let units = reader.defaulted("bounds", "limit_slack");
     let usage_window_s: Option<u64> = reader.defaulted("bounds", "usage_window_s");
     Some(GatewayBounds {
         key_age: Duration::from_millis(key_age?),
@@ -255,6 +282,11 @@
             reserve: reserve?,
             window: Duration::from_secs(window?),
         },
+        limit_slack: LimitSlack {
+            window: Duration::from_secs(limit_window?),
+            overage: overage?,
+            units: units?,
+        },
         usage_window_s: usage_window_s?.max(1),
     })
 }
--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -4,6 +4,7 @@
 //! enough of them for the loss of the fullest zone. What is missing while they
 //! are away is filled with others in the cheapest zones.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::gateway::edge::ReplicaOrder;
@@ -24,7 +25,13 @@
 const START_SHARE: f64 = 0.6;
 /// How long less must have been enough before fewer are ordered: a replica
 /// that leaves takes its kept prompts and its long streams along.
-const SHRINK_AFTER: Duration = Duration::from_secs(6);
+const SHRINK_AFTER: Duration = Duration::from_secs(15);
+/// The same for replicas that are not reclaimable, which cost several times
+/// as much: about the time in which reclaimable ones settle.
+const FIXED_SHRINK_AFTER: Duration = Duration::from_secs(5);
+/// How long after a loss of reclaimable replicas another is expected. Reclaims
+/// come in groups within a quarter of a minute.
+const ALARM_TIME: Duration = Duration::from_secs(15);
 /// The fewest replicas that cannot be reclaimed.
 const LEAST_FIXED: u32 = 1;
 /// Over how many of the cheapest zones replicas that are not reclaimable are
@@ -47,7 +54,7 @@
     }
 }
 
-/// The replicas that take work.
+/// The replicas of one zone that take work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaSupply {
     /// Those that may be reclaimed.
@@ -56,14 +63,26 @@
     pub fixed: u32,
 }
 
+/// The replicas that take work, by zone.
+pub type ZoneSupply = BTreeMap<ZoneName, ReplicaSupply>;
+
 /// A number that rises at once and falls only after a while.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct SlowFall {
     value: u32,
+    fall_after: Duration,
     lower_since: Option<Timestamp>,
 }
 
 impl SlowFall {
+    fn new(value: u32, fall_after: Duration) -> Self {
+        Self {
+            value,
+            fall_after,
+            lower_since: None,
+        }
+    }
+
     fn update(&mut self, now: Timestamp, wanted: u32) -> u32 {
         if wanted >= self.value {
             self.value = wanted;
@@ -71,7 +90,7 @@
             return self.value;
         }
         let since = *self.lower_since.get_or_insert(now);
-        if now.since(since) >= SHRINK_AFTER {
+        if now.since(since) >= self.fall_after {
             self.value = wanted;
             self.lower_since = None;
         }
@@ -80,17 +99,31 @@
 }
 
 /// Plans the replicas of one service over time.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ReplicaPlanner {
-    start: Option<u32>,
+    least: u32,
     total: SlowFall,
     fixed: SlowFall,
+    reached: BTreeMap<ZoneName, u32>,
+    alarm_until: Timestamp,
 }
 
 impl ReplicaPlanner {
-    /// Returns a planner that knows nothing yet.
-    pub fn new() -> Self {
-        Self::default()
+    /// Returns a planner that begins with the replicas that are there. What
+    /// an earlier holder of the lease ordered shows in them.
+    pub fn new(supply: &ZoneSupply) -> Self {
+        let reclaimable: u32 = supply.values().map(|zone| zone.reclaimable).sum();
+        let fixed: u32 = supply.values().map(|zone| zone.fixed).sum();
+        let zones = supply.len().max(1) as u32;
+        let carried = reclaimable * zones.saturating_sub(1) / zones;
+        let least = (f64::from(fixed + reclaimable) * START_SHARE).ceil() as u32;
+        Self {
+            least,
+            total: SlowFall::new(carried.max(least), SHRINK_AFTER),
+            fixed: SlowFall::new(fixed, FIXED_SHRINK_AFTER),
+            reached: BTreeMap::new(),
+            alarm_until: Timestamp(0),
+        }
     }
 
     /// Returns the orders for every zone, of both kinds.
@@ -100,22 +133,30 @@
         service: &ServiceName,
         rule: &ScaleRule,
         demand: ReplicaDemand,
-        supply: ReplicaSupply,
+        supply: &ZoneSupply,
     ) -> Vec<ReplicaOrder> {
-        let there = supply.fixed + supply.reclaimable;
-        let start = *self.start.get_or_insert(there);
-        let least = (f64::from(start) * START_SHARE).ceil();
-        let wanted = demand.replicas().ceil().max(least) as u32;
-        let total = self.total.update(now, wanted);
-        let missing = total.saturating_sub(supply.reclaimable);
-        let fixed = self.fixed.update(now, missing.max(LEAST_FIXED));
+        let wanted = demand.replicas().ceil() as u32;
+        let total = self.total.update(now, wanted.max(self.least));
         let zones = zones_by_price(rule);
         let spread = reclaimable_per_zone(total, zones.len());
+        self.watch_losses(now, supply, spread);
+        let alarmed = now < self.alarm_until;
+        let sure = sure_replicas(supply, alarmed);
+        let missing = total.saturating_sub(sure).max(LEAST_FIXED);
+        let fixed = self.fixed.update(now, missing);
+        let rooms: Vec<u32> = zones
+            .iter()
+            .map(|zone| {
+                let there = supply.get(*zone).map_or(0, |s| s.reclaimable);
+                let kept = if alarmed { there } else { spread.max(there) };
+                rule.max.saturating_sub(kept)
+            })
+            .collect();
+        let dealt = deal(fixed, &rooms);
         let mut orders = Vec::new();
-        for (index, zone) in zones.iter().enumerate() {
-            let fixed = share_of(fixed, FIXED_ZONES.min(zones.len()), index).min(rule.max);
-            let room = rule.max - fixed;
-            let reclaimable = spread.max(rule.min.saturating_sub(fixed)).min(room);
+        for (zone, fixed) in zones.iter().zip(dealt) {
+            let least = rule.min.saturating_sub(fixed);
+            let reclaimable = spread.max(least).min(rule.max - fixed);
             for (reclaimable, count) in [(true, reclaimable), (false, fixed)] {
                 orders.push(ReplicaOrder {
                     service: service.clone(),
@@ -127,6 +168,31 @@
         }
         orders
     }
+
+    /// Notes zones that lost reclaimable replicas without an order. Others
+    /// often follow within seconds, and new ones are not to be had then.
+    fn watch_losses(&mut self, now: Timestamp, supply: &ZoneSupply, spread: u32) {
+        for (zone, there) in supply {
+            let reached = self.reached.entry(zone.clone()).or_default();
+            *reached = (*reached).min(spread);
+            if there.reclaimable < *reached {
+                self.alarm_until = now.after(ALARM_TIME);
+            }
+            *reached = there.reclaimable;
+        }
+    }
+}
+
+/// Returns how many reclaimable replicas can be counted on: in an alarm, the
+/// fullest zone may be the next to lose its own.
+fn sure_replicas(supply: &ZoneSupply, alarmed: bool) -> u32 {
+    let total: u32 = supply.values().map(|zone| zone.reclaimable).sum();
+    let fullest = supply.values().map(|zone| zone.reclaimable).max();
+    if alarmed {
+        total - fullest.unwrap_or(0)
+    } else {
+        total
+    }
 }
 
 /// Returns how many reclaimable replicas every zone has, so that the others
@@ -142,12 +208,24 @@
     zones.into_iter().map(|(zone, _)| zone).collect()
 }
 
-/// Deals `total` over the first `count` places; the first ones get what is
-/// left over, and places after them nothing.
-fn share_of(total: u32, count: usize, index: usize) -> u32 {
-    if index >= count {
-        return 0;
+/// Deals `total` over places with limited room: evenly over the first
+/// [`FIXED_ZONES`], then to the others in order.
+fn deal(total: u32, rooms: &[u32]) -> Vec<u32> {
+    let mut dealt = vec![0; rooms.len()];
+    let mut left = total;
+    for group in [0..FIXED_ZONES.min(rooms.len()), 0..rooms.len()] {
+        loop {
+            let open: Vec<usize> = group.clone().filter(|i| dealt[*i] < rooms[*i]).collect();
+            if left == 0 || open.is_empty() {
+                break;
+            }
+            for index in open {
+                if left > 0 {
+                    dealt[index] += 1;
+                    left -= 1;
+                }
+            }
+        }
     }
-    let extra = u32::from((index as u32) < total % count as u32);
-    total / count as u32 + extra
+    dealt
 }
