--- a/lib/src/gateway/account_limits.rs
+++ b/lib/src/gateway/account_limits.rs
@@ -14,14 +14,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::gateway::peer_news::AdmittedUnits;
 use crate::gateway::site_config::AccountRule;
 use crate::id::AccountName;
 use crate::id::Incarnation;
 use crate::quantity::Timestamp;
 
-/// The most that debits from others may push a bucket below zero, in bursts:
-/// a bound on how long an account is refused for what went wrong elsewhere.
-const MAX_DEBT_BURSTS: f64 = 3.0;
+/// The most that debits from others may push a bucket below zero, in whole
+/// buckets: a bound on how long an account is refused for what others did.
+const MAX_DEBT_BUCKETS: f64 = 2.0;
 
 /// How far an account may go beyond its rate and burst, over all entries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -71,15 +72,26 @@
 #[derive(Clone, Debug)]
 struct AccountBucket {
     level: f64,
+    capacity: f64,
     filled_at: Timestamp,
     admitted: u64,
 }
 
+/// What one entry told that it admitted.
+#[derive(Clone, Copy, Debug)]
+struct ToldUnits {
+    base: u64,
+    units: u64,
+}
+
 /// The buckets of all accounts on one entry.
 #[derive(Clone, Debug)]
 pub struct AccountLimits {
     buckets: BTreeMap<AccountName, AccountBucket>,
-    told: BTreeMap<(Incarnation, AccountName), u64>,
+    told: BTreeMap<Incarnation, BTreeMap<AccountName, ToldUnits>>,
+    retired: BTreeMap<AccountName, u64>,
+    debited: BTreeMap<AccountName, u64>,
+    counters: BTreeMap<(Incarnation, AccountName), (u64, u64)>,
     starts_full: bool,
     slack: LimitSlack,
 }
@@ -91,6 +103,9 @@
         Self {
             buckets: BTreeMap::new(),
             told: BTreeMap::new(),
+            retired: BTreeMap::new(),
+            debited: BTreeMap::new(),
+            counters: BTreeMap::new(),
             starts_full,
             slack,
         }
@@ -118,12 +133,14 @@
             .entry(rule.name.clone())
             .or_insert_with(|| AccountBucket {
                 level: if starts_full { capacity } else { 0.0 },
+                capacity,
                 filled_at: now,
                 admitted: 0,
             });
         let fill = rule.rate * view.part();
         let passed = now.since(bucket.filled_at).as_secs_f64();
         bucket.level = (bucket.level + passed * fill).min(capacity);
+        bucket.capacity = capacity;
         bucket.filled_at = now;
         // Large requests need no fuller bucket than others, else they would
         // hardly ever be admitted; what they overdraw is paid back first.
@@ -155,28 +172,73 @@
         self.buckets.iter().map(|(name, b)| (name, b.admitted))
     }
 
-    /// Notes what another entry admitted since its start. The first word of an
-    /// incarnation counts only from there on if `joined_late`.
-    pub fn note_told(
-        &mut self,
-        from: Incarnation,
-        account: &AccountName,
-        admitted: u64,
-        burst: f64,
-        joined_late: bool,
-    ) {
-        let key = (from, account.clone());
-        let known = self.told.insert(key, admitted);
-        let before = known.unwrap_or(if joined_late { admitted } else { 0 });
-        let debit = admitted as f64 - before as f64;
+    /// Notes what another entry told that it admitted since its start. One
+    /// that was not heard from its start on, so not `young`, counts only from
+    /// its first word on.
+    pub fn note_told(&mut self, from: Incarnation, account: &AccountName, units: u64, young: bool) {
+        let accounts = self.told.entry(from).or_default();
+        let known = accounts.entry(account.clone()).or_insert(ToldUnits {
+            base: if young { 0 } else { units },
+            units,
+        });
+        known.units = known.units.max(units);
+    }
+
+    /// Takes what was told here into account.
+    pub fn merge_told(&mut self, own: Incarnation) {
+        let totals = self.told_totals(None);
+        for (account, units) in totals {
+            self.merge(own, &account, units);
+        }
+    }
+
+    /// Takes a count of what others admitted into account, as one entry, the
+    /// counter, sums it. Each counter begins somewhere else, so counts are
+    /// compared from the first word of each; the highest is the one.
+    pub fn merge(&mut self, counter: Incarnation, account: &AccountName, units: u64) {
+        let debited = self.debited.entry(account.clone()).or_default();
+        let key = (counter, account.clone());
+        let begun = (*debited, units);
+        let (debited_then, units_then) = *self.counters.entry(key).or_insert(begun);
+        let total = debited_then + units.saturating_sub(units_then);
+        let debit = total.saturating_sub(*debited);
+        *debited += debit;
         if let Some(bucket) = self.buckets.get_mut(account) {
-            let floor = -MAX_DEBT_BURSTS * burst;
-            bucket.level = (bucket.level - debit).max(floor.min(bucket.level));
+            let floor = -MAX_DEBT_BUCKETS * bucket.capacity;
+            let lowered = bucket.level - debit as f64;
+            bucket.level = lowered.max(floor.min(bucket.level));
         }
     }
 
-    /// Forgets an incarnation that is gone.
-    pub fn forget(&mut self, gone: Incarnation) {
-        self.told.retain(|(from, _), _| *from != gone);
+    /// Returns what all entries but one admitted, this one included.
+    pub fn totals_without(&self, left_out: Option<Incarnation>) -> Vec<AdmittedUnits> {
+        let mut totals = self.told_totals(left_out);
+        for (account, units) in self.admitted() {
+            *totals.entry(account.clone()).or_default() += units;
+        }
+        let told = totals.into_iter();
+        told.map(|(account, units)| AdmittedUnits { account, units })
+            .collect()
+    }
+
+    fn told_totals(&self, left_out: Option<Incarnation>) -> BTreeMap<AccountName, u64> {
+        let mut totals = self.retired.clone();
+        for (from, accounts) in &self.told {
+            if Some(*from) == left_out {
+                continue;
+            }
+            for (account, told) in accounts {
+                *totals.entry(account.clone()).or_default() += told.units - told.base;
+            }
+        }
+        totals
+    }
+
+    /// Keeps only the sums of an incarnation that is gone.
+    pub fn retire(&mut self, gone: Incarnation) {
+        self.counters.retain(|(counter, _), _| *counter != gone);
+        for (account, told) in self.told.remove(&gone).into_iter().flatten() {
+            *self.retired.entry(account).or_default() += told.units - told.base;
+        }
     }
 }
--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -6,9 +6,12 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::fmt;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use twox_hash::XxHash64;
+
 use crate::id::ServiceName;
 use crate::id::ZoneName;
 use crate::quantity::Timestamp;
@@ -17,6 +20,8 @@
 /// backend server counts as gone: servers that live write theirs within two
 /// seconds, by the platform's description, and the list is read twice a second.
 const MISSING_GRACE: Duration = Duration::from_millis(2_300);
+/// The age up to which a list counts as kept fresh by other entries.
+const KEPT_FRESH: Duration = Duration::from_millis(2_000);
 /// The first time for which a backend server is left out after failures.
 const FIRST_EXCLUSION: Duration = Duration::from_millis(500);
 /// The longest such time; a server that is back is tried within it.
@@ -191,6 +196,7 @@
 pub struct BackendSet {
     backends: BTreeMap<BackendId, Backend>,
     store_back_at: Option<Timestamp>,
+    confirmed_at: Option<Timestamp>,
 }
 
 impl BackendSet {
@@ -215,9 +221,49 @@
         self.backends.get(id)
     }
 
-    /// Notes that the store answers again after an outage.
+    /// Returns a digest of the list: equal lists have equal digests.
+    pub fn list_hash(&self) -> u64 {
+        let mut hasher = XxHash64::with_seed(0);
+        for (id, backend) in &self.backends {
+            hasher.write(id.0.as_bytes());
+            hasher.write_u8(u8::from(backend.record.leaving));
+        }
+        hasher.finish()
+    }
+
+    /// Returns all records.
+    pub fn records(&self) -> Vec<BackendRecord> {
+        let backends = self.backends.values();
+        backends.map(|backend| backend.record.clone()).collect()
+    }
+
+    /// Notes that the list was known to be the newest at some time. A list
+    /// that still has servers without a record is nobody's proof.
+    pub fn confirm(&mut self, at: Timestamp) {
+        if self.has_missing() {
+            return;
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Returns when the list was last known to be the newest.
+    pub fn confirmed_at(&self) -> Option<Timestamp> {
+        self.confirmed_at
+    }
+
+    /// Returns whether there are servers whose record is missing.
+    pub fn has_missing(&self) -> bool {
+        self.backends.values().any(Backend::is_missing)
+    }
+
+    /// Notes that the store answers this entry again. Where other entries kept
+    /// the list fresh meanwhile, the store was not away, and what is missing
+    /// is gone.
     pub fn note_store_back(&mut self, now: Timestamp) {
-        self.store_back_at = Some(now);
+        let fresh = |at| now.since(at) < KEPT_FRESH;
+        if !self.confirmed_at.is_some_and(fresh) {
+            self.store_back_at = Some(now);
+        }
     }
 
     /// Takes over a record.
--- a/lib/src/gateway/duty_lease.rs
+++ b/lib/src/gateway/duty_lease.rs
@@ -19,9 +19,9 @@
 use crate::id::LogOffset;
 use crate::quantity::Timestamp;
 
-/// How long no holder may be heard before an entry claims: six times the
+/// How long no holder may be heard before an entry claims: four times the
 /// pause between news.
-const SILENCE: Duration = Duration::from_millis(1_500);
+const SILENCE: Duration = Duration::from_millis(1_000);
 /// How much longer each further entry waits, so that one claims alone.
 const RANK_STEP: Duration = Duration::from_millis(400);
 /// The most steps that an entry waits.
--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -17,6 +17,7 @@
 use crate::gateway::edge::StoreError;
 use crate::gateway::engine_choice::READ_RATE;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::peer_book::HUB_COUNT;
 use crate::gateway::replica_plan::ReplicaDemand;
 use crate::gateway::replica_plan::ReplicaPlanner;
 use crate::gateway::replica_plan::ReplicaSupply;
@@ -40,6 +41,9 @@
 /// How long calls to the store may fail before the holder gives the lease up
 /// to an entry that reaches it.
 const FAILING_PATIENCE: Duration = Duration::from_millis(1_200);
+/// How long the store may not answer the holder, which reads twice a second,
+/// before it gives the lease up.
+const STORE_PATIENCE: Duration = Duration::from_millis(2_000);
 /// How much longer than the lease's bound a former holder waits to claim.
 const CLAIM_MARGIN: Duration = Duration::from_millis(1_000);
 /// The pause after a failed call.
@@ -90,6 +94,9 @@
         let cause = match heard {
             Some(other) if other > own => Some("another_holder"),
             _ if context.is_leaving() => Some("leaving"),
+            _ if context.store_silence() > STORE_PATIENCE => Some("store_silent"),
+            // Entries tell their counts to the hubs only.
+            _ if rank >= HUB_COUNT => Some("not_a_hub"),
             _ => None,
         };
         return match cause {
@@ -100,7 +107,9 @@
             None => DutyStep::Work(own),
         };
     }
-    if duties.should_claim(now, heard.is_some(), rank) && !context.is_leaving() {
+    let reaches = context.store_silence() <= STORE_PATIENCE;
+    let fit = rank < HUB_COUNT && reaches && !context.is_leaving();
+    if duties.should_claim(now, heard.is_some(), rank) && fit {
         return DutyStep::Claim;
     }
     DutyStep::Wait
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use parking_lot::Mutex;
 use rand::Rng;
 use slog::Logger;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::account_limits::AccountLimits;
@@ -71,11 +73,14 @@
     pub pool: BackendPool,
     /// Connections to other entries.
     pub links: PeerSender,
+    /// Wakes the exchange of news.
+    pub news_due: Notify,
     /// Ends all tasks.
     pub stop: CancellationToken,
     leaving: AtomicBool,
     refusing: AtomicBool,
     open_calls: AtomicUsize,
+    store_seen_us: AtomicU64,
     started: Instant,
 }
 
@@ -110,10 +115,12 @@
             duties: Mutex::new(DutyLease::new(now, incarnation)),
             pool: BackendPool::new(),
             links: PeerSender::new(stop.clone(), log.clone()),
+            news_due: Notify::new(),
             stop,
             leaving: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
+            store_seen_us: AtomicU64::new(0),
             started: Instant::now(),
             settings,
             log,
@@ -133,6 +140,17 @@
         seconds / self.settings.bounds.usage_window_s
     }
 
+    /// Notes that the store answered this entry.
+    pub fn note_store_seen(&self) {
+        self.store_seen_us.store(self.now().0, Ordering::Relaxed);
+    }
+
+    /// Returns how long ago the store answered this entry.
+    pub fn store_silence(&self) -> Duration {
+        let seen = Timestamp(self.store_seen_us.load(Ordering::Relaxed));
+        self.now().since(seen)
+    }
+
     /// Returns whether this entry calls itself ready.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.config.lock().adopted().is_some()
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -1,12 +1,17 @@
-//! Which other entries there are, and what each told last.
+//! Which other entries there are, and which of them collect news.
 //!
-//! Pure. Entries are known by name from the store and by their news. An
-//! entry's news always replaces what it told before.
+//! Pure. Every entry tells its news to a few hubs only, and hubs answer with a
+//! digest of what all entries told them, so that the number of messages grows
+//! with the number of entries and not with its square. Hubs are the first
+//! entries in an order by hash that answer; no entry has to know that it is
+//! one. An entry that hears no hub knows that it is alone.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use twox_hash::XxHash64;
+
 use crate::gateway::account_limits::ShareView;
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
@@ -19,12 +24,34 @@
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
 
+/// The number of hubs. One answers, two stand by with the same knowledge.
+pub const HUB_COUNT: usize = 3;
 /// An entry from which nothing came for so long is not heard: news come four
 /// times a second.
 const HEARD_WITHIN: Duration = Duration::from_millis(1_200);
+/// The same for hubs that stand by, which answer once a second.
+const HUB_HEARD_WITHIN: Duration = Duration::from_millis(2_200);
+/// A hub that answers nothing for so long is passed over.
+const SUSPECT_AFTER: Duration = Duration::from_millis(2_000);
 /// An entry from which nothing came for so long is forgotten. Until then its
 /// part of every limit is left to it, in case it is only cut off.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Every how many rounds an entry is sent what is not urgent for it: digests
+/// of hubs that stand by, and news to hubs that do not answer.
+const SLOW_ROUNDS: u32 = 4;
+
+/// What a hub told of all entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HubView {
+    /// Entries that may admit requests.
+    pub entries: usize,
+    /// Those that the hub hears, itself included.
+    pub heard: usize,
+    /// The highest fence that an entry is heard to hold.
+    pub fence: Option<FenceToken>,
+    /// The load that all entries but the receiver put on backend servers.
+    pub uses: Vec<BackendUse>,
+}
 
 /// What is known of another entry.
 #[derive(Clone, Debug)]
@@ -35,27 +62,74 @@
     pub incarnation: Option<Incarnation>,
     /// When it was last heard, or first listed.
     pub heard_at: Timestamp,
-    /// Whether it was ever heard.
-    pub was_heard: bool,
-    /// Its own time in its last message.
-    pub their_time: u64,
     /// Its revision of the configuration.
     pub revision: RevisionNumber,
-    /// Whether it is stopping.
-    pub leaving: bool,
-    /// The fence of the lease, if it holds it.
-    pub fence: Option<FenceToken>,
-    /// The load that it puts on backend servers.
-    pub uses: Vec<BackendUse>,
-    /// The work that it sends to services.
-    pub work: Vec<ServiceWork>,
+    /// The digest of its list of backend servers.
+    pub backends_hash: u64,
+    was_heard: bool,
+    their_time: u64,
+    leaving: bool,
+    fence: Option<FenceToken>,
+    uses: Vec<BackendUse>,
+    work: Vec<ServiceWork>,
+    told_at: Option<Timestamp>,
+    wants_digest: bool,
+    view: Option<(Timestamp, HubView)>,
+    unanswered_since: Option<Timestamp>,
 }
 
 impl PeerState {
-    /// Returns whether it was heard a moment ago.
-    pub fn is_heard(&self, now: Timestamp) -> bool {
-        self.was_heard && now.since(self.heard_at) < HEARD_WITHIN
+    fn listed(now: Timestamp, address: SocketAddr) -> Self {
+        Self {
+            address,
+            incarnation: None,
+            heard_at: now,
+            revision: RevisionNumber(0),
+            backends_hash: 0,
+            was_heard: false,
+            their_time: 0,
+            leaving: false,
+            fence: None,
+            uses: Vec::new(),
+            work: Vec::new(),
+            told_at: None,
+            wants_digest: false,
+            view: None,
+            unanswered_since: None,
+        }
+    }
+
+    /// Returns whether it told its news here a moment ago.
+    pub fn tells(&self, now: Timestamp) -> bool {
+        self.told_at.is_some_and(|at| now.since(at) < HEARD_WITHIN)
+    }
+
+    fn is_suspect(&self, now: Timestamp) -> bool {
+        let silent = |since| now.since(since) >= SUSPECT_AFTER;
+        self.leaving || self.unanswered_since.is_some_and(silent)
     }
+
+    fn fresh_view(&self, now: Timestamp) -> Option<&HubView> {
+        let (at, view) = self.view.as_ref()?;
+        (now.since(*at) < HUB_HEARD_WITHIN).then_some(view)
+    }
+}
+
+/// A message that is due to another entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueMessage {
+    /// The receiver.
+    pub name: EntryName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it is to answer with a digest each round.
+    pub wants_digest: bool,
+    /// Whether the sender's own news go to it as to a hub.
+    pub tells: bool,
+    /// Whether it gets a digest.
+    pub digest: bool,
+    /// Whether its link hangs and is to be opened anew.
+    pub reopen: bool,
 }
 
 /// The other entries.
@@ -65,6 +139,10 @@
     peers: BTreeMap<EntryName, PeerState>,
 }
 
+fn order_key(name: &EntryName) -> (u64, &EntryName) {
+    (XxHash64::oneshot(0, name.as_str().as_bytes()), name)
+}
+
 impl PeerBook {
     /// Returns a book of an entry that knows no other.
     pub fn new(own: EntryName) -> Self {
@@ -74,30 +152,20 @@
         }
     }
 
-    /// Notes an entry that the store lists.
+    /// Notes an entry that the store or a hub lists.
     pub fn note_listed(&mut self, now: Timestamp, name: EntryName, address: SocketAddr) {
         if name == self.own {
             return;
         }
-        let peer = self.peers.entry(name).or_insert_with(|| PeerState {
-            address,
-            incarnation: None,
-            heard_at: now,
-            was_heard: false,
-            their_time: 0,
-            revision: RevisionNumber(0),
-            leaving: false,
-            fence: None,
-            uses: Vec::new(),
-            work: Vec::new(),
-        });
-        if !peer.is_heard(now) {
+        let listed = || PeerState::listed(now, address);
+        let peer = self.peers.entry(name).or_insert_with(listed);
+        if now.since(peer.heard_at) >= HEARD_WITHIN {
             peer.address = address;
         }
     }
 
-    /// Notes news. Returns whether the entry or its life is new; news of an
-    /// earlier life, or older than the last, change nothing.
+    /// Notes a message. Returns whether the entry's life is new; a message
+    /// that is older than the last one of the same life changes nothing.
     pub fn note_news(&mut self, now: Timestamp, news: &GatewayNews) -> bool {
         if news.name == self.own {
             return false;
@@ -110,38 +178,126 @@
         if !new_life && news.sent_at <= peer.their_time {
             return false;
         }
-        peer.incarnation = Some(news.incarnation);
-        peer.address = news.address;
+        if new_life {
+            *peer = PeerState::listed(now, news.address);
+            peer.incarnation = Some(news.incarnation);
+        }
         peer.heard_at = now;
         peer.was_heard = true;
+        peer.unanswered_since = None;
         peer.their_time = news.sent_at;
         peer.revision = news.revision;
+        peer.backends_hash = news.backends_hash;
         peer.leaving = news.leaving;
         peer.fence = news.fence;
-        peer.uses.clone_from(&news.uses);
-        peer.work.clone_from(&news.work);
+        if news.tells {
+            peer.told_at = Some(now);
+            peer.wants_digest = news.wants_digest;
+            peer.uses.clone_from(&news.uses);
+            peer.work.clone_from(&news.work);
+        }
+        if let Some(view) = &news.view {
+            peer.view = Some((now, view.clone()));
+        }
         new_life
     }
 
-    /// Returns what to answer to a peer about the age of the configuration.
-    pub fn echo(&self, name: &EntryName, confirmed_at: Option<Timestamp>) -> Option<ConfigEcho> {
+    /// Returns what to answer to a peer about the age of the configuration
+    /// and of the list of backend servers.
+    pub fn echo(
+        &self,
+        name: &EntryName,
+        config_at: Option<Timestamp>,
+        backends_at: Option<Timestamp>,
+    ) -> Option<ConfigEcho> {
         let peer = self.peers.get(name)?;
-        let age = peer.heard_at.since(confirmed_at?);
+        let age = |at| peer.heard_at.since(at).as_micros() as u64;
         Some(ConfigEcho {
             incarnation: peer.incarnation?,
             sent_at: peer.their_time,
-            age: age.as_micros() as u64,
+            age: config_at.map(age),
+            backends_age: backends_at.map(age),
         })
     }
 
-    /// Iterates over the other entries.
-    pub fn peers(&self) -> impl Iterator<Item = (&EntryName, &PeerState)> {
-        self.peers.iter()
+    /// Returns an entry's state.
+    pub fn get(&self, name: &EntryName) -> Option<&PeerState> {
+        self.peers.get(name)
+    }
+
+    /// Returns the messages that are due in a round, and notes that they are
+    /// sent.
+    pub fn due(&mut self, now: Timestamp, round: u32) -> Vec<DueMessage> {
+        let slow = round.is_multiple_of(SLOW_ROUNDS);
+        let hubs = self.hubs(now);
+        let primary = hubs.first().cloned();
+        let first = self.first_names(HUB_COUNT);
+        let mut due = Vec::new();
+        for (name, peer) in &mut self.peers {
+            let is_hub = hubs.contains(name);
+            // Hubs that do not answer are asked again now and then, so that
+            // all entries agree on the same ones once they are back.
+            let probe = slow && first.contains(name) && !is_hub;
+            let tells = is_hub || probe;
+            let digest = peer.tells(now) && (peer.wants_digest || slow);
+            if !tells && !digest {
+                continue;
+            }
+            let reopen = peer.is_suspect(now) && slow;
+            if tells {
+                peer.unanswered_since.get_or_insert(now);
+            }
+            due.push(DueMessage {
+                name: name.clone(),
+                address: peer.address,
+                wants_digest: primary.as_ref() == Some(name),
+                tells,
+                digest,
+                reopen,
+            });
+        }
+        due
+    }
+
+    fn first_names(&self, count: usize) -> Vec<EntryName> {
+        let mut names: Vec<&EntryName> = self.peers.keys().collect();
+        names.sort_by_key(|name| order_key(name));
+        names.into_iter().take(count).cloned().collect()
+    }
+
+    /// Returns the hubs that this entry tells its news, in order.
+    fn hubs(&self, now: Timestamp) -> Vec<EntryName> {
+        let usable = self.peers.iter().filter(|(_, peer)| !peer.is_suspect(now));
+        let mut names: Vec<&EntryName> = usable.map(|(name, _)| name).collect();
+        names.sort_by_key(|name| order_key(name));
+        names.into_iter().take(HUB_COUNT).cloned().collect()
+    }
+
+    /// Returns the hubs with their addresses, to be passed on.
+    pub fn hub_addresses(&self, now: Timestamp) -> Vec<(EntryName, SocketAddr)> {
+        let hubs = self.hubs(now);
+        let known = |name: EntryName| {
+            let peer = self.peers.get(&name)?;
+            peer.was_heard.then_some((name, peer.address))
+        };
+        hubs.into_iter().filter_map(known).collect()
+    }
+
+    /// Returns how many entries that may be hubs come before this one.
+    pub fn rank(&self, now: Timestamp) -> usize {
+        let own = order_key(&self.own);
+        let before = self.peers.iter().filter(|(name, _)| order_key(name) < own);
+        before.filter(|(_, peer)| !peer.is_suspect(now)).count()
     }
 
     /// Forgets entries that are silent for long; returns their lives.
     pub fn forget_silent(&mut self, now: Timestamp) -> Vec<Incarnation> {
-        let silent = |peer: &PeerState| now.since(peer.heard_at) > FORGET_AFTER;
+        // Most entries never talk to this one, so only those that did or that
+        // were asked can fall silent.
+        let silent = |peer: &PeerState| {
+            let asked = peer.was_heard || peer.unanswered_since.is_some();
+            asked && now.since(peer.heard_at) > FORGET_AFTER
+        };
         let gone: Vec<Incarnation> = self
             .peers
             .values()
@@ -152,52 +308,77 @@
         gone
     }
 
-    /// Returns how many entries share limits, and how many are heard.
+    /// Returns how many entries share limits, and how many are heard, by this
+    /// entry itself or by the hub that hears the most.
     pub fn share_view(&self, now: Timestamp) -> ShareView {
-        let heard = self
-            .peers
-            .values()
-            .filter(|peer| peer.is_heard(now))
-            .count();
-        ShareView {
+        let own = ShareView {
             entries: self.peers.len() + 1,
-            heard: heard + 1,
-        }
+            heard: self.peers.values().filter(|peer| peer.tells(now)).count() + 1,
+        };
+        let views = self.peers.values().filter_map(|peer| peer.fresh_view(now));
+        let told = views.map(|view| ShareView {
+            entries: view.entries.max(own.entries),
+            heard: view.heard,
+        });
+        told.chain([own])
+            .max_by_key(|view| view.heard)
+            .unwrap_or(own)
     }
 
     /// Returns the highest fence that another entry is heard to hold.
     pub fn heard_fence(&self, now: Timestamp) -> Option<FenceToken> {
-        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
-        heard.filter_map(|peer| peer.fence).max()
+        let direct = self.peers.values().filter(|peer| peer.tells(now));
+        let direct = direct.filter_map(|peer| peer.fence);
+        let views = self.peers.values().filter_map(|peer| peer.fresh_view(now));
+        direct.chain(views.filter_map(|view| view.fence)).max()
     }
 
-    /// Returns how many heard entries have a name before the own one.
-    pub fn rank(&self, now: Timestamp) -> usize {
-        let before = self.peers.iter().filter(|(name, _)| **name < self.own);
-        before
-            .filter(|(_, peer)| peer.is_heard(now) && !peer.leaving)
-            .count()
+    /// Returns the highest fence that an entry told here itself.
+    pub fn told_fence(&self, now: Timestamp) -> Option<FenceToken> {
+        let direct = self.peers.values().filter(|peer| peer.tells(now));
+        direct.filter_map(|peer| peer.fence).max()
     }
 
-    /// Sums the work that the heard entries send to a service, in prompt
+    /// Sums the work that the entries that tell send to a service, in prompt
     /// tokens a second.
     pub fn work(&self, now: Timestamp, service: &ServiceName) -> u64 {
-        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
-        let of_service = heard
+        let telling = self.peers.values().filter(|peer| peer.tells(now));
+        let of_service = telling
             .flat_map(|peer| &peer.work)
             .filter(|work| work.service == service.as_str());
         of_service.map(|work| work.tokens_per_s).sum()
     }
 
-    /// Sums the load that the heard entries put on each backend server.
-    pub fn uses(&self, now: Timestamp) -> BTreeMap<&str, (u32, u64)> {
-        let mut sums: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
-        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
-        for backend_use in heard.flat_map(|peer| &peer.uses) {
-            let sum = sums.entry(&backend_use.backend).or_default();
-            sum.0 += backend_use.in_flight;
-            sum.1 += backend_use.unread;
+    /// Sums the load that other entries put on each backend server: what they
+    /// told here, or what the hub that hears the most told.
+    pub fn uses(&self, now: Timestamp) -> BTreeMap<String, BackendUse> {
+        let telling = self.peers.values().filter(|peer| peer.tells(now));
+        let told = telling.clone().count() + 1;
+        let views = self.peers.values().filter_map(|peer| peer.fresh_view(now));
+        match views.max_by_key(|view| view.heard) {
+            Some(view) if view.heard > told => sum_uses(&view.uses),
+            _ => sum_uses(telling.flat_map(|peer| &peer.uses)),
+        }
+    }
+
+    /// Returns the load of one entry as it told, to be left out of its digest.
+    pub fn uses_of(&self, name: &EntryName) -> &[BackendUse] {
+        self.peers.get(name).map_or(&[], |peer| &peer.uses)
+    }
+}
+
+fn sum_uses<'a>(uses: impl IntoIterator<Item = &'a BackendUse>) -> BTreeMap<String, BackendUse> {
+    let mut sums: BTreeMap<String, BackendUse> = BTreeMap::new();
+    for one in uses {
+        match sums.get_mut(&one.backend) {
+            Some(sum) => {
+                sum.in_flight += one.in_flight;
+                sum.unread += one.unread;
+            }
+            None => {
+                sums.insert(one.backend.clone(), one.clone());
+            }
         }
-        sums
     }
+    sums
 }
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -1,10 +1,14 @@
 //! News between gateway entries, as a `prost` frame.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use bytes::Bytes;
 use prost::Message;
 
+use crate::gateway::backend_set::BackendId;
+use crate::gateway::backend_set::BackendRecord;
+use crate::gateway::peer_book::HubView;
 use crate::id::AccountName;
 use crate::id::EntryName;
 use crate::id::FenceToken;
@@ -12,17 +16,19 @@
 use crate::id::RevisionNumber;
 use crate::wire::WireError;
 
-/// How old the sender's knowledge of the configuration was when it received
-/// the message that it answers. The receiver measures from its own clock.
+/// How old the sender's knowledge was when it received the message that it
+/// answers. The receiver measures from its own clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConfigEcho {
     /// Whose message is answered.
     pub incarnation: Incarnation,
     /// The time in that message, by the clock of its sender, in microseconds.
     pub sent_at: u64,
-    /// How old the knowledge was then, in microseconds; 0 if it was confirmed
-    /// only later.
-    pub age: u64,
+    /// How old the knowledge of the configuration was then, in microseconds;
+    /// 0 if it was confirmed only later. None if there is none.
+    pub age: Option<u64>,
+    /// The same for the list of backend servers.
+    pub backends_age: Option<u64>,
 }
 
 /// The load that an entry puts on a backend server.
@@ -70,6 +76,17 @@
     pub count: u64,
 }
 
+/// What a hub adds to its answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HubDigest {
+    /// What all entries but the receiver admitted, as the hub counts.
+    pub admitted: Vec<AdmittedUnits>,
+    /// The hubs that the sender uses itself.
+    pub hubs: Vec<(EntryName, SocketAddr)>,
+    /// The backend servers, if the receiver's list differs.
+    pub backends: Option<Vec<BackendRecord>>,
+}
+
 /// What one entry tells another several times a second. It is always the
 /// whole state, so that a lost message needs no repetition.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -88,10 +105,16 @@
     pub revision: RevisionNumber,
     /// The configuration's document, if the receiver's is older.
     pub document: Option<Bytes>,
-    /// The age of the sender's knowledge of it.
+    /// The age of the sender's knowledge.
     pub echo: Option<ConfigEcho>,
     /// The fence of the lease, if the sender holds it.
     pub fence: Option<FenceToken>,
+    /// Whether the sender tells its own news here, as to a hub.
+    pub tells: bool,
+    /// Whether the receiver is to answer with a digest each round.
+    pub wants_digest: bool,
+    /// The digest of the sender's list of backend servers.
+    pub backends_hash: u64,
     /// What the sender admitted.
     pub admitted: Vec<AdmittedUnits>,
     /// What began at the sender.
@@ -100,6 +123,10 @@
     pub uses: Vec<BackendUse>,
     /// The work that the sender sends to services.
     pub work: Vec<ServiceWork>,
+    /// What the sender knows of all entries, if it answers as a hub.
+    pub view: Option<HubView>,
+    /// What the sender adds as a hub.
+    pub digest: Option<HubDigest>,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -108,8 +135,10 @@
     incarnation: u64,
     #[prost(uint64, tag = "2")]
     sent_at: u64,
-    #[prost(uint64, tag = "3")]
-    age: u64,
+    #[prost(uint64, optional, tag = "3")]
+    age: Option<u64>,
+    #[prost(uint64, optional, tag = "4")]
+    backends_age: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -122,6 +151,60 @@
     count: u64,
 }
 
+#[derive(Clone, PartialEq, Eq, Message)]
+struct ViewFrame {
+    #[prost(uint64, tag = "1")]
+    entries: u64,
+    #[prost(uint64, tag = "2")]
+    heard: u64,
+    #[prost(uint64, optional, tag = "3")]
+    fence: Option<u64>,
+    #[prost(message, repeated, tag = "4")]
+    uses: Vec<BackendUse>,
+}
+
+#[derive(Clone, PartialEq, Eq, Message)]
+struct HubFrame {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, tag = "2")]
+    address: String,
+}
+
+#[derive(Clone, PartialEq, Eq, Message)]
+struct BackendFrame {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    address: String,
+    #[prost(string, tag = "4")]
+    zone: String,
+    #[prost(uint32, tag = "5")]
+    slots: u32,
+    #[prost(bool, tag = "6")]
+    leaving: bool,
+    #[prost(bool, tag = "7")]
+    reclaimable: bool,
+}
+
+#[derive(Clone, PartialEq, Eq, Message)]
+struct BackendListFrame {
+    #[prost(message, repeated, tag = "1")]
+    backends: Vec<BackendFrame>,
+}
+
+#[derive(Clone, PartialEq, Eq, Message)]
+struct DigestFrame {
+    #[prost(message, repeated, tag = "1")]
+    admitted: Vec<CountFrame>,
+    #[prost(message, repeated, tag = "2")]
+    hubs: Vec<HubFrame>,
+    #[prost(message, optional, tag = "3")]
+    backends: Option<BackendListFrame>,
+}
+
 /// The frame of [`GatewayNews`].
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct NewsFrame {
@@ -151,20 +234,115 @@
     uses: Vec<BackendUse>,
     #[prost(message, repeated, tag = "13")]
     work: Vec<ServiceWork>,
+    #[prost(bool, tag = "14")]
+    tells: bool,
+    #[prost(bool, tag = "15")]
+    wants_digest: bool,
+    #[prost(fixed64, tag = "16")]
+    backends_hash: u64,
+    #[prost(message, optional, tag = "17")]
+    view: Option<ViewFrame>,
+    #[prost(message, optional, tag = "18")]
+    digest: Option<DigestFrame>,
+}
+
+fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
+    let frame = |item: AdmittedUnits| CountFrame {
+        window: 0,
+        account: item.account.into(),
+        count: item.units,
+    };
+    admitted.into_iter().map(frame).collect()
+}
+
+fn read_admitted(frames: Vec<CountFrame>) -> Result<Vec<AdmittedUnits>, WireError> {
+    let read = |frame: CountFrame| {
+        Ok(AdmittedUnits {
+            account: read_field("account", &frame.account)?,
+            units: frame.count,
+        })
+    };
+    frames.into_iter().map(read).collect()
+}
+
+fn write_counts(counts: Vec<WindowCount>) -> Vec<CountFrame> {
+    let frame = |item: WindowCount| CountFrame {
+        window: item.window,
+        account: item.account.into(),
+        count: item.count,
+    };
+    counts.into_iter().map(frame).collect()
+}
+
+fn read_counts(frames: Vec<CountFrame>) -> Result<Vec<WindowCount>, WireError> {
+    let read = |frame: CountFrame| {
+        Ok(WindowCount {
+            window: frame.window,
+            account: read_field("account", &frame.account)?,
+            count: frame.count,
+        })
+    };
+    frames.into_iter().map(read).collect()
+}
+
+fn read_field<T: FromStr>(field: &'static str, text: &str) -> Result<T, WireError> {
+    text.parse().map_err(|_| WireError::Invalid(field))
+}
+
+fn write_backend(record: BackendRecord) -> BackendFrame {
+    BackendFrame {
+        id: record.id.0,
+        service: record.service.into(),
+        address: record.address.to_string(),
+        zone: record.zone.into(),
+        slots: record.slots,
+        leaving: record.leaving,
+        reclaimable: record.reclaimable,
+    }
+}
+
+fn read_backend(frame: BackendFrame) -> Result<BackendRecord, WireError> {
+    Ok(BackendRecord {
+        id: BackendId(frame.id),
+        service: read_field("service", &frame.service)?,
+        address: read_field("address", &frame.address)?,
+        zone: read_field("zone", &frame.zone)?,
+        slots: frame.slots,
+        leaving: frame.leaving,
+        reclaimable: frame.reclaimable,
+    })
+}
+
+fn write_digest(digest: HubDigest) -> DigestFrame {
+    let hub = |(name, address): (EntryName, SocketAddr)| HubFrame {
+        name: name.into(),
+        address: address.to_string(),
+    };
+    let list = |records: Vec<BackendRecord>| BackendListFrame {
+        backends: records.into_iter().map(write_backend).collect(),
+    };
+    DigestFrame {
+        admitted: write_admitted(digest.admitted),
+        hubs: digest.hubs.into_iter().map(hub).collect(),
+        backends: digest.backends.map(list),
+    }
+}
+
+fn read_digest(frame: DigestFrame) -> Result<HubDigest, WireError> {
+    let hub = |hub: HubFrame| {
+        let name = read_field("name", &hub.name)?;
+        Ok((name, read_field("address", &hub.address)?))
+    };
+    let list = |list: BackendListFrame| list.backends.into_iter().map(read_backend).collect();
+    Ok(HubDigest {
+        admitted: read_admitted(frame.admitted)?,
+        hubs: frame.hubs.into_iter().map(hub).collect::<Result<_, _>>()?,
+        backends: frame.backends.map(list).transpose()?,
+    })
 }
 
 impl From<GatewayNews> for NewsFrame {
     fn from(news: GatewayNews) -> Self {
-        let admitted = news.admitted.into_iter().map(|item| CountFrame {
-            window: 0,
-            account: item.account.into(),
-            count: item.units,
-        });
-        let counts = news.counts.into_iter().map(|item| CountFrame {
-            window: item.window,
-            account: item.account.into(),
-            count: item.count,
-        });
         Self {
             incarnation: news.incarnation.0,
             name: news.name.into(),
@@ -177,12 +355,23 @@
                 incarnation: echo.incarnation.0,
                 sent_at: echo.sent_at,
                 age: echo.age,
+                backends_age: echo.backends_age,
             }),
             fence: news.fence.map(|fence| fence.0),
-            admitted: admitted.collect(),
-            counts: counts.collect(),
+            admitted: write_admitted(news.admitted),
+            counts: write_counts(news.counts),
             uses: news.uses,
             work: news.work,
+            tells: news.tells,
+            wants_digest: news.wants_digest,
+            backends_hash: news.backends_hash,
+            view: news.view.map(|view| ViewFrame {
+                entries: view.entries as u64,
+                heard: view.heard as u64,
+                fence: view.fence.map(|fence| fence.0),
+                uses: view.uses,
+            }),
+            digest: news.digest.map(write_digest),
         }
     }
 }
@@ -191,27 +380,10 @@
     type Error = WireError;
 
     fn try_from(frame: NewsFrame) -> Result<Self, WireError> {
-        let account = |text: &str| text.parse().map_err(|_| WireError::Invalid("account"));
-        let mut admitted = Vec::with_capacity(frame.admitted.len());
-        for item in frame.admitted {
-            admitted.push(AdmittedUnits {
-                account: account(&item.account)?,
-                units: item.count,
-            });
-        }
-        let mut counts = Vec::with_capacity(frame.counts.len());
-        for item in frame.counts {
-            counts.push(WindowCount {
-                window: item.window,
-                account: account(&item.account)?,
-                count: item.count,
-            });
-        }
-        let address = frame.address.parse();
         Ok(Self {
             incarnation: Incarnation(frame.incarnation),
-            name: frame.name.parse().map_err(|_| WireError::Invalid("name"))?,
-            address: address.map_err(|_| WireError::Invalid("address"))?,
+            name: read_field("name", &frame.name)?,
+            address: read_field("address", &frame.address)?,
             sent_at: frame.sent_at,
             leaving: frame.leaving,
             revision: RevisionNumber(frame.revision),
@@ -220,12 +392,23 @@
                 incarnation: Incarnation(echo.incarnation),
                 sent_at: echo.sent_at,
                 age: echo.age,
+                backends_age: echo.backends_age,
             }),
             fence: frame.fence.map(FenceToken),
-            admitted,
-            counts,
+            tells: frame.tells,
+            wants_digest: frame.wants_digest,
+            backends_hash: frame.backends_hash,
+            admitted: read_admitted(frame.admitted)?,
+            counts: read_counts(frame.counts)?,
             uses: frame.uses,
             work: frame.work,
+            view: frame.view.map(|view| HubView {
+                entries: view.entries as usize,
+                heard: view.heard as usize,
+                fence: view.fence.map(FenceToken),
+                uses: view.uses,
+            }),
+            digest: frame.digest.map(read_digest).transpose()?,
         })
     }
 }
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -1,80 +1,80 @@
-//! Exchanges news with the other entries several times a second.
+//! Exchanges news with the hubs, and answers as a hub, several times a second.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::info;
 
 use crate::gateway::backend_set::BackendId;
+use crate::gateway::backend_set::BackendRecord;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::peer_book::DueMessage;
+use crate::gateway::peer_book::HubView;
 use crate::gateway::peer_news::AdmittedUnits;
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
 use crate::gateway::peer_news::GatewayNews;
+use crate::gateway::peer_news::HubDigest;
 use crate::gateway::peer_news::ServiceWork;
 use crate::gateway::peer_news::WindowCount;
+use crate::gateway::store_task::adopt_backends;
 use crate::gateway::store_task::offer_config;
-use crate::id::EntryName;
 use crate::quantity::Timestamp;
 use crate::wire::PeerMessage;
 
-/// The pause between news to each entry. Limits overshoot by what an account
-/// uses in it; usage is lost with a killed entry for as long.
+/// The pause between rounds of news. Limits overshoot by what an account uses
+/// in it; usage is lost with a killed entry for as long.
 const NEWS_PAUSE: Duration = Duration::from_millis(250);
 /// How many windows back counts are told.
 const TOLD_WINDOWS: u64 = 2;
-/// Every how many rounds an entry that is not heard is told news: it may be
-/// gone for good.
-const SILENT_ROUNDS: u32 = 4;
+/// An entry that has run for longer when it is first heard is counted from
+/// there on: what it admitted before is in the past.
+const YOUNG_AGE: Duration = Duration::from_secs(3);
 
-/// Sends news until the entry stops.
+/// Sends news until the entry stops. A new configuration goes out at once.
 pub async fn exchange_news(context: Arc<GatewayContext>) {
     let mut round: u32 = 0;
     loop {
-        tokio::time::sleep(NEWS_PAUSE).await;
-        round = round.wrapping_add(1);
+        let hurried = tokio::time::timeout(NEWS_PAUSE, context.news_due.notified()).await;
+        if hurried.is_err() {
+            round = round.wrapping_add(1);
+        }
         let now = context.now();
         for incarnation in context.peers.lock().forget_silent(now) {
-            context.limits.lock().forget(incarnation);
-        }
-        for (name, address, behind) in targets(&context, now, round) {
-            let news = build_news(&context, &name, behind);
-            context
-                .links
-                .send(address, PeerMessage::News(Box::new(news)));
+            context.limits.lock().retire(incarnation);
         }
+        note_uses(&context, now);
+        send_round(&context, now, round);
     }
 }
 
-fn targets(
-    context: &GatewayContext,
-    now: Timestamp,
-    round: u32,
-) -> Vec<(EntryName, std::net::SocketAddr, bool)> {
-    let revision = context.config.lock().revision();
-    let peers = context.peers.lock();
-    peers
-        .peers()
-        .filter(|(_, peer)| peer.is_heard(now) || round.is_multiple_of(SILENT_ROUNDS))
-        .map(|(name, peer)| {
-            let behind = peer.was_heard && peer.revision < revision;
-            (name.clone(), peer.address, behind)
-        })
-        .collect()
+fn send_round(context: &GatewayContext, now: Timestamp, round: u32) {
+    let due = context.peers.lock().due(now, round);
+    if due.is_empty() {
+        return;
+    }
+    let common = common_news(context);
+    let sums = context.peers.lock().uses(now);
+    for message in due {
+        if message.reopen {
+            context.links.forget(message.address);
+        }
+        let mut news = common.clone();
+        address_news(context, &mut news, &message);
+        if message.digest {
+            add_digest(context, &mut news, &message, &sums, now);
+        }
+        context
+            .links
+            .send(message.address, PeerMessage::News(Box::new(news)));
+    }
 }
 
-fn build_news(context: &GatewayContext, to: &EntryName, behind: bool) -> GatewayNews {
-    let config = context.config.lock();
-    let adopted = config.adopted();
-    let document = adopted.filter(|_| behind).map(|a| a.document.clone());
-    let revision = config.revision();
-    let confirmed_at = config.confirmed_at();
-    drop(config);
-    let uses = own_uses(context);
-    let work = own_work(context);
-    let admitted = own_admitted(context);
-    let counts = own_counts(context);
-    let echo = context.peers.lock().echo(to, confirmed_at);
+/// Builds what is the same in all messages of a round.
+fn common_news(context: &GatewayContext) -> GatewayNews {
+    let revision = context.config.lock().revision();
+    let backends_hash = context.backends.lock().list_hash();
     let fence = context.duties.lock().fence();
     GatewayNews {
         incarnation: context.incarnation,
@@ -83,16 +83,99 @@
         sent_at: context.now().0,
         leaving: context.is_leaving(),
         revision,
-        document,
-        echo,
+        document: None,
+        echo: None,
         fence,
-        admitted,
-        counts,
-        uses,
-        work,
+        tells: true,
+        wants_digest: false,
+        backends_hash,
+        admitted: own_admitted(context),
+        counts: own_counts(context),
+        uses: own_uses(context),
+        work: own_work(context),
+        view: None,
+        digest: None,
+    }
+}
+
+fn address_news(context: &GatewayContext, news: &mut GatewayNews, message: &DueMessage) {
+    let config = context.config.lock();
+    let adopted = config.adopted().map(|a| a.document.clone());
+    let config_at = config.confirmed_at();
+    drop(config);
+    let backends_at = context.backends.lock().confirmed_at();
+    let peers = context.peers.lock();
+    news.echo = peers.echo(&message.name, config_at, backends_at);
+    let behind = peers
+        .get(&message.name)
+        .is_some_and(|peer| peer.incarnation.is_some() && peer.revision < news.revision);
+    drop(peers);
+    news.document = adopted.filter(|_| behind);
+    news.wants_digest = message.wants_digest;
+    if !message.tells {
+        news.tells = false;
+        news.admitted = Vec::new();
+        news.counts = Vec::new();
+        news.uses = Vec::new();
+        news.work = Vec::new();
     }
 }
 
+/// Adds what all entries told here, without what the receiver told itself.
+fn add_digest(
+    context: &GatewayContext,
+    news: &mut GatewayNews,
+    message: &DueMessage,
+    sums: &BTreeMap<String, BackendUse>,
+    now: Timestamp,
+) {
+    let peers = context.peers.lock();
+    let share = peers.share_view(now);
+    let receiver = peers.get(&message.name);
+    let incarnation = receiver.and_then(|peer| peer.incarnation);
+    let their_hash = receiver.map_or(0, |peer| peer.backends_hash);
+    let mut uses = sums.clone();
+    for own in own_uses(context) {
+        let sum = uses.entry(own.backend.clone()).or_insert(BackendUse {
+            in_flight: 0,
+            unread: 0,
+            ..own.clone()
+        });
+        sum.in_flight += own.in_flight;
+        sum.unread += own.unread;
+    }
+    for theirs in peers.uses_of(&message.name) {
+        if let Some(sum) = uses.get_mut(&theirs.backend) {
+            sum.in_flight = sum.in_flight.saturating_sub(theirs.in_flight);
+            sum.unread = sum.unread.saturating_sub(theirs.unread);
+        }
+    }
+    uses.retain(|_, sum| sum.in_flight > 0);
+    news.view = Some(HubView {
+        entries: share.entries,
+        heard: share.heard,
+        fence: peers.told_fence(now).max(news.fence),
+        uses: uses.into_values().collect(),
+    });
+    let hubs = peers.hub_addresses(now);
+    drop(peers);
+    let totals = context.limits.lock().totals_without(incarnation);
+    let differs = their_hash != news.backends_hash;
+    news.digest = Some(HubDigest {
+        admitted: totals,
+        hubs,
+        backends: offered_backends(context, differs),
+    });
+}
+
+/// Returns the list of backend servers for an entry whose list differs. One
+/// with missing records is not passed on: they may be back.
+fn offered_backends(context: &GatewayContext, differs: bool) -> Option<Vec<BackendRecord>> {
+    let backends = context.backends.lock();
+    let offered = differs && !backends.has_missing();
+    offered.then(|| backends.records())
+}
+
 fn own_uses(context: &GatewayContext) -> Vec<BackendUse> {
     let backends = context.backends.lock();
     backends
@@ -140,7 +223,7 @@
         .collect()
 }
 
-/// Takes over another entry's news.
+/// Takes over another entry's message.
 pub fn receive_news(context: &GatewayContext, news: GatewayNews) {
     let now = context.now();
     if news.incarnation == context.incarnation {
@@ -154,41 +237,41 @@
     if let Some(document) = &news.document {
         offer_config(context, document, "entry");
     }
-    if let Some(echo) = news
-        .echo
-        .filter(|echo| echo.incarnation == context.incarnation)
-    {
-        confirm_config(context, &news, echo);
+    if news.tells {
+        note_admitted(context, &news);
+        note_counts(context, &news);
+    }
+    if let Some(digest) = &news.digest {
+        note_digest(context, &news, digest, now);
+    }
+    let own = context.incarnation;
+    if let Some(echo) = news.echo.filter(|echo| echo.incarnation == own) {
+        confirm(context, &news, echo);
     }
-    note_admitted(context, &news, now);
-    note_counts(context, &news);
-    note_uses(context, now);
 }
 
-fn confirm_config(context: &GatewayContext, news: &GatewayNews, echo: ConfigEcho) {
-    let known_at = Timestamp(echo.sent_at.saturating_sub(echo.age));
-    context.config.lock().confirm(news.revision, known_at);
+/// Takes over how old another entry's knowledge is, counted from the moment at
+/// which this entry sent the message that it answers.
+fn confirm(context: &GatewayContext, news: &GatewayNews, echo: ConfigEcho) {
+    let at = |age: u64| Timestamp(echo.sent_at.saturating_sub(age));
+    if let Some(age) = echo.age {
+        context.config.lock().confirm(news.revision, at(age));
+    }
+    if let Some(age) = echo.backends_age {
+        let mut backends = context.backends.lock();
+        if backends.list_hash() == news.backends_hash {
+            backends.confirm(at(age));
+        }
+    }
 }
 
-fn note_admitted(context: &GatewayContext, news: &GatewayNews, now: Timestamp) {
-    let adopted = context.config.lock().adopted().map(|a| a.config.clone());
-    let Some(config) = adopted else {
-        return;
-    };
-    // What an entry admitted before this one started is not known to have
-    // been within the window; this entry's bucket started empty instead.
-    let joined_late = news.sent_at > now.0;
+fn note_admitted(context: &GatewayContext, news: &GatewayNews) {
+    let young = news.sent_at < YOUNG_AGE.as_micros() as u64;
     let mut limits = context.limits.lock();
     for item in &news.admitted {
-        let rule = config
-            .accounts
-            .iter()
-            .find(|rule| rule.name == item.account);
-        if let Some(rule) = rule {
-            let (account, units) = (&item.account, item.units);
-            limits.note_told(news.incarnation, account, units, rule.burst, joined_late);
-        }
+        limits.note_told(news.incarnation, &item.account, item.units, young);
     }
+    limits.merge_told(context.incarnation);
 }
 
 fn note_counts(context: &GatewayContext, news: &GatewayNews) {
@@ -198,13 +281,29 @@
     }
 }
 
+fn note_digest(context: &GatewayContext, news: &GatewayNews, digest: &HubDigest, now: Timestamp) {
+    let mut limits = context.limits.lock();
+    for item in &digest.admitted {
+        limits.merge(news.incarnation, &item.account, item.units);
+    }
+    drop(limits);
+    let mut peers = context.peers.lock();
+    for (name, address) in &digest.hubs {
+        peers.note_listed(now, name.clone(), *address);
+    }
+    drop(peers);
+    if let (Some(records), Some(age)) = (&digest.backends, news.echo.and_then(|e| e.backends_age)) {
+        adopt_backends(context, records, age);
+    }
+}
+
 fn note_uses(context: &GatewayContext, now: Timestamp) {
+    let sums = context.peers.lock().uses(now);
     let mut backends = context.backends.lock();
-    let peers = context.peers.lock();
-    let sums = peers.uses(now);
     let ids: Vec<BackendId> = backends.iter().map(|b| b.record.id.clone()).collect();
     for id in ids {
-        let (in_flight, unread) = sums.get(id.0.as_str()).copied().unwrap_or_default();
+        let sum = sums.get(&id.0);
+        let (in_flight, unread) = sum.map_or((0, 0), |sum| (sum.in_flight, sum.unread));
         backends.note_others(&id, in_flight, unread);
     }
 }
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -1,6 +1,8 @@
 //! Keeps the configuration, the backend servers and the list of entries fresh
 //! from the platform's store.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +15,8 @@
 
 use crate::gateway::backend_set::BackendChange;
 use crate::gateway::backend_set::BackendId;
+use crate::gateway::backend_set::BackendRecord;
+use crate::gateway::edge::LogRecord;
 use crate::gateway::edge::LogSlice;
 use crate::gateway::edge::LogTopic;
 use crate::gateway::edge::StoreError;
@@ -20,11 +24,18 @@
 use crate::id::EntryName;
 use crate::id::LogOffset;
 use crate::id::RevisionNumber;
-use std::net::SocketAddr;
+use crate::quantity::Timestamp;
 
 /// How long a read of the configuration waits for news. Its answer, also an
 /// empty one, proves that the configuration is the newest.
-const CONFIG_WAIT: Duration = Duration::from_millis(900);
+const CONFIG_WAIT: Duration = Duration::from_millis(500);
+/// The age of knowledge from which on an entry reads for itself that is not
+/// among the first hubs, whose answers usually keep it younger.
+const OWN_READ_AGE: Duration = Duration::from_millis(1_300);
+/// How many of the first hubs always read.
+const READING_HUBS: usize = 2;
+/// The pause between looks at the age of knowledge.
+const AGE_CHECK: Duration = Duration::from_millis(100);
 /// The pause between reads of the backend servers. A server that leaves may
 /// get new work for two seconds after it said so.
 const BACKENDS_PAUSE: Duration = Duration::from_millis(600);
@@ -50,6 +61,9 @@
             Ok(_) | Err(StoreError::Forgotten(_) | StoreError::Conflict(_)) => true,
             Err(StoreError::NotDone(_) | StoreError::Unknown(_) | StoreError::Fenced) => false,
         };
+        if up {
+            context.note_store_seen();
+        }
         let changed = up != self.is_up;
         self.is_up = up;
         if let (true, Err(error)) = (changed, result) {
@@ -63,11 +77,25 @@
     }
 }
 
+/// Waits while other entries keep the knowledge young enough.
+async fn wait_own_read(context: &GatewayContext, known_at: impl Fn() -> Option<Timestamp>) {
+    loop {
+        let now = context.now();
+        let rank = context.peers.lock().rank(now);
+        let old = known_at().is_none_or(|at| now.since(at) >= OWN_READ_AGE);
+        if old || rank < READING_HUBS {
+            return;
+        }
+        tokio::time::sleep(AGE_CHECK).await;
+    }
+}
+
 /// Follows the configuration until the entry stops.
 pub async fn follow_config(context: Arc<GatewayContext>) {
     let mut watch = DependencyWatch::new("store: configuration");
     let mut next: Option<LogOffset> = None;
     loop {
+        wait_own_read(&context, || context.config.lock().confirmed_at()).await;
         let asked_at = context.now();
         let store = &context.edges.store;
         let topic = LogTopic::Configuration;
@@ -122,6 +150,7 @@
     let revision = config.revision;
     let routes = config.routes.len();
     if context.config.lock().offer(config, document.clone()) {
+        context.news_due.notify_one();
         counter!("cloverbend_configs_adopted_total").increment(1);
         info!(context.log, "configuration adopted"; "revision" => revision.0,
             "source" => source, "routes" => routes);
@@ -134,6 +163,8 @@
     let mut watch = DependencyWatch::new("store: backend servers");
     let mut next: Option<LogOffset> = None;
     loop {
+        wait_own_read(&context, || context.backends.lock().confirmed_at()).await;
+        let asked_at = context.now();
         let store = &context.edges.store;
         let topic = LogTopic::Backends;
         let result = match next {
@@ -150,6 +181,7 @@
                 let whole = next.is_none();
                 next = Some(slice.end);
                 apply_backends(&context, &slice, whole);
+                context.backends.lock().confirm(asked_at);
                 tokio::time::sleep(BACKENDS_PAUSE).await;
             }
             Err(StoreError::Forgotten(_)) => next = None,
@@ -158,15 +190,36 @@
     }
 }
 
+/// Takes over the list of another entry, if it is younger than the own one.
+pub fn adopt_backends(context: &GatewayContext, records: &[BackendRecord], age: u64) {
+    let now = context.now();
+    let mut backends = context.backends.lock();
+    let own_age = backends.confirmed_at().map(|at| now.since(at));
+    if own_age.is_some_and(|own| own.as_micros() as u64 <= age) {
+        return;
+    }
+    let changes = backends.replace(now, records.to_vec());
+    drop(backends);
+    for change in changes {
+        note_backend_change(context, &change);
+    }
+}
+
+/// Returns the last record of each key. Earlier ones must not be applied: this
+/// entry may have learnt from others what came after them.
+fn newest_by_key(slice: &LogSlice) -> BTreeMap<&str, &LogRecord> {
+    let records = slice.records.iter();
+    records
+        .filter_map(|record| Some((record.key.as_deref()?, record)))
+        .collect()
+}
+
 fn apply_backends(context: &GatewayContext, slice: &LogSlice, whole: bool) {
     let now = context.now();
     let mut records = Vec::new();
     let mut changes = Vec::new();
     let mut backends = context.backends.lock();
-    for record in &slice.records {
-        let Some(key) = record.key.as_deref() else {
-            continue;
-        };
+    for (key, record) in newest_by_key(slice) {
         if record.value.is_empty() {
             changes.extend(backends.note_absent(now, &BackendId(key.to_owned())));
             continue;
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Gives a link up whose peer does not answer; the next message opens
+    /// another. A connection through a cut may hang for long after it.
+    pub fn forget(&self, address: SocketAddr) {
+        self.links.lock().remove(&address);
+    }
+
     fn open(&self, address: SocketAddr) -> mpsc::Sender<Bytes> {
         let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
         let stop = self.stop.clone();
