--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -15,9 +15,9 @@
 
 /// How busy a replica may be with reading prompts. Above, what generates
 /// beside it slows down twofold and more.
-const READING_FILLING: f64 = 0.4;
+const READING_FILLING: f64 = 0.6;
 /// How full the slots of a replica may be on average.
-const SLOT_FILLING: f64 = 0.5;
+const SLOT_FILLING: f64 = 0.7;
 /// Replicas beside what demand needs, for what the average does not show.
 const SPARE_REPLICAS: f64 = 1.0;
 /// The share of the replicas there at the start that is kept until demand is
@@ -147,9 +147,10 @@
         let rooms: Vec<u32> = zones
             .iter()
             .map(|zone| {
+                // Only those that are there take room: what cannot be had now
+                // must not push out what serves in its place.
                 let there = supply.get(*zone).map_or(0, |s| s.reclaimable);
-                let kept = if alarmed { there } else { spread.max(there) };
-                rule.max.saturating_sub(kept)
+                rule.max.saturating_sub(there)
             })
             .collect();
         let dealt = deal(fixed, &rooms);
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -28,10 +28,10 @@
 
 /// How long a read of the configuration waits for news. Its answer, also an
 /// empty one, proves that the configuration is the newest.
-const CONFIG_WAIT: Duration = Duration::from_millis(500);
+const CONFIG_WAIT: Duration = Duration::from_millis(350);
 /// The age of knowledge from which on an entry reads for itself that is not
 /// among the first hubs, whose answers usually keep it younger.
-const OWN_READ_AGE: Duration = Duration::from_millis(1_300);
+const OWN_READ_AGE: Duration = Duration::from_millis(1_500);
 /// How many of the first hubs always read.
 const READING_HUBS: usize = 2;
 /// The pause between looks at the age of knowledge.
