--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -22,7 +22,7 @@
 const SPARE_REPLICAS: f64 = 1.0;
 /// The share of the replicas there at the start that is kept until demand is
 /// known: operators size a service for its busiest times.
-const START_SHARE: f64 = 0.6;
+const START_SHARE: f64 = 0.4;
 /// How long less must have been enough before fewer are ordered: a replica
 /// that leaves takes its kept prompts and its long streams along.
 const SHRINK_AFTER: Duration = Duration::from_secs(15);
@@ -120,7 +120,7 @@
         Self {
             least,
             total: SlowFall::new(carried.max(least), SHRINK_AFTER),
-            fixed: SlowFall::new(fixed, FIXED_SHRINK_AFTER),
+            fixed: SlowFall::new(fixed.min(carried.max(least)), FIXED_SHRINK_AFTER),
             reached: BTreeMap::new(),
             alarm_until: Timestamp(0),
         }
