--- a/lib/src/gateway/account_limits.rs
+++ b/lib/src/gateway/account_limits.rs
@@ -6,8 +6,8 @@
 //! push a bucket below zero, which is paid back before more is admitted.
 //!
 //! An entry that does not hear some of the others leaves them their even part
-//! of the rate: its bucket fills with the parts of those that it hears. Both
-//! sides of a cut do this, so their sum stays below the rate. An entry that
+//! of the rate: its bucket holds, and fills with, the parts of those that it
+//! hears. Both sides of a cut do this, so their sum stays below the limit. An entry that
 //! has just started has an empty bucket, since it cannot know what was
 //! admitted before.
 
@@ -45,6 +45,13 @@
     }
 }
 
+/// The age of the last news from which on an entry gives out its own part of
+/// the limits only. News come every quarter of a second; what all entries
+/// admit without hearing of each other for longer would exceed the slack.
+const NEWS_OVERDUE: Duration = Duration::from_millis(700);
+/// How many whole buckets all entries together may admit between news, each an
+/// even part. One request is always admitted, however large.
+const UNHEARD_BUCKETS: f64 = 1.5;
 /// The part of the slack that buckets use. The rest covers what entries admit
 /// before they hear of each other.
 const USED_SLACK: f64 = 0.35;
@@ -71,6 +78,8 @@
 
 #[derive(Clone, Debug)]
 struct AccountBucket {
+    unheard: f64,
+    heard_at: Timestamp,
     level: f64,
     capacity: f64,
     filled_at: Timestamp,
@@ -94,6 +103,7 @@
     counters: BTreeMap<(Incarnation, AccountName), (u64, u64)>,
     starts_full: bool,
     slack: LimitSlack,
+    heard_at: Timestamp,
 }
 
 impl AccountLimits {
@@ -108,6 +118,7 @@
             counters: BTreeMap::new(),
             starts_full,
             slack,
+            heard_at: Timestamp(0),
         }
     }
 
@@ -127,7 +138,10 @@
             return Ok(());
         }
         let starts_full = self.starts_full;
-        let capacity = self.slack.capacity(rule);
+        let part = self.part(now, view);
+        let whole = self.slack.capacity(rule);
+        let capacity = whole * part;
+        let heard_at = self.heard_at;
         let bucket = self
             .buckets
             .entry(rule.name.clone())
@@ -136,8 +150,10 @@
                 capacity,
                 filled_at: now,
                 admitted: 0,
+                unheard: 0.0,
+                heard_at,
             });
-        let fill = rule.rate * view.part();
+        let fill = rule.rate * part;
         let passed = now.since(bucket.filled_at).as_secs_f64();
         bucket.level = (bucket.level + passed * fill).min(capacity);
         bucket.capacity = capacity;
@@ -149,11 +165,36 @@
             let missing = (needed - bucket.level) / fill.max(f64::MIN_POSITIVE);
             return Err(Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX));
         }
+        // What is admitted before others hear of it is bounded too.
+        if bucket.heard_at != heard_at {
+            bucket.heard_at = heard_at;
+            bucket.unheard = 0.0;
+        }
+        let entries = view.entries.max(1) as f64;
+        let silence = now.since(heard_at);
+        let allowed = (whole * UNHEARD_BUCKETS + rule.rate * silence.as_secs_f64()) / entries;
+        if bucket.unheard > 0.0 && bucket.unheard + units as f64 > allowed {
+            return Err(NEWS_OVERDUE);
+        }
+        bucket.unheard += units as f64;
         bucket.level -= units as f64;
         bucket.admitted += units;
         Ok(())
     }
 
+    /// Notes that a hub told what others admitted.
+    pub fn note_heard(&mut self, now: Timestamp) {
+        self.heard_at = now;
+    }
+
+    /// Returns the part of every limit that this entry may give out: that of
+    /// the entries that are heard, or its own alone once news are overdue.
+    fn part(&self, now: Timestamp, view: ShareView) -> f64 {
+        let fresh = now.since(self.heard_at) < NEWS_OVERDUE;
+        let heard = if fresh { view.heard } else { 1 };
+        ShareView { heard, ..view }.part()
+    }
+
     /// Returns the level of an account's bucket, if anything was admitted.
     pub fn level(&self, account: &AccountName) -> Option<f64> {
         self.buckets.get(account).map(|bucket| bucket.level)
@@ -185,17 +226,25 @@
     }
 
     /// Takes what was told here into account.
-    pub fn merge_told(&mut self, own: Incarnation) {
+    pub fn merge_told(&mut self, now: Timestamp, own: Incarnation) {
+        self.note_heard(now);
         let totals = self.told_totals(None);
         for (account, units) in totals {
-            self.merge(own, &account, units);
+            self.merge(now, own, &account, units);
         }
     }
 
     /// Takes a count of what others admitted into account, as one entry, the
     /// counter, sums it. Each counter begins somewhere else, so counts are
     /// compared from the first word of each; the highest is the one.
-    pub fn merge(&mut self, counter: Incarnation, account: &AccountName, units: u64) {
+    pub fn merge(
+        &mut self,
+        now: Timestamp,
+        counter: Incarnation,
+        account: &AccountName,
+        units: u64,
+    ) {
+        self.note_heard(now);
         let debited = self.debited.entry(account.clone()).or_default();
         let key = (counter, account.clone());
         let begun = (*debited, units);
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -311,10 +311,7 @@
     /// Returns how many entries share limits, and how many are heard, by this
     /// entry itself or by the hub that hears the most.
     pub fn share_view(&self, now: Timestamp) -> ShareView {
-        let own = ShareView {
-            entries: self.peers.len() + 1,
-            heard: self.peers.values().filter(|peer| peer.tells(now)).count() + 1,
-        };
+        let own = self.direct_view(now);
         let views = self.peers.values().filter_map(|peer| peer.fresh_view(now));
         let told = views.map(|view| ShareView {
             entries: view.entries.max(own.entries),
@@ -325,6 +322,16 @@
             .unwrap_or(own)
     }
 
+    /// Returns how many entries share limits, and how many tell their news here.
+    /// Only this may be passed on: what hubs say of each other would keep
+    /// entries alive that are gone.
+    pub fn direct_view(&self, now: Timestamp) -> ShareView {
+        ShareView {
+            entries: self.peers.len() + 1,
+            heard: self.peers.values().filter(|peer| peer.tells(now)).count() + 1,
+        }
+    }
+
     /// Returns the highest fence that another entry is heard to hold.
     pub fn heard_fence(&self, now: Timestamp) -> Option<FenceToken> {
         let direct = self.peers.values().filter(|peer| peer.tells(now));
@@ -352,15 +359,20 @@
     /// Sums the load that other entries put on each backend server: what they
     /// told here, or what the hub that hears the most told.
     pub fn uses(&self, now: Timestamp) -> BTreeMap<String, BackendUse> {
-        let telling = self.peers.values().filter(|peer| peer.tells(now));
-        let told = telling.clone().count() + 1;
+        let told = self.direct_view(now).heard;
         let views = self.peers.values().filter_map(|peer| peer.fresh_view(now));
         match views.max_by_key(|view| view.heard) {
             Some(view) if view.heard > told => sum_uses(&view.uses),
-            _ => sum_uses(telling.flat_map(|peer| &peer.uses)),
+            _ => self.direct_uses(now),
         }
     }
 
+    /// Sums the load that other entries told here, to be passed on.
+    pub fn direct_uses(&self, now: Timestamp) -> BTreeMap<String, BackendUse> {
+        let telling = self.peers.values().filter(|peer| peer.tells(now));
+        sum_uses(telling.flat_map(|peer| &peer.uses))
+    }
+
     /// Returns the load of one entry as it told, to be left out of its digest.
     pub fn uses_of(&self, name: &EntryName) -> &[BackendUse] {
         self.peers.get(name).map_or(&[], |peer| &peer.uses)
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -55,7 +55,7 @@
         return;
     }
     let common = common_news(context);
-    let sums = context.peers.lock().uses(now);
+    let sums = context.peers.lock().direct_uses(now);
     for message in due {
         if message.reopen {
             context.links.forget(message.address);
@@ -130,7 +130,7 @@
     now: Timestamp,
 ) {
     let peers = context.peers.lock();
-    let share = peers.share_view(now);
+    let share = peers.direct_view(now);
     let receiver = peers.get(&message.name);
     let incarnation = receiver.and_then(|peer| peer.incarnation);
     let their_hash = receiver.map_or(0, |peer| peer.backends_hash);
@@ -271,7 +271,7 @@
     for item in &news.admitted {
         limits.note_told(news.incarnation, &item.account, item.units, young);
     }
-    limits.merge_told(context.incarnation);
+    limits.merge_told(context.now(), context.incarnation);
 }
 
 fn note_counts(context: &GatewayContext, news: &GatewayNews) {
@@ -283,8 +283,9 @@
 
 fn note_digest(context: &GatewayContext, news: &GatewayNews, digest: &HubDigest, now: Timestamp) {
     let mut limits = context.limits.lock();
+    limits.note_heard(now);
     for item in &digest.admitted {
-        limits.merge(news.incarnation, &item.account, item.units);
+        limits.merge(now, news.incarnation, &item.account, item.units);
     }
     drop(limits);
     let mut peers = context.peers.lock();
--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -19,7 +19,7 @@
 /// How full the slots of a replica may be on average.
 const SLOT_FILLING: f64 = 0.7;
 /// Replicas beside what demand needs, for what the average does not show.
-const SPARE_REPLICAS: f64 = 1.0;
+const SPARE_REPLICAS: f64 = 2.0;
 /// The share of the replicas there at the start that is kept until demand is
 /// known: operators size a service for its busiest times.
 const START_SHARE: f64 = 0.4;
--- /dev/null
+++ b/lib/tests/test_gateway_backends.rs
@@ -0,0 +1,206 @@
+//! What is believed of backend servers, and which one a request goes to.
+
+use std::time::Duration;
+
+use cloverbend::gateway::backend_set::BackendChange;
+use cloverbend::gateway::backend_set::BackendId;
+use cloverbend::gateway::backend_set::BackendOutcome;
+use cloverbend::gateway::backend_set::BackendRecord;
+use cloverbend::gateway::backend_set::BackendSet;
+use cloverbend::gateway::backend_set::LoadReport;
+use cloverbend::gateway::call_head::PromptPart;
+use cloverbend::gateway::engine_choice::ChoiceQuery;
+use cloverbend::gateway::engine_choice::choose_backend;
+use cloverbend::gateway::send_budget::SendBudget;
+use cloverbend::gateway::send_budget::SendBudgetRule;
+use cloverbend::id::ServiceName;
+use cloverbend::id::ZoneName;
+use cloverbend::quantity::Timestamp;
+use cloverbend::quantity::TokenCount;
+
+fn record(id: &str, leaving: bool) -> BackendRecord {
+    BackendRecord {
+        id: BackendId(id.to_owned()),
+        service: "pool".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+        slots: 4,
+        leaving,
+        reclaimable: false,
+    }
+}
+
+fn id(text: &str) -> BackendId {
+    BackendId(text.to_owned())
+}
+
+fn set_of(ids: &[&str]) -> BackendSet {
+    let mut set = BackendSet::new();
+    for one in ids {
+        set.put(record(one, false));
+    }
+    set
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+#[test]
+fn a_missing_record_means_gone_only_when_the_store_was_there() {
+    let mut set = set_of(&["a", "b"]);
+    let gone = set.note_absent(at(10_000), &id("a"));
+    assert_eq!(gone, Some(BackendChange::Gone(id("a"))));
+    set.note_store_back(at(20_000));
+    let missing = set.note_absent(at(20_500), &id("b"));
+    assert_eq!(missing, Some(BackendChange::Missing(id("b"))));
+    assert_eq!(set.expire_missing(at(21_000)), []);
+    set.put(record("b", false));
+    assert_eq!(set.expire_missing(at(23_000)), []);
+    set.note_absent(at(22_000), &id("b"));
+    let gone = set.expire_missing(at(23_000));
+    assert_eq!(gone, [BackendChange::Gone(id("b"))]);
+}
+
+#[test]
+fn a_list_that_others_kept_fresh_needs_no_grace() {
+    let mut set = set_of(&["a"]);
+    set.confirm(at(19_500));
+    set.note_store_back(at(20_000));
+    let gone = set.note_absent(at(20_100), &id("a"));
+    assert_eq!(gone, Some(BackendChange::Gone(id("a"))));
+}
+
+#[test]
+fn a_list_with_missing_servers_proves_nothing() {
+    let mut set = set_of(&["a", "b"]);
+    set.note_store_back(at(1_000));
+    set.note_absent(at(1_100), &id("a"));
+    set.confirm(at(1_200));
+    assert_eq!(set.confirmed_at(), None);
+    set.put(record("a", false));
+    set.confirm(at(1_300));
+    assert_eq!(set.confirmed_at(), Some(at(1_300)));
+}
+
+#[test]
+fn equal_lists_have_equal_digests() {
+    let mut one = set_of(&["a", "b"]);
+    let other = set_of(&["b", "a"]);
+    assert_eq!(one.list_hash(), other.list_hash());
+    one.put(record("a", true));
+    assert_ne!(one.list_hash(), other.list_hash());
+}
+
+fn part(number: u64, tokens: u64) -> PromptPart {
+    PromptPart {
+        id: number,
+        tokens: TokenCount(tokens),
+    }
+}
+
+struct Chooser {
+    service: ServiceName,
+    zone: ZoneName,
+}
+
+impl Chooser {
+    fn new() -> Self {
+        Self {
+            service: "pool".parse().unwrap(),
+            zone: "zone-a".parse().unwrap(),
+        }
+    }
+
+    fn choose(&self, set: &BackendSet, now: Timestamp, parts: &[PromptPart]) -> Option<String> {
+        self.choose_untried(set, now, parts, &[])
+    }
+
+    fn choose_untried(
+        &self,
+        set: &BackendSet,
+        now: Timestamp,
+        parts: &[PromptPart],
+        tried: &[BackendId],
+    ) -> Option<String> {
+        let query = ChoiceQuery {
+            service: &self.service,
+            zone: &self.zone,
+            parts,
+            tried,
+        };
+        choose_backend(set, now, &query).map(|choice| choice.id.0)
+    }
+}
+
+#[test]
+fn a_leaving_or_tried_server_is_never_chosen() {
+    let mut set = set_of(&["a", "b"]);
+    set.put(record("a", true));
+    let chooser = Chooser::new();
+    assert_eq!(chooser.choose(&set, at(0), &[]).as_deref(), Some("b"));
+    let none = chooser.choose_untried(&set, at(0), &[], &[id("b")]);
+    assert_eq!(none, None);
+}
+
+#[test]
+fn requests_with_a_shared_part_stay_together_until_it_is_crowded() {
+    let mut set = set_of(&["a", "b", "c", "d"]);
+    let chooser = Chooser::new();
+    let parts = [part(1, 500), part(77, 4_000), part(1_000, 200)];
+    let home = chooser.choose(&set, at(0), &parts).unwrap();
+    // Entries that never talked agree.
+    let elsewhere = set_of(&["d", "c", "b", "a"]);
+    assert_eq!(chooser.choose(&elsewhere, at(0), &parts).unwrap(), home);
+    let load = LoadReport {
+        running: 4,
+        waiting: 20,
+        slots: 4,
+    };
+    set.note_load(at(10), &id(&home), load);
+    assert_ne!(chooser.choose(&set, at(20), &parts).unwrap(), home);
+    // The report grows old, and the part is still kept there.
+    assert_eq!(chooser.choose(&set, at(5_000), &parts).unwrap(), home);
+}
+
+#[test]
+fn a_server_that_breaks_repeatedly_is_passed_over_but_not_for_ever() {
+    let mut set = set_of(&["a", "b"]);
+    let chooser = Chooser::new();
+    let first = chooser.choose(&set, at(0), &[]).unwrap();
+    assert_eq!(
+        set.note_outcome(at(0), &id(&first), BackendOutcome::Broken),
+        None
+    );
+    let pause = set.note_outcome(at(1), &id(&first), BackendOutcome::Broken);
+    assert_eq!(pause, Some(Duration::from_millis(500)));
+    assert_ne!(chooser.choose(&set, at(2), &[]).unwrap(), first);
+    // With all others gone it is used all the same.
+    let others: Vec<BackendId> = set.iter().map(|b| b.record.id.clone()).collect();
+    for other in others.iter().filter(|other| other.0 != first) {
+        set.note_absent(at(3), other);
+    }
+    assert_eq!(chooser.choose(&set, at(4), &[]).unwrap(), first);
+}
+
+#[test]
+fn sends_beyond_the_first_stay_below_the_bound_over_all_entries() {
+    let rule = SendBudgetRule {
+        ratio: 0.2,
+        reserve: 50.0,
+        window: Duration::from_secs(10),
+    };
+    let service: ServiceName = "pool".parse().unwrap();
+    let mut entries = vec![SendBudget::new(); 8];
+    let mut taken = 0;
+    for millis in (0..10_000).step_by(100) {
+        for entry in &mut entries {
+            entry.note_request(at(millis), &service, &rule);
+            while entry.take(at(millis), &service, &rule, 8) {
+                taken += 1;
+            }
+        }
+    }
+    // 800 requests within the window allow 160 and the reserve of 50.
+    assert!((100..=210).contains(&taken), "{taken}");
+}
--- /dev/null
+++ b/lib/tests/test_gateway_config.rs
@@ -0,0 +1,128 @@
+//! Routes, keys and how old the knowledge of a configuration is.
+
+use bytes::Bytes;
+use cloverbend::gateway::config_follower::ConfigFollower;
+use cloverbend::gateway::site_config::AccountRule;
+use cloverbend::gateway::site_config::CallerLimits;
+use cloverbend::gateway::site_config::LimitUnit;
+use cloverbend::gateway::site_config::RepeatRule;
+use cloverbend::gateway::site_config::RouteRule;
+use cloverbend::gateway::site_config::RouteTarget;
+use cloverbend::gateway::site_config::SiteConfig;
+use cloverbend::id::RevisionNumber;
+use cloverbend::quantity::Timestamp;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+
+const LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 1_000,
+    body_bytes: 1_000,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![
+            RouteTarget {
+                service: "left".parse().unwrap(),
+                weight: 90,
+            },
+            RouteTarget {
+                service: "right".parse().unwrap(),
+                weight: 10,
+            },
+        ],
+        repeat: RepeatRule::AtMostOnce,
+        streaming: false,
+        resumable: false,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_secs(1),
+        max_attempts: 1,
+        priority: 0,
+        public: false,
+    }
+}
+
+fn config(revision: u64) -> SiteConfig {
+    let mut config = SiteConfig::new(RevisionNumber(revision), LIMITS);
+    config.routes = vec![
+        route("wide", "a.example", "/x/"),
+        route("narrow", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/"),
+    ];
+    let account = AccountRule {
+        name: "depots".parse().unwrap(),
+        priority: None,
+        unit: LimitUnit::Requests,
+        rate: 0.0,
+        burst: 0.0,
+    };
+    config.add_account(account, ["key-one", "key-two"]);
+    config
+}
+
+#[rstest]
+#[case("a.example", "/x/y/z", Some("narrow"))]
+#[case("A.Example", "/x/z", Some("wide"))]
+#[case("b.example", "/x/y/", Some("other"))]
+#[case("b.example", "/x/", None)]
+#[case("c.example", "/x/", None)]
+#[case("a.example", "/x", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let config = config(1);
+    let found = config.find_route(host, path).map(|r| r.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[rstest]
+#[case("key-one", true)]
+#[case("key-two", true)]
+#[case("key-three", false)]
+#[case("", false)]
+fn keys_are_found_by_their_digest(#[case] key: &str, #[case] known: bool) {
+    assert_eq!(config(1).find_account(key).is_some(), known);
+}
+
+#[test]
+fn targets_get_their_share() {
+    let route = route("wide", "a.example", "/x/");
+    let left = (0..1_000).filter(|n| route.target(*n).unwrap().as_str() == "left");
+    assert_eq!(left.count(), 900);
+}
+
+#[test]
+fn knowledge_ages_from_the_question() {
+    let mut follower = ConfigFollower::new();
+    follower.confirm(RevisionNumber(0), Timestamp::from_millis(5));
+    assert_eq!(follower.age(Timestamp::from_millis(9)), None);
+    assert!(follower.offer(config(3), Bytes::new()));
+    follower.confirm(RevisionNumber(3), Timestamp::from_millis(10));
+    // Others know of a newer one: what this entry has is not the newest.
+    follower.confirm(RevisionNumber(4), Timestamp::from_millis(500));
+    // An answer that was slower than a later one changes nothing.
+    follower.confirm(RevisionNumber(3), Timestamp::from_millis(2));
+    let age = follower.age(Timestamp::from_millis(1_010));
+    assert_eq!(age, Some(Duration::from_secs(1)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn revisions_only_rise(offered in prop::collection::vec(1_u64..20, 1..40)) {
+        let mut follower = ConfigFollower::new();
+        let mut highest = 0;
+        for revision in offered {
+            let adopted = follower.offer(config(revision), Bytes::new());
+            prop_assert_eq!(adopted, revision > highest);
+            highest = highest.max(revision);
+            prop_assert_eq!(follower.revision(), RevisionNumber(highest));
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_gateway_duties.rs
@@ -0,0 +1,190 @@
+//! The lease by log order, decided usage, and the plan of replicas.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cloverbend::gateway::duty_lease::DutyLease;
+use cloverbend::gateway::duty_lease::DutyRecord;
+use cloverbend::gateway::replica_plan::ReplicaDemand;
+use cloverbend::gateway::replica_plan::ReplicaPlanner;
+use cloverbend::gateway::replica_plan::ReplicaSupply;
+use cloverbend::gateway::replica_plan::ZoneSupply;
+use cloverbend::gateway::site_config::ScaleRule;
+use cloverbend::id::FenceToken;
+use cloverbend::id::Incarnation;
+use cloverbend::id::LogOffset;
+use cloverbend::quantity::Timestamp;
+use proptest::prelude::*;
+
+const LEASE: Duration = Duration::from_secs(3);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn claim(number: u64) -> DutyRecord {
+    DutyRecord::Claim {
+        entry: format!("entry-{number}").parse().unwrap(),
+        incarnation: Incarnation(number),
+    }
+}
+
+fn usage(window: u64, count: u64) -> DutyRecord {
+    let counts = BTreeMap::from([("depots".parse().unwrap(), count)]);
+    DutyRecord::Usage { window, counts }
+}
+
+#[test]
+fn the_offset_of_the_last_claim_is_the_fence() {
+    let mut lease = DutyLease::new(at(0), Incarnation(1));
+    lease.apply(LogOffset(4), claim(1));
+    assert_eq!(lease.fence(), Some(FenceToken(4)));
+    lease.apply(LogOffset(5), claim(2));
+    assert_eq!(lease.fence(), None);
+    // A record that was read already changes nothing.
+    lease.apply(LogOffset(4), claim(1));
+    assert_eq!(lease.fence(), None);
+}
+
+#[test]
+fn entries_wait_in_order_and_a_former_holder_longest() {
+    let mut lease = DutyLease::new(at(0), Incarnation(1));
+    assert!(!lease.should_claim(at(900), false, 0));
+    assert!(lease.should_claim(at(1_000), false, 0));
+    assert!(!lease.should_claim(at(1_000), false, 1));
+    assert!(lease.should_claim(at(1_400), false, 1));
+    assert!(!lease.should_claim(at(1_500), true, 0));
+    assert!(!lease.should_claim(at(2_400), false, 0));
+    lease.give_up(at(3_000), LEASE);
+    assert!(!lease.should_claim(at(5_900), false, 0));
+    assert!(lease.should_claim(at(6_000), false, 0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+    /// Whatever holders append in whatever order, and wherever entries begin
+    /// to read, those that read a decision know the same one, and at most one
+    /// entry that has read everything holds the lease.
+    #[test]
+    fn entries_agree_on_holder_and_decisions(
+        records in prop::collection::vec((0_u64..3, 0_u64..4, 0_u64..9), 1..40),
+        starts in prop::collection::vec(0_usize..40, 3),
+    ) {
+        let records: Vec<DutyRecord> = records
+            .into_iter()
+            .map(|(holder, window, count)| {
+                if count == 0 { claim(holder) } else { usage(window, count) }
+            })
+            .collect();
+        let mut leases = Vec::new();
+        for (number, start) in starts.iter().enumerate() {
+            let mut lease = DutyLease::new(at(0), Incarnation(number as u64));
+            for (offset, record) in records.iter().enumerate().skip(*start) {
+                lease.apply(LogOffset(offset as u64), record.clone());
+            }
+            leases.push((*start, lease));
+        }
+        let holders = leases.iter().filter(|(_, lease)| lease.fence().is_some());
+        prop_assert!(holders.count() <= 1);
+        for window in 0..4 {
+            let first = records.iter().position(|record| {
+                matches!(record, DutyRecord::Usage { window: w, .. } if *w == window)
+            });
+            for (start, lease) in &leases {
+                if first.is_some_and(|first| first >= *start) {
+                    let record = &records[first.unwrap()];
+                    let DutyRecord::Usage { counts, .. } = record else { continue };
+                    prop_assert_eq!(lease.decided(window), Some(counts));
+                }
+            }
+        }
+    }
+}
+
+fn scale_rule() -> ScaleRule {
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+    ScaleRule {
+        min: 1,
+        max: 6,
+        startup: Duration::from_secs(4),
+        reclaimable_price: 0.18,
+        zone_prices: prices
+            .iter()
+            .map(|(zone, price)| (zone.parse().unwrap(), *price))
+            .collect(),
+    }
+}
+
+fn supply(reclaimable: [u32; 4], fixed: [u32; 4]) -> ZoneSupply {
+    let zones = ["a", "b", "c", "d"]
+        .iter()
+        .zip(reclaimable.iter().zip(fixed));
+    zones
+        .map(|(zone, (reclaimable, fixed))| {
+            let supply = ReplicaSupply {
+                reclaimable: *reclaimable,
+                fixed,
+            };
+            (zone.parse().unwrap(), supply)
+        })
+        .collect()
+}
+
+/// Plans and shows the orders as `zone: reclaimable + fixed`.
+fn plan(planner: &mut ReplicaPlanner, now: u64, demand: f64, there: &ZoneSupply) -> String {
+    let demand = ReplicaDemand {
+        slots: 0.0,
+        reading: demand,
+    };
+    let service = "pool".parse().unwrap();
+    let orders = planner.plan(at(now), &service, &scale_rule(), demand, there);
+    let mut zones: BTreeMap<String, [u32; 2]> = BTreeMap::new();
+    for order in orders {
+        let counts = zones.entry(order.zone.to_string()).or_default();
+        counts[usize::from(!order.reclaimable)] = order.count;
+        assert!(counts[0] + counts[1] <= scale_rule().max);
+    }
+    let shown = zones
+        .iter()
+        .map(|(zone, [r, f])| format!("{zone}: {r} + {f}"));
+    shown.collect::<Vec<_>>().join(", ")
+}
+
+#[test]
+fn replicas_move_to_reclaimable_vms_and_back_while_these_are_away() {
+    let start = supply([0; 4], [3, 2, 2, 2]);
+    let mut planner = ReplicaPlanner::new(&start);
+    let mut steps = vec![plan(&mut planner, 0, 0.0, &start)];
+    let there = supply([2; 4], [0, 2, 0, 2]);
+    steps.push(plan(&mut planner, 5_000, 0.6, &there));
+    steps.push(plan(&mut planner, 11_000, 0.6, &there));
+    // A zone is reclaimed: the fullest of the others may be next.
+    let there = supply([2, 0, 2, 2], [0, 1, 0, 0]);
+    steps.push(plan(&mut planner, 12_000, 0.6, &there));
+    let there = supply([0; 4], [0, 3, 0, 2]);
+    steps.push(plan(&mut planner, 14_000, 0.6, &there));
+    // They are back; the others are kept for a while.
+    let there = supply([2; 4], [0, 3, 0, 2]);
+    steps.push(plan(&mut planner, 30_000, 0.6, &there));
+    steps.push(plan(&mut planner, 36_000, 0.6, &there));
+    insta::assert_snapshot!(steps.join("\n"));
+}
+
+#[test]
+fn what_cannot_be_had_pushes_out_nothing_that_serves() {
+    let start = supply([0; 4], [0, 4, 0, 4]);
+    let mut planner = ReplicaPlanner::new(&start);
+    let shown = plan(&mut planner, 1_000, 12.0, &start);
+    let fixed: u32 = shown
+        .split(", ")
+        .map(|zone| zone.rsplit(' ').next().unwrap().parse::<u32>().unwrap())
+        .sum();
+    assert!(fixed >= 8, "{shown}");
+}
+
+#[test]
+fn a_new_holder_goes_on_with_what_is_there() {
+    let there = supply([3; 4], [0, 1, 0, 0]);
+    let mut planner = ReplicaPlanner::new(&there);
+    insta::assert_snapshot!(plan(&mut planner, 0, 0.0, &there));
+}
--- /dev/null
+++ b/lib/tests/test_gateway_limits.rs
@@ -0,0 +1,273 @@
+//! Limits shared by entries that tell each other what they admitted.
+
+use std::time::Duration;
+
+use cloverbend::gateway::account_limits::AccountLimits;
+use cloverbend::gateway::account_limits::LimitSlack;
+use cloverbend::gateway::account_limits::ShareView;
+use cloverbend::gateway::site_config::AccountRule;
+use cloverbend::gateway::site_config::LimitUnit;
+use cloverbend::gateway::usage_table::UsageTable;
+use cloverbend::gateway::work_meter::WorkMeter;
+use cloverbend::id::AccountName;
+use cloverbend::id::Incarnation;
+use cloverbend::quantity::Timestamp;
+use rstest::rstest;
+
+const ENTRIES: usize = 8;
+const RATE: f64 = 100_000.0;
+const WINDOW: Duration = Duration::from_secs(8);
+const SLACK: LimitSlack = LimitSlack {
+    window: WINDOW,
+    overage: 0.1,
+    units: 140_000.0,
+};
+
+fn rule() -> AccountRule {
+    AccountRule {
+        name: "depots".parse().unwrap(),
+        priority: None,
+        unit: LimitUnit::Tokens { plain: 200 },
+        rate: RATE,
+        burst: RATE,
+    }
+}
+
+/// What may be used in a window by the operator's bounds.
+fn bound() -> f64 {
+    (RATE * WINDOW.as_secs_f64() + RATE) * (1.0 + SLACK.overage) + SLACK.units
+}
+
+/// Entries that admit, and the first of them as their only hub.
+struct LimitWorld {
+    entries: Vec<AccountLimits>,
+    cut: Vec<usize>,
+    admitted: Vec<(Timestamp, u64)>,
+}
+
+impl LimitWorld {
+    fn new(cut: &[usize]) -> Self {
+        Self {
+            entries: (0..ENTRIES)
+                .map(|_| AccountLimits::new(true, SLACK))
+                .collect(),
+            cut: cut.to_vec(),
+            admitted: Vec::new(),
+        }
+    }
+
+    fn view(&self, entry: usize) -> ShareView {
+        let heard = if self.cut.contains(&entry) {
+            1
+        } else {
+            ENTRIES - self.cut.len()
+        };
+        ShareView {
+            entries: ENTRIES,
+            heard,
+        }
+    }
+
+    fn offer(&mut self, now: Timestamp, entry: usize, units: u64) {
+        let view = self.view(entry);
+        if self.entries[entry].admit(now, &rule(), units, view).is_ok() {
+            self.admitted.push((now, units));
+        }
+    }
+
+    fn exchange(&mut self, now: Timestamp) {
+        let account = rule().name;
+        let connected: Vec<usize> = (0..ENTRIES).filter(|e| !self.cut.contains(e)).collect();
+        for entry in &connected[1..] {
+            let own = self.entries[*entry]
+                .admitted()
+                .next()
+                .map_or(0, |(_, units)| units);
+            self.entries[0].note_told(Incarnation(*entry as u64), &account, own, true);
+        }
+        self.entries[0].merge_told(now, Incarnation(0));
+        for entry in &connected[1..] {
+            let left_out = Some(Incarnation(*entry as u64));
+            for total in self.entries[0].totals_without(left_out) {
+                self.entries[*entry].merge(now, Incarnation(0), &account, total.units);
+            }
+        }
+    }
+
+    /// Returns the most that was admitted in any window.
+    fn most_in_window(&self) -> u64 {
+        let starts = self.admitted.iter().map(|(start, _)| *start);
+        let within = |start: Timestamp| {
+            let inside = self
+                .admitted
+                .iter()
+                .filter(move |(at, _)| *at >= start && at.since(start) < WINDOW);
+            inside.map(|(_, units)| *units).sum()
+        };
+        starts.map(within).max().unwrap_or(0)
+    }
+
+    /// Runs 24 seconds in which every entry is offered `each` units a second.
+    fn run(&mut self, each: u64) {
+        for step in 0..2_400_u64 {
+            let now = Timestamp::from_millis(step * 10);
+            let entry = (step % ENTRIES as u64) as usize;
+            self.offer(now, entry, each * ENTRIES as u64 / 100);
+            if step % 25 == 0 {
+                self.exchange(now);
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::all_talk(&[])]
+#[case::one_is_cut_off(&[3])]
+#[case::half_is_cut_off(&[4, 5, 6, 7])]
+fn a_pressing_account_stays_within_its_bound(#[case] cut: &[usize]) {
+    let mut world = LimitWorld::new(cut);
+    world.run((RATE / ENTRIES as f64) as u64 * 7);
+    let most = world.most_in_window() as f64;
+    assert!(most <= bound(), "{most} of {}", bound());
+    // Most of what is allowed is used where all talk.
+    assert!(
+        cut.len() > 1 || most >= RATE * WINDOW.as_secs_f64() * 0.8,
+        "{most}"
+    );
+}
+
+#[test]
+fn entries_that_hear_nothing_any_more_keep_to_their_own_part() {
+    // All talk for eight seconds with full buckets, then the hub is silent.
+    let mut world = LimitWorld::new(&[]);
+    for step in 0..3_200_u64 {
+        let now = Timestamp::from_millis(step * 10);
+        let pressed = now >= Timestamp::from_millis(8_000);
+        let each = if pressed { RATE as u64 } else { 1_000 };
+        world.offer(
+            now,
+            (step % ENTRIES as u64) as usize,
+            each / 100 * ENTRIES as u64,
+        );
+        if !pressed && step % 25 == 0 {
+            world.exchange(now);
+        }
+    }
+    let most = world.most_in_window() as f64;
+    assert!(most <= bound(), "{most} of {}", bound());
+}
+
+#[rstest]
+#[case::alone(1)]
+#[case::without_news(4)]
+fn an_entry_without_news_gives_out_its_part_for_ever(#[case] entries: usize) {
+    let mut limits = AccountLimits::new(true, SLACK);
+    let view = ShareView { entries, heard: 1 };
+    let mut admitted = 0;
+    for millis in 0..40_000 {
+        let now = Timestamp::from_millis(millis);
+        admitted += u64::from(limits.admit(now, &rule(), 100, view).is_ok());
+    }
+    let part = RATE / entries as f64 * 40.0;
+    let used = admitted as f64 * 100.0 / part;
+    assert!((0.95..1.1).contains(&used), "{used}");
+}
+
+#[test]
+fn an_account_below_its_limit_is_not_refused() {
+    let mut world = LimitWorld::new(&[]);
+    world.run((RATE / ENTRIES as f64 * 0.9) as u64);
+    assert_eq!(world.admitted.len(), 2_400);
+}
+
+#[test]
+fn an_entry_that_starts_later_admits_nothing_at_once() {
+    let mut limits = AccountLimits::new(false, SLACK);
+    let view = ShareView {
+        entries: 2,
+        heard: 2,
+    };
+    limits.note_heard(Timestamp(0));
+    let early = limits.admit(Timestamp(0), &rule(), 1_000, view);
+    assert_eq!(early, Err(Duration::from_millis(10)));
+    let later = limits.admit(Timestamp::from_millis(20), &rule(), 1_000, view);
+    assert_eq!(later, Ok(()));
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let mut limits = AccountLimits::new(true, SLACK);
+    let view = ShareView {
+        entries: 1,
+        heard: 1,
+    };
+    let account = rule().name;
+    limits.admit(Timestamp(0), &rule(), 5_000, view).unwrap();
+    let before = limits.level(&account);
+    limits.admit(Timestamp(0), &rule(), 700, view).unwrap();
+    limits.give_back(&account, 700);
+    assert_eq!(limits.level(&account), before);
+    assert_eq!(limits.admitted().next(), Some((&account, 5_000)));
+}
+
+#[test]
+fn two_hubs_that_count_the_same_debit_it_once() {
+    let mut limits = AccountLimits::new(true, SLACK);
+    let account: AccountName = rule().name;
+    let view = ShareView {
+        entries: 3,
+        heard: 3,
+    };
+    limits.note_heard(Timestamp(0));
+    limits.admit(Timestamp(0), &rule(), 0, view).unwrap();
+    let full = limits.level(&account).unwrap();
+    for (hub, units) in [
+        (1, 0),
+        (2, 0),
+        (1, 400),
+        (2, 300),
+        (2, 400),
+        (1, 400),
+        (2, 900),
+    ] {
+        limits.merge(Timestamp(0), Incarnation(hub), &account, units);
+    }
+    assert_eq!(limits.level(&account), Some(full - 900.0));
+}
+
+#[test]
+fn counts_of_windows_are_kept_by_life_and_never_fall() {
+    let account: AccountName = "depots".parse().unwrap();
+    let mut usage = UsageTable::new(Incarnation(1));
+    usage.count(10, &account);
+    usage.note_told(Incarnation(2), 10, &account, 5);
+    usage.note_told(Incarnation(2), 10, &account, 3);
+    usage.note_told(Incarnation(3), 10, &account, 2);
+    usage.note_told(Incarnation(1), 10, &account, 99);
+    insta::assert_debug_snapshot!(usage.total(10), @r#"
+    {
+        AccountName(
+            "depots",
+        ): 8,
+    }
+    "#);
+    assert!(usage.total(11).is_empty());
+}
+
+#[test]
+fn work_is_averaged_over_seconds() {
+    let service = "pool".parse().unwrap();
+    let mut meter = WorkMeter::new();
+    for second in 0..40 {
+        for tenth in 0..10 {
+            let now = Timestamp::from_millis(second * 1_000 + tenth * 100);
+            meter.note(now, &service, 500);
+        }
+    }
+    let rate = meter
+        .rates(Timestamp::from_millis(40_000))
+        .next()
+        .unwrap()
+        .1;
+    assert!((4_500.0..5_500.0).contains(&rate), "{rate}");
+}
--- /dev/null
+++ b/lib/tests/test_gateway_peers.rs
@@ -0,0 +1,311 @@
+//! Hubs, digests and the frames between gateway entries.
+
+use cloverbend::gateway::backend_set::BackendId;
+use cloverbend::gateway::backend_set::BackendRecord;
+use cloverbend::gateway::event_splitter::EventSplitter;
+use cloverbend::gateway::peer_book::HUB_COUNT;
+use cloverbend::gateway::peer_book::HubView;
+use cloverbend::gateway::peer_book::PeerBook;
+use cloverbend::gateway::peer_news::AdmittedUnits;
+use cloverbend::gateway::peer_news::BackendUse;
+use cloverbend::gateway::peer_news::ConfigEcho;
+use cloverbend::gateway::peer_news::GatewayNews;
+use cloverbend::gateway::peer_news::HubDigest;
+use cloverbend::gateway::peer_news::NewsFrame;
+use cloverbend::gateway::peer_news::ServiceWork;
+use cloverbend::gateway::peer_news::WindowCount;
+use cloverbend::id::EntryName;
+use cloverbend::id::FenceToken;
+use cloverbend::id::Incarnation;
+use cloverbend::id::RevisionNumber;
+use cloverbend::quantity::Timestamp;
+use proptest::prelude::*;
+use prost::Message;
+
+const ROUND_MS: u64 = 250;
+
+fn name(number: usize) -> EntryName {
+    format!("entry-{number}").parse().unwrap()
+}
+
+fn news(number: usize, sent_at: u64) -> GatewayNews {
+    GatewayNews {
+        incarnation: Incarnation(number as u64 + 1),
+        name: name(number),
+        address: format!("127.0.0.1:{}", 1_000 + number).parse().unwrap(),
+        sent_at,
+        leaving: false,
+        revision: RevisionNumber(1),
+        document: None,
+        echo: None,
+        fence: None,
+        tells: false,
+        wants_digest: false,
+        backends_hash: 0,
+        admitted: Vec::new(),
+        counts: Vec::new(),
+        uses: Vec::new(),
+        work: Vec::new(),
+        view: None,
+        digest: None,
+    }
+}
+
+/// Entries that run rounds and hand their messages over at once.
+struct PeerWorld {
+    books: Vec<PeerBook>,
+    dead: Vec<usize>,
+    sent: usize,
+    round: u32,
+}
+
+impl PeerWorld {
+    fn new(count: usize) -> Self {
+        let mut books: Vec<PeerBook> = (0..count).map(|n| PeerBook::new(name(n))).collect();
+        for book in &mut books {
+            for number in 0..count {
+                book.note_listed(Timestamp(0), name(number), news(number, 0).address);
+            }
+        }
+        Self {
+            books,
+            dead: Vec::new(),
+            sent: 0,
+            round: 0,
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::from_millis(u64::from(self.round) * ROUND_MS)
+    }
+
+    fn run(&mut self, rounds: u32) {
+        for _ in 0..rounds {
+            self.round += 1;
+            let now = self.now();
+            for sender in 0..self.books.len() {
+                if self.dead.contains(&sender) {
+                    continue;
+                }
+                for message in self.books[sender].due(now, self.round) {
+                    self.sent += 1;
+                    self.deliver(sender, &message.name, message.tells, message.digest, now);
+                }
+            }
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        sender: usize,
+        to: &EntryName,
+        tells: bool,
+        digest: bool,
+        now: Timestamp,
+    ) {
+        let receiver = (0..self.books.len())
+            .find(|number| name(*number) == *to)
+            .unwrap();
+        if self.dead.contains(&receiver) {
+            return;
+        }
+        let mut message = news(sender, now.0);
+        message.tells = tells;
+        message.wants_digest = tells;
+        let share = self.books[sender].direct_view(now);
+        message.view = digest.then(|| HubView {
+            entries: share.entries,
+            heard: share.heard,
+            fence: None,
+            uses: Vec::new(),
+        });
+        self.books[receiver].note_news(now, &message);
+    }
+
+    fn heard(&self) -> Vec<usize> {
+        let now = self.now();
+        let living = (0..self.books.len()).filter(|number| !self.dead.contains(number));
+        living
+            .map(|number| self.books[number].share_view(now).heard)
+            .collect()
+    }
+
+    fn first_hubs(&self) -> Vec<usize> {
+        let ranks = self.books.iter().map(|book| book.rank(self.now()));
+        let mut ranked: Vec<(usize, usize)> = ranks.zip(0..).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, number)| number).collect()
+    }
+}
+
+#[test]
+fn every_entry_knows_through_a_hub_how_many_there_are() {
+    let mut world = PeerWorld::new(20);
+    world.run(8);
+    assert_eq!(world.heard(), vec![20; 20]);
+}
+
+#[test]
+fn messages_grow_with_the_entries_and_not_with_their_square() {
+    let mut small = PeerWorld::new(20);
+    small.run(40);
+    let mut large = PeerWorld::new(80);
+    large.run(40);
+    assert!(
+        large.sent <= small.sent * 5,
+        "{} and {}",
+        small.sent,
+        large.sent
+    );
+}
+
+#[test]
+fn hubs_that_die_are_replaced() {
+    let mut world = PeerWorld::new(12);
+    world.run(8);
+    world.dead = world.first_hubs()[..HUB_COUNT].to_vec();
+    world.run(40);
+    assert_eq!(world.heard(), vec![12 - HUB_COUNT; 12 - HUB_COUNT]);
+    let living = world.first_hubs();
+    let first = living
+        .iter()
+        .find(|number| !world.dead.contains(number))
+        .unwrap();
+    assert_eq!(world.books[*first].rank(world.now()), 0);
+}
+
+#[test]
+fn an_entry_alone_knows_it() {
+    let mut world = PeerWorld::new(5);
+    world.run(8);
+    world.dead = vec![0, 1, 2, 3];
+    world.run(20);
+    assert_eq!(world.heard(), vec![1]);
+}
+
+#[test]
+fn news_of_an_earlier_moment_change_nothing() {
+    let mut book = PeerBook::new(name(0));
+    let mut newer = news(1, 500);
+    newer.tells = true;
+    newer.fence = Some(FenceToken(7));
+    assert!(book.note_news(Timestamp(1_000), &newer));
+    let mut older = news(1, 400);
+    older.tells = true;
+    assert!(!book.note_news(Timestamp(1_100), &older));
+    assert_eq!(book.heard_fence(Timestamp(1_200)), Some(FenceToken(7)));
+}
+
+#[test]
+fn the_age_of_knowledge_is_counted_from_the_message_that_is_answered() {
+    let mut book = PeerBook::new(name(0));
+    book.note_news(Timestamp(9_000), &news(1, 500));
+    let echo = book.echo(&name(1), Some(Timestamp(7_000)), Some(Timestamp(9_500)));
+    let expected = ConfigEcho {
+        incarnation: Incarnation(2),
+        sent_at: 500,
+        age: Some(2_000),
+        backends_age: Some(0),
+    };
+    assert_eq!(echo, Some(expected));
+}
+
+fn full_news() -> GatewayNews {
+    let mut full = news(3, 77);
+    full.leaving = true;
+    full.document = Some("{}".into());
+    full.echo = Some(ConfigEcho {
+        incarnation: Incarnation(9),
+        sent_at: 5,
+        age: None,
+        backends_age: Some(6),
+    });
+    full.fence = Some(FenceToken(0));
+    full.tells = true;
+    full.wants_digest = true;
+    full.backends_hash = 8;
+    let units = AdmittedUnits {
+        account: "depots".parse().unwrap(),
+        units: 10,
+    };
+    full.admitted = vec![units.clone()];
+    full.counts = vec![WindowCount {
+        window: 3,
+        account: "depots".parse().unwrap(),
+        count: 4,
+    }];
+    let load = BackendUse {
+        backend: "b".to_owned(),
+        in_flight: 2,
+        unread: 300,
+    };
+    full.uses = vec![load.clone()];
+    full.work = vec![ServiceWork {
+        service: "pool".to_owned(),
+        tokens_per_s: 11,
+    }];
+    full.view = Some(HubView {
+        entries: 5,
+        heard: 4,
+        fence: Some(FenceToken(3)),
+        uses: vec![load],
+    });
+    full.digest = Some(HubDigest {
+        admitted: vec![units],
+        hubs: vec![(name(4), "127.0.0.1:9".parse().unwrap())],
+        backends: Some(vec![BackendRecord {
+            id: BackendId("b".to_owned()),
+            service: "pool".parse().unwrap(),
+            address: "127.0.0.1:8".parse().unwrap(),
+            zone: "zone-a".parse().unwrap(),
+            slots: 4,
+            leaving: true,
+            reclaimable: true,
+        }]),
+    });
+    full
+}
+
+#[test]
+fn news_pass_the_wire_unchanged() {
+    let bytes = NewsFrame::from(full_news()).encode_to_vec();
+    let frame = NewsFrame::decode(bytes.as_slice()).unwrap();
+    assert_eq!(GatewayNews::try_from(frame), Ok(full_news()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn damaged_news_are_refused_or_read(at in 0_usize..200, byte in any::<u8>()) {
+        let mut bytes = NewsFrame::from(full_news()).encode_to_vec();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        if let Ok(frame) = NewsFrame::decode(bytes.as_slice()) {
+            let _ = GatewayNews::try_from(frame);
+        }
+    }
+
+    #[test]
+    fn events_are_cut_at_their_ends_wherever_the_bytes_are(cuts in prop::collection::vec(1_usize..9, 1..40)) {
+        let text: String = (1..=12).map(|n| format!("id: {n}\r\ndata: w{n}\r\n\r\n")).collect();
+        let mut splitter = EventSplitter::new();
+        let mut passed = Vec::new();
+        let mut last = None;
+        let mut rest = text.as_bytes();
+        let mut events = 0;
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() { break; }
+            let (head, tail) = rest.split_at((*cut).min(rest.len()));
+            let batch = splitter.push(head);
+            // Whatever was let through ends with a whole event.
+            prop_assert!(batch.bytes.is_empty() || batch.bytes.ends_with(b"\r\n\r\n"));
+            passed.extend_from_slice(&batch.bytes);
+            last = batch.last_id.or(last);
+            events += batch.count;
+            rest = tail;
+        }
+        prop_assert_eq!(passed, text.as_bytes());
+        prop_assert_eq!(last, Some(12));
+        prop_assert_eq!(events, 12);
+    }
+}
