--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -30,6 +30,8 @@
     NotEverywhere(String),
     /// A policy failed or refused.
     Policy(String),
+    /// No log line names a request.
+    NothingFound(String),
 }
 
 /// The exit code for inputs that are not valid.
@@ -70,6 +72,9 @@
             Self::Lost(_) => Some("look at the revision in force, merge, and publish again"),
             Self::NotEverywhere(_) => Some("ask again with `cloverbend status`"),
             Self::Policy(_) => Some("mend the program and test again"),
+            Self::NothingFound(_) => {
+                Some("give the logs of all entries; a retry has another identifier")
+            }
         }
     }
 }
@@ -93,6 +98,7 @@
             Self::Query(error) => write!(f, "Error: the entry did not answer: {error}")?,
             Self::Caller(error) => write!(f, "Error: {error}")?,
             Self::Publish(error) => write!(f, "Error: {error}")?,
+            Self::NothingFound(request) => write!(f, "Error: no line names request {request}")?,
             Self::Lost(message) | Self::NotEverywhere(message) | Self::Policy(message) => {
                 write!(f, "Error: {message}")?
             }
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod completions;
 mod entries;
+mod explain;
 mod key;
 mod policy;
 mod publish;
@@ -32,6 +33,8 @@
     Trace(trace::TraceArgs),
     /// Check a configuration without publishing it
     Check(check::CheckArgs),
+    /// What log lines say about one request
+    Explain(explain::ExplainArgs),
     /// Try out policies
     #[command(subcommand)]
     Policy(policy::PolicyCommand),
@@ -55,6 +58,7 @@
             Self::Status(args) => status::run(args).await,
             Self::Trace(args) => trace::run(args).await,
             Self::Check(args) => check::run(args),
+            Self::Explain(args) => explain::run(args),
             Self::Policy(command) => policy::run(command),
             Self::Publish(args) => publish::run(args).await,
             Self::Request(command) => request::run(command).await,
--- a/cli/tests/test_cli_commands.rs
+++ b/cli/tests/test_cli_commands.rs
@@ -151,3 +151,18 @@
     let text = report(&cloverbend(folder.path(), &["completions", "bash"]));
     assert!(text.starts_with("exit 0") && text.contains("_cloverbend"));
 }
+
+#[test]
+fn explain_shows_what_logs_say_of_a_request() {
+    let folder = folder();
+    let log = r#"{"msg":"request sent","ts":"2","entry":"entry-1","request":"abc","backend":"b-1"}
+broken
+{"msg":"limit reached","ts":"1","entry":"entry-1","request":"abc","units":12}
+"#;
+    std::fs::write(folder.path().join("entry.log"), log).unwrap();
+    let found = cloverbend(folder.path(), &["explain", "abc", "entry.log"]);
+    let missing = cloverbend(folder.path(), &["explain", "xyz", "entry.log"]);
+    let json = cloverbend(folder.path(), &["explain", "abc", "entry.log", "--json"]);
+    let reports = [found, missing, json].map(|output| report(&output));
+    insta::assert_snapshot!(reports.join("--\n"));
+}
--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -33,6 +33,7 @@
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::gateway_context::OpenCall;
+use crate::gateway::log_budget::LineClass;
 
 /// Why the body of an answer ends early. hyper then closes the caller's
 /// connection without an end of the body.
@@ -124,6 +125,10 @@
         }
     }
 
+    fn logs(&self, class: LineClass) -> bool {
+        self.context.logs(&self.call.head.id.0, class)
+    }
+
     fn note_events(&mut self, batch: &EventBatch) {
         if self.events == 0 {
             count_usage(&self.context, self.call.account_name());
@@ -157,8 +162,10 @@
         let resumed = next_send(&self.context, &self.call, &mut self.plan, self.last_event).await;
         match resumed {
             Ok(sent) if sent.exchange.response.status().is_success() => {
-                info!(self.context.log, "stream resumed"; "request" => %self.call.head.id,
-                    "backend" => %sent.guard.backend, "after_event" => self.last_event);
+                if self.logs(LineClass::Failure) {
+                    info!(self.context.log, "stream resumed"; "request" => %self.call.head.id,
+                        "backend" => %sent.guard.backend, "after_event" => self.last_event);
+                }
                 counter!("cloverbend_streams_resumed_total").increment(1);
                 self.answer = Some(open_answer(sent));
                 let empty = Frame::data(Bytes::new());
@@ -171,9 +178,11 @@
 
     fn break_off(mut self, word: &str) -> (Result<Frame<Bytes>, RelayError>, Self) {
         counter!("cloverbend_streams_broken_total").increment(1);
-        info!(self.context.log, "stream broken off"; "request" => %self.call.head.id,
-            "reason" => word, "events" => self.events,
-            "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        if self.logs(LineClass::Failure) {
+            info!(self.context.log, "stream broken off"; "request" => %self.call.head.id,
+                "reason" => word, "events" => self.events,
+                "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        }
         self.finished = true;
         self.answer = None;
         let error = std::io::Error::other(format!("the stream broke off: {word}"));
@@ -193,14 +202,26 @@
             .pool
             .put_back(&guard.backend, connection, keep_idle);
         counter!("cloverbend_calls_answered_total").increment(1);
-        info!(self.context.log, "request answered"; "request" => %self.call.head.id,
-            "backend" => %guard.backend, "events" => self.events,
-            "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        if self.logs(LineClass::Step) {
+            info!(self.context.log, "request answered"; "request" => %self.call.head.id,
+                "backend" => %guard.backend, "events" => self.events,
+                "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        }
         let rest = self.splitter.take_rest();
         (!rest.is_empty()).then(|| (Ok(Frame::data(rest)), self))
     }
 }
 
+impl Drop for EventRelay {
+    fn drop(&mut self) {
+        if !self.finished && self.logs(LineClass::Failure) {
+            info!(self.context.log, "caller left"; "request" => %self.call.head.id,
+                "events" => self.events,
+                "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
+        }
+    }
+}
+
 fn open_answer(sent: SentCall) -> OpenAnswer {
     OpenAnswer {
         body: sent.exchange.response.into_body(),
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -40,6 +40,7 @@
 use crate::gateway::engine_choice::ChoiceQuery;
 use crate::gateway::engine_choice::choose_backend;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::log_budget::LineClass;
 use crate::gateway::site_config::AccountRule;
 use crate::gateway::site_config::LimitUnit;
 use crate::gateway::site_config::RouteRule;
@@ -260,10 +261,12 @@
     let config = context.config.lock();
     let (revision, age) = (config.revision(), config.age(context.now()));
     drop(config);
-    info!(context.log, "request refused"; "request" => id, "reason" => refusal.word(),
+    if context.logs(id, LineClass::Failure) {
+        info!(context.log, "request refused"; "request" => id, "reason" => refusal.word(),
         "status" => status.as_u16(), "revision" => revision.0,
         "revision_age_ms" => age.map(|age| age.as_millis() as u64),
         "after_ms" => arrived.elapsed().as_millis() as u64);
+    }
     let mut response = Response::new(full_body(Bytes::from(format!("{}\n", refusal.word()))));
     *response.status_mut() = status;
     if let Some(after) = refusal.retry_after() {
@@ -396,10 +399,12 @@
     let level = limits.level(&account.name);
     drop(limits);
     admitted.map_err(|after| {
-        info!(context.log, "limit reached"; "request" => %head.id, "account" => %account.name,
+        if context.logs(&head.id.0, LineClass::Failure) {
+            info!(context.log, "limit reached"; "request" => %head.id, "account" => %account.name,
             "units" => units, "level" => level, "rate" => account.rate,
             "entries" => view.entries, "heard" => view.heard,
             "retry_after_ms" => after.as_millis() as u64);
+        }
         CallRefusal::OverLimit(after)
     })?;
     Ok(units)
@@ -741,6 +746,9 @@
 }
 
 fn log_sent(context: &GatewayContext, call: &AdmittedCall, backend: &BackendId, unread: u64) {
+    if !context.logs(&call.head.id.0, LineClass::Step) {
+        return;
+    }
     info!(context.log, "request sent"; "request" => %call.head.id, "route" => &call.route.name,
         "account" => call.account_name().map(AccountName::as_str), "backend" => %backend,
         "unread_tokens" => unread, "left_ms" => call.left().as_millis() as u64);
@@ -749,12 +757,18 @@
 /// Logs what became of one send.
 pub fn log_send(context: &GatewayContext, call: &AdmittedCall, backend: &BackendId, word: &str) {
     counter!("cloverbend_sends_failed_total", "outcome" => word.to_owned()).increment(1);
+    if !context.logs(&call.head.id.0, LineClass::Failure) {
+        return;
+    }
     info!(context.log, "send failed"; "request" => %call.head.id, "route" => &call.route.name,
         "backend" => %backend, "outcome" => word, "left_ms" => call.left().as_millis() as u64);
 }
 
 fn log_end(context: &GatewayContext, call: &AdmittedCall, backend: &BackendId, status: StatusCode) {
     counter!("cloverbend_calls_answered_total").increment(1);
+    if !context.logs(&call.head.id.0, LineClass::Step) {
+        return;
+    }
     info!(context.log, "request answered"; "request" => %call.head.id, "backend" => %backend,
         "status" => status.as_u16(), "after_ms" => call.arrived.elapsed().as_millis() as u64);
 }
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -24,6 +24,8 @@
 use crate::gateway::edge::LogStore;
 use crate::gateway::edge::PlatformFormat;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::log_budget::LineClass;
+use crate::gateway::log_budget::LogBudget;
 use crate::gateway::peer_book::PeerBook;
 use crate::gateway::send_budget::SendBudget;
 use crate::gateway::usage_table::UsageTable;
@@ -73,6 +75,8 @@
     pub pool: BackendPool,
     /// Connections to other entries.
     pub links: PeerSender,
+    /// The budget of log lines about requests.
+    pub log_budget: Mutex<LogBudget>,
     /// Wakes the exchange of news.
     pub news_due: Notify,
     /// Ends all tasks.
@@ -115,6 +119,7 @@
             duties: Mutex::new(DutyLease::new(now, incarnation)),
             pool: BackendPool::new(),
             links: PeerSender::new(stop.clone(), log.clone()),
+            log_budget: Mutex::new(LogBudget::new()),
             news_due: Notify::new(),
             stop,
             leaving: AtomicBool::new(false),
@@ -132,6 +137,11 @@
         Timestamp(0).after(self.started.elapsed())
     }
 
+    /// Returns whether a line about a request is within the log's budget.
+    pub fn logs(&self, request: &str, class: LineClass) -> bool {
+        self.log_budget.lock().takes(self.now(), request, class)
+    }
+
     /// Returns the window of usage at this moment by the wall clock.
     pub fn window(&self) -> u64 {
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -14,8 +14,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
+use metrics::counter;
+use metrics::gauge;
 use slog::Logger;
 use slog::info;
+use slog::o;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -32,6 +35,7 @@
 use crate::http_server::serve_connections;
 use crate::metrics_export;
 use crate::peer_link::receive_frames;
+use crate::quantity::Timestamp;
 use crate::wire::PeerMessage;
 
 /// How long after SIGTERM new requests are still served: the platform asks
@@ -88,9 +92,9 @@
             Some(address) => Some(listen(address).await?),
             None => None,
         };
+        let log = log.new(o!("entry" => settings.name.to_string()));
         let context = GatewayContext::new(settings, edges, log);
-        info!(context.log, "starting"; "entry" => %context.settings.name,
-            "zone" => %context.settings.zone, "incarnation" => %context.incarnation,
+        info!(context.log, "starting"; "zone" => %context.settings.zone, "incarnation" => %context.incarnation,
             "callers" => %context.settings.caller_address);
         serve_readiness(&context, readiness);
         if let Some(listener) = metrics {
@@ -236,10 +240,34 @@
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
         context.pool.sweep();
+        let dropped = context.log_budget.lock().take_dropped();
+        if dropped > 0 {
+            counter!("cloverbend_log_lines_dropped_total").increment(dropped);
+            info!(context.log, "log lines dropped"; "lines" => dropped);
+        }
+        note_gauges(&context);
         metrics_export::run_upkeep();
     }
 }
 
+/// Sets the gauges: ages of knowledge in seconds, and sizes of tables.
+fn note_gauges(context: &GatewayContext) {
+    let now = context.now();
+    let seconds = |at: Option<Timestamp>| at.map_or(-1.0, |at| now.since(at).as_secs_f64());
+    let config_at = context.config.lock().confirmed_at();
+    gauge!("cloverbend_config_age_seconds").set(seconds(config_at));
+    let backends = context.backends.lock();
+    gauge!("cloverbend_backends_age_seconds").set(seconds(backends.confirmed_at()));
+    gauge!("cloverbend_backends").set(backends.iter().count() as f64);
+    drop(backends);
+    let view = context.peers.lock().share_view(now);
+    gauge!("cloverbend_entries").set(view.entries as f64);
+    gauge!("cloverbend_entries_heard").set(view.heard as f64);
+    gauge!("cloverbend_open_requests").set(context.open_calls() as f64);
+    let holds = context.duties.lock().fence().is_some();
+    gauge!("cloverbend_lease_held").set(f64::from(u8::from(holds)));
+}
+
 fn spawn_until_stop<F>(stop: &CancellationToken, task: F)
 where
     F: Future<Output = ()> + Send + 'static,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod gateway_context;
 pub mod gateway_daemon;
 pub mod gateway_settings;
+pub mod log_budget;
 pub mod peer_book;
 pub mod peer_news;
 pub mod peer_task;
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -231,7 +231,7 @@
     }
     let new_life = context.peers.lock().note_news(now, &news);
     if new_life {
-        info!(context.log, "entry heard"; "entry" => %news.name,
+        info!(context.log, "entry heard"; "other" => %news.name,
             "incarnation" => %news.incarnation, "address" => %news.address);
     }
     if let Some(document) = &news.document {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod lease;
 pub mod limits;
 pub mod log_client;
+pub mod log_reader;
 pub mod logging;
 pub mod member_task;
 pub mod membership;
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -1,5 +1,7 @@
 //! Settings files: every finding at once, each with its place.
 
+use cloverbend::gateway::gateway_settings::GATEWAY_KEYS;
+use cloverbend::gateway::gateway_settings::GatewaySettings;
 use cloverbend::settings::EntrySettings;
 use cloverbend::settings::SETTING_KEYS;
 
@@ -63,7 +65,7 @@
 #[test]
 fn the_operators_page_has_every_key_with_unit_and_default() {
     let page = include_str!("../../docs/operators/settings.md");
-    for key in SETTING_KEYS {
+    for key in SETTING_KEYS.iter().chain(GATEWAY_KEYS) {
         let default = key.default.unwrap_or("-");
         let row = format!(
             "| `{}` | `{}` | {} | {} | {} |",
@@ -75,3 +77,51 @@
         );
     }
 }
+
+#[test]
+fn findings_of_a_gateway_have_their_places() {
+    let text = "[gateway]
+name = entry-1
+zone = zone-a
+caller_address = 127.0.0.1
+first_start = perhaps
+
+[bounds]
+grace_s = -1
+colour = blue
+";
+    let findings = GatewaySettings::parse("bad.ini", text).unwrap_err();
+    insta::assert_snapshot!(findings);
+}
+
+#[test]
+fn the_template_on_the_platform_sets_only_known_keys() {
+    let template = include_str!("../../deploy/settings.ini");
+    let mut section = "";
+    let mut set = Vec::new();
+    for line in template.lines() {
+        if let Some(name) = line.strip_prefix('[') {
+            section = name.trim_end_matches(']');
+        } else if let Some((key, _)) = line.split_once(" = ") {
+            set.push((section, key));
+        }
+    }
+    for (section, key) in &set {
+        let known = GATEWAY_KEYS
+            .iter()
+            .any(|k| k.section == *section && k.key == *key);
+        assert!(known, "[{section}] {key}");
+    }
+    // Every key that has no default must be there.
+    let required = GATEWAY_KEYS
+        .iter()
+        .filter(|key| key.help.ends_with("required"));
+    for key in required {
+        assert!(
+            set.contains(&(key.section, key.key)),
+            "[{}] {}",
+            key.section,
+            key.key
+        );
+    }
+}
