--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -310,6 +310,20 @@
         changes
     }
 
+    /// Takes over a whole list that was the newest at `known_at`, unless the
+    /// own one was confirmed later than that.
+    pub fn replace_older(
+        &mut self,
+        now: Timestamp,
+        known_at: Timestamp,
+        records: Vec<BackendRecord>,
+    ) -> Vec<BackendChange> {
+        if self.confirmed_at.is_some_and(|own| own >= known_at) {
+            return Vec::new();
+        }
+        self.replace(now, records)
+    }
+
     /// Removes those that are still missing when the grace has passed.
     pub fn expire_missing(&mut self, now: Timestamp) -> Vec<BackendChange> {
         let over = self
--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -44,6 +44,8 @@
 /// How long the store may not answer the holder, which reads twice a second,
 /// before it gives the lease up.
 const STORE_PATIENCE: Duration = Duration::from_millis(2_000);
+/// How long an entry that could not read the store waits before it claims.
+const CLAIM_PAUSE: Duration = Duration::from_millis(1_500);
 /// How much longer than the lease's bound a former holder waits to claim.
 const CLAIM_MARGIN: Duration = Duration::from_millis(1_000);
 /// The pause after a failed call.
@@ -107,8 +109,7 @@
             None => DutyStep::Work(own),
         };
     }
-    let reaches = context.store_silence() <= STORE_PATIENCE;
-    let fit = rank < HUB_COUNT && reaches && !context.is_leaving();
+    let fit = rank < HUB_COUNT && !context.is_leaving();
     if duties.should_claim(now, heard.is_some(), rank) && fit {
         return DutyStep::Claim;
     }
@@ -125,9 +126,12 @@
     let result = read_duties(context).await;
     if let Err(error) = result {
         warn!(context.log, "lease not claimed"; "error" => %error);
-        tokio::time::sleep(FAILURE_PAUSE).await;
+        // Another entry that reaches the store comes first next time.
+        let now = context.now();
+        context.duties.lock().give_up(now, CLAIM_PAUSE);
         return;
     }
+    context.note_store_seen();
     let record = DutyRecord::Claim {
         entry: context.settings.name.clone(),
         incarnation: context.incarnation,
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -250,17 +250,23 @@
     }
 }
 
+/// Returns when something was known, by the own clock: `age` before the message
+/// that this entry sent at `sent_at`.
+fn known_at(sent_at: u64, age: u64) -> Timestamp {
+    Timestamp(sent_at.saturating_sub(age))
+}
+
 /// Takes over how old another entry's knowledge is, counted from the moment at
 /// which this entry sent the message that it answers.
 fn confirm(context: &GatewayContext, news: &GatewayNews, echo: ConfigEcho) {
-    let at = |age: u64| Timestamp(echo.sent_at.saturating_sub(age));
     if let Some(age) = echo.age {
-        context.config.lock().confirm(news.revision, at(age));
+        let at = known_at(echo.sent_at, age);
+        context.config.lock().confirm(news.revision, at);
     }
     if let Some(age) = echo.backends_age {
         let mut backends = context.backends.lock();
         if backends.list_hash() == news.backends_hash {
-            backends.confirm(at(age));
+            backends.confirm(known_at(echo.sent_at, age));
         }
     }
 }
@@ -293,8 +299,12 @@
         peers.note_listed(now, name.clone(), *address);
     }
     drop(peers);
-    if let (Some(records), Some(age)) = (&digest.backends, news.echo.and_then(|e| e.backends_age)) {
-        adopt_backends(context, records, age);
+    let own = context.incarnation;
+    let echo = news.echo.filter(|echo| echo.incarnation == own);
+    if let (Some(records), Some(echo)) = (&digest.backends, echo) {
+        if let Some(age) = echo.backends_age {
+            adopt_backends(context, records, known_at(echo.sent_at, age));
+        }
     }
 }
 
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -77,13 +77,15 @@
     }
 }
 
-/// Waits while other entries keep the knowledge young enough.
+/// Waits while other entries keep the knowledge young enough. The holder of the
+/// lease always reads: it has to know whether the store answers it.
 async fn wait_own_read(context: &GatewayContext, known_at: impl Fn() -> Option<Timestamp>) {
     loop {
         let now = context.now();
         let rank = context.peers.lock().rank(now);
         let old = known_at().is_none_or(|at| now.since(at) >= OWN_READ_AGE);
-        if old || rank < READING_HUBS {
+        let holds = context.duties.lock().fence().is_some();
+        if old || holds || rank < READING_HUBS {
             return;
         }
         tokio::time::sleep(AGE_CHECK).await;
@@ -190,15 +192,13 @@
     }
 }
 
-/// Takes over the list of another entry, if it is younger than the own one.
-pub fn adopt_backends(context: &GatewayContext, records: &[BackendRecord], age: u64) {
+/// Takes over the list of another entry, which was the newest at `known_at`,
+/// if the own one is older. Times are compared and not ages: the age that the
+/// other told is from before its message was on its way.
+pub fn adopt_backends(context: &GatewayContext, records: &[BackendRecord], known_at: Timestamp) {
     let now = context.now();
     let mut backends = context.backends.lock();
-    let own_age = backends.confirmed_at().map(|at| now.since(at));
-    if own_age.is_some_and(|own| own.as_micros() as u64 <= age) {
-        return;
-    }
-    let changes = backends.replace(now, records.to_vec());
+    let changes = backends.replace_older(now, known_at, records.to_vec());
     drop(backends);
     for change in changes {
         note_backend_change(context, &change);
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -83,6 +83,19 @@
     assert_eq!(set.confirmed_at(), Some(at(1_300)));
 }
 
+#[test]
+fn an_older_list_of_another_entry_is_not_taken_over() {
+    let mut set = set_of(&["a"]);
+    set.put(record("a", true));
+    set.confirm(at(10_000));
+    // Read by the other entry just before, and heard of just after.
+    let changes = set.replace_older(at(10_050), at(9_950), vec![record("a", false)]);
+    assert_eq!(changes, []);
+    assert!(!set.get(&id("a")).unwrap().takes_work());
+    let changes = set.replace_older(at(10_150), at(10_100), vec![record("a", false)]);
+    assert_eq!(changes, [BackendChange::Leaving(id("a"), false)]);
+}
+
 #[test]
 fn equal_lists_have_equal_digests() {
     let mut one = set_of(&["a", "b"]);
