--- /dev/null
+++ b/daemon/tests/test_soak.rs
@@ -0,0 +1,26 @@
+//! A short run of the fault soak with the real daemon, and every seed that
+//! ever failed.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use cloverbend_platform_standin::soak::SoakPlan;
+use cloverbend_platform_standin::soak::run_soak;
+use rstest::rstest;
+
+#[rstest]
+#[case::short(1)]
+#[tokio::test]
+async fn no_promise_breaks_under_faults(#[case] seed: u64) {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = SoakPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_cloverbendd")),
+        folder: folder.path().to_owned(),
+        seed,
+        entries: 3,
+        time: Duration::from_secs(8),
+    };
+    let report = run_soak(plan).await.unwrap();
+    assert_eq!(report.broken, [], "faults: {:#?}", report.faults);
+    assert!(report.served > 0);
+}
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -301,10 +301,9 @@
     drop(peers);
     let own = context.incarnation;
     let echo = news.echo.filter(|echo| echo.incarnation == own);
-    if let (Some(records), Some(echo)) = (&digest.backends, echo) {
-        if let Some(age) = echo.backends_age {
-            adopt_backends(context, records, known_at(echo.sent_at, age));
-        }
+    let known = echo.and_then(|echo| Some(known_at(echo.sent_at, echo.backends_age?)));
+    if let (Some(records), Some(known)) = (&digest.backends, known) {
+        adopt_backends(context, records, known);
     }
 }
 
