--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -77,12 +77,12 @@
         .of_service(query.service)
         .filter(|backend| backend.takes_work() && !query.tried.contains(&backend.record.id))
         .collect();
-    let homes = part_homes(&candidates, query.parts);
+    let home = part_home(&candidates, query.parts);
     let count = candidates.len();
     candidates
         .drain(..)
         .map(|backend| {
-            let unread = unread_tokens(backend, now, query.parts, &homes);
+            let unread = unread_tokens(backend, now, query.parts, home);
             let cost = estimate(backend, now, query, unread);
             (cost, unread, backend)
         })
@@ -95,13 +95,11 @@
         })
 }
 
-/// Returns the home of every shared part among the candidates.
-fn part_homes<'a>(candidates: &[&'a Backend], parts: &[PromptPart]) -> Vec<Option<&'a BackendId>> {
-    let shared = parts.len().saturating_sub(1);
-    parts[..shared]
-        .iter()
-        .map(|part| rendezvous(candidates, part.id))
-        .collect()
+/// Returns the home of a prompt among the candidates: that of its last shared
+/// part. The parts before it are shared by so many that every home has them.
+fn part_home<'a>(candidates: &[&'a Backend], parts: &[PromptPart]) -> Option<&'a BackendId> {
+    let last_shared = parts.len().checked_sub(2)?;
+    rendezvous(candidates, parts[last_shared].id)
 }
 
 fn rendezvous<'a>(candidates: &[&'a Backend], part: u64) -> Option<&'a BackendId> {
@@ -121,18 +119,14 @@
     backend: &Backend,
     now: Timestamp,
     parts: &[PromptPart],
-    homes: &[Option<&BackendId>],
+    home: Option<&BackendId>,
 ) -> u64 {
     let total: u64 = parts.iter().map(|part| part.tokens.0).sum();
-    let mut kept = 0;
-    for (part, home) in parts.iter().zip(homes) {
-        let sent = backend.part_used_at(part.id).is_some_and(|at| at <= now);
-        if !sent && *home != Some(&backend.record.id) {
-            break;
-        }
-        kept += part.tokens.0;
-    }
-    total - kept
+    let shared = &parts[..parts.len().saturating_sub(1)];
+    let is_home = home == Some(&backend.record.id);
+    let sent = |part: &&PromptPart| backend.part_used_at(part.id).is_some_and(|at| at <= now);
+    let kept = shared.iter().take_while(|part| is_home || sent(part));
+    total - kept.map(|part| part.tokens.0).sum::<u64>()
 }
 
 fn estimate(backend: &Backend, now: Timestamp, query: &ChoiceQuery<'_>, unread: u64) -> f64 {
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -176,6 +176,20 @@
     assert_eq!(chooser.choose(&set, at(5_000), &parts).unwrap(), home);
 }
 
+#[test]
+fn sessions_that_share_only_their_beginning_are_spread() {
+    let set = set_of(&["a", "b", "c", "d"]);
+    let chooser = Chooser::new();
+    let mut sessions = std::collections::BTreeMap::new();
+    for session in 100..140 {
+        let parts = [part(1, 500), part(session, 4_000), part(session + 1_000, 200)];
+        let home = chooser.choose(&set, at(0), &parts).unwrap();
+        *sessions.entry(home).or_insert(0) += 1;
+    }
+    assert_eq!(sessions.len(), 4, "{sessions:?}");
+    assert!(sessions.values().all(|count| *count <= 20), "{sessions:?}");
+}
+
 #[test]
 fn a_server_that_breaks_repeatedly_is_passed_over_but_not_for_ever() {
     let mut set = set_of(&["a", "b"]);
