duty_task: a refused order is given again after 2.5 s; fixed replicas leave after 3 s

Cause: after reclaims each second with fixed replicas costs five to seven times that of reclaimable ones, and refused orders waited seven seconds.

--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -58,6 +58,9 @@
 /// After how long an order that seems not to be carried out is given again:
 /// a replica starts in four seconds, and some orders are done late.
 const REORDER_AFTER: Duration = Duration::from_secs(7);
+/// The same for an order that was refused: none are to be had for a quarter of
+/// a minute, and each second without costs more than a call.
+const REFUSED_REORDER_AFTER: Duration = Duration::from_millis(2_500);
 
 /// What an entry does about the lease next.
 enum DutyStep {
@@ -204,12 +207,19 @@
     }
 }
 
+/// An order as it was given last.
+#[derive(Clone, Copy)]
+struct GivenOrder {
+    count: u32,
+    again_at: Timestamp,
+}
+
 /// What the holder has done so far.
 struct DutyDesk {
     reported: BTreeMap<WindowNumber, ()>,
     first_window: Option<WindowNumber>,
     planners: BTreeMap<ServiceName, ReplicaPlanner>,
-    orders: BTreeMap<(ServiceName, ZoneName, bool), (u32, Timestamp)>,
+    orders: BTreeMap<(ServiceName, ZoneName, bool), GivenOrder>,
     planned_at: Option<Timestamp>,
     failing_since: Option<Timestamp>,
 }
@@ -316,11 +326,10 @@
         let key = (order.service.clone(), order.zone.clone(), order.reclaimable);
         let given = self.orders.get(&key).copied();
         let there = count_replicas(context, &order);
-        let fresh = given.is_some_and(|(_, at)| now.since(at) < REORDER_AFTER);
-        if given.is_some_and(|(count, _)| count == order.count) && (there == order.count || fresh) {
+        let is_done = |given: GivenOrder| there == order.count || now < given.again_at;
+        if given.is_some_and(|given| given.count == order.count && is_done(given)) {
             return true;
         }
-        self.orders.insert(key, (order.count, now));
         let name = &context.settings.name;
         let result = context
             .edges
@@ -330,7 +339,13 @@
         info!(context.log, "replicas ordered"; "service" => %order.service, "zone" => %order.zone,
             "reclaimable" => order.reclaimable, "count" => order.count, "there" => there,
             "fence" => fence.0, "error" => result.as_ref().err().map(ToString::to_string));
-        // Other failures are tried again when the plan is looked at later.
+        let pause = match &result {
+            Ok(()) => REORDER_AFTER,
+            Err(_) => REFUSED_REORDER_AFTER,
+        };
+        let count = order.count;
+        let again_at = now.after(pause);
+        self.orders.insert(key, GivenOrder { count, again_at });
         !matches!(result, Err(StoreError::Fenced))
     }
 }
--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -28,7 +28,7 @@
 const SHRINK_AFTER: Duration = Duration::from_secs(15);
 /// The same for replicas that are not reclaimable, which cost several times
 /// as much: about the time in which reclaimable ones settle.
-const FIXED_SHRINK_AFTER: Duration = Duration::from_secs(5);
+const FIXED_SHRINK_AFTER: Duration = Duration::from_secs(3);
 /// How long after a loss of reclaimable replicas another is expected. Reclaims
 /// come in groups within a quarter of a minute.
 const ALARM_TIME: Duration = Duration::from_secs(15);
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -182,7 +182,11 @@
     let chooser = Chooser::new();
     let mut sessions = std::collections::BTreeMap::new();
     for session in 100..140 {
-        let parts = [part(1, 500), part(session, 4_000), part(session + 1_000, 200)];
+        let parts = [
+            part(1, 500),
+            part(session, 4_000),
+            part(session + 1_000, 200),
+        ];
         let home = chooser.choose(&set, at(0), &parts).unwrap();
         *sessions.entry(home).or_insert(0) += 1;
     }
