--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -115,7 +115,7 @@
             budget: Mutex::new(SendBudget::new()),
             work: Mutex::new(WorkMeter::new()),
             usage: Mutex::new(UsageTable::new(incarnation)),
-            peers: Mutex::new(PeerBook::new(settings.name.clone())),
+            peers: Mutex::new(PeerBook::new(settings.name.clone(), settings.strength)),
             duties: Mutex::new(DutyLease::new(now, incarnation)),
             pool: BackendPool::new(),
             links: PeerSender::new(stop.clone(), log.clone()),
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -5,6 +5,7 @@
 
 use crate::finding::FindingList;
 use crate::gateway::account_limits::LimitSlack;
+use crate::gateway::peer_book::VmStrength;
 use crate::gateway::send_budget::SendBudgetRule;
 use crate::id::EntryName;
 use crate::id::ZoneName;
@@ -58,6 +59,20 @@
         None,
         "address of /metrics; none if absent",
     ),
+    setting(
+        "gateway",
+        "link_mbps",
+        "Mbit/s",
+        Some("1000"),
+        "the VM's link; strong VMs collect the news of all entries",
+    ),
+    setting(
+        "gateway",
+        "cpu_share",
+        "cores",
+        Some("1"),
+        "the VM's part of a core; the same",
+    ),
     setting(
         "gateway",
         "first_start",
@@ -206,6 +221,8 @@
     pub peer_address: SocketAddr,
     /// The address of the metrics, if they are served.
     pub metrics_address: Option<SocketAddr>,
+    /// How much this VM can carry as a hub.
+    pub strength: VmStrength,
     /// Whether all entries start for the first time.
     pub first_start: bool,
     /// The log store.
@@ -238,6 +255,8 @@
     let readiness_address = reader.required("gateway", "readiness_address");
     let peer_address = reader.required("gateway", "peer_address");
     let metrics_address = reader.optional("gateway", "metrics_address");
+    let link_mbps: Option<f64> = reader.defaulted("gateway", "link_mbps");
+    let cpu_share: Option<f64> = reader.defaulted("gateway", "cpu_share");
     let first_start = reader.defaulted("gateway", "first_start");
     let store = reader.required("store", "address");
     let cloud = reader.required("cloud", "address");
@@ -251,6 +270,7 @@
         readiness_address: readiness_address?,
         peer_address: peer_address?,
         metrics_address,
+        strength: VmStrength::of(link_mbps?, cpu_share?),
         first_start: first_start?,
         store: store?,
         cloud: cloud?,
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -2,12 +2,15 @@
 //!
 //! Pure. Every entry tells its news to a few hubs only, and hubs answer with a
 //! digest of what all entries told them, so that the number of messages grows
-//! with the number of entries and not with its square. Hubs are the first
-//! entries in an order by hash that answer; no entry has to know that it is
+//! with the number of entries and not with its square. Hubs are the strongest
+//! entries that answer, in an order by hash; no entry has to know that it is
 //! one. An entry that hears no hub knows that it is alone.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use twox_hash::XxHash64;
@@ -58,6 +61,8 @@
 pub struct PeerState {
     /// Where it listens.
     pub address: SocketAddr,
+    /// How much it can carry as a hub.
+    pub strength: VmStrength,
     /// Its newest life, once it was heard.
     pub incarnation: Option<Incarnation>,
     /// When it was last heard, or first listed.
@@ -79,9 +84,10 @@
 }
 
 impl PeerState {
-    fn listed(now: Timestamp, address: SocketAddr) -> Self {
+    fn listed(now: Timestamp, address: SocketAddr, strength: VmStrength) -> Self {
         Self {
             address,
+            strength,
             incarnation: None,
             heard_at: now,
             revision: RevisionNumber(0),
@@ -136,31 +142,74 @@
 #[derive(Clone, Debug)]
 pub struct PeerBook {
     own: EntryName,
+    own_strength: VmStrength,
     peers: BTreeMap<EntryName, PeerState>,
 }
 
-fn order_key(name: &EntryName) -> (u64, &EntryName) {
-    (XxHash64::oneshot(0, name.as_str().as_bytes()), name)
+/// How much a VM can carry as a hub; more is better.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct VmStrength(pub u32);
+
+/// Megabits a second of news that a whole core handles, by the processor time
+/// of hubs at 87 entries.
+const CORE_MBPS: f64 = 400.0;
+
+impl VmStrength {
+    /// Computes the strength by what is scarcer, the link or the processor.
+    pub fn of(link_mbps: f64, cpu_share: f64) -> Self {
+        // Both are positive and small; the cast keeps whole megabits.
+        Self(link_mbps.min(cpu_share * CORE_MBPS) as u32)
+    }
+}
+
+impl fmt::Display for VmStrength {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for VmStrength {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// Hubs come in this order: the strongest first, then by hash.
+type OrderKey<'a> = (Reverse<VmStrength>, u64, &'a EntryName);
+
+fn order_key(name: &EntryName, strength: VmStrength) -> OrderKey<'_> {
+    let hash = XxHash64::oneshot(0, name.as_str().as_bytes());
+    (Reverse(strength), hash, name)
 }
 
 impl PeerBook {
     /// Returns a book of an entry that knows no other.
-    pub fn new(own: EntryName) -> Self {
+    pub fn new(own: EntryName, own_strength: VmStrength) -> Self {
         Self {
             own,
+            own_strength,
             peers: BTreeMap::new(),
         }
     }
 
     /// Notes an entry that the store or a hub lists.
-    pub fn note_listed(&mut self, now: Timestamp, name: EntryName, address: SocketAddr) {
+    pub fn note_listed(
+        &mut self,
+        now: Timestamp,
+        name: EntryName,
+        address: SocketAddr,
+        strength: VmStrength,
+    ) {
         if name == self.own {
             return;
         }
-        let listed = || PeerState::listed(now, address);
+        let listed = || PeerState::listed(now, address, strength);
         let peer = self.peers.entry(name).or_insert_with(listed);
         if now.since(peer.heard_at) >= HEARD_WITHIN {
             peer.address = address;
+            peer.strength = strength;
         }
     }
 
@@ -170,7 +219,7 @@
         if news.name == self.own {
             return false;
         }
-        self.note_listed(now, news.name.clone(), news.address);
+        self.note_listed(now, news.name.clone(), news.address, news.strength);
         let Some(peer) = self.peers.get_mut(&news.name) else {
             return false;
         };
@@ -179,7 +228,7 @@
             return false;
         }
         if new_life {
-            *peer = PeerState::listed(now, news.address);
+            *peer = PeerState::listed(now, news.address, news.strength);
             peer.incarnation = Some(news.incarnation);
         }
         peer.heard_at = now;
@@ -230,7 +279,7 @@
     pub fn due(&mut self, now: Timestamp, round: u32) -> Vec<DueMessage> {
         let slow = round.is_multiple_of(SLOW_ROUNDS);
         let hubs = self.hubs(now);
-        let primary = hubs.first().cloned();
+        let primary = self.primary(&hubs);
         let first = self.first_names(HUB_COUNT);
         let mut due = Vec::new();
         for (name, peer) in &mut self.peers {
@@ -259,34 +308,40 @@
         due
     }
 
+    /// Returns the hub that answers this entry each round. Entries choose
+    /// different ones, so that no hub's link carries all answers.
+    fn primary(&self, hubs: &[EntryName]) -> Option<EntryName> {
+        let number = XxHash64::oneshot(1, self.own.as_str().as_bytes());
+        let index = number.checked_rem(hubs.len() as u64)?;
+        hubs.get(index as usize).cloned()
+    }
+
     fn first_names(&self, count: usize) -> Vec<EntryName> {
-        let mut names: Vec<&EntryName> = self.peers.keys().collect();
-        names.sort_by_key(|name| order_key(name));
-        names.into_iter().take(count).cloned().collect()
+        first_of(self.peers.iter(), count)
     }
 
     /// Returns the hubs that this entry tells its news, in order.
     fn hubs(&self, now: Timestamp) -> Vec<EntryName> {
         let usable = self.peers.iter().filter(|(_, peer)| !peer.is_suspect(now));
-        let mut names: Vec<&EntryName> = usable.map(|(name, _)| name).collect();
-        names.sort_by_key(|name| order_key(name));
-        names.into_iter().take(HUB_COUNT).cloned().collect()
+        first_of(usable, HUB_COUNT)
     }
 
     /// Returns the hubs with their addresses, to be passed on.
-    pub fn hub_addresses(&self, now: Timestamp) -> Vec<(EntryName, SocketAddr)> {
+    pub fn hub_addresses(&self, now: Timestamp) -> Vec<(EntryName, SocketAddr, VmStrength)> {
         let hubs = self.hubs(now);
         let known = |name: EntryName| {
             let peer = self.peers.get(&name)?;
-            peer.was_heard.then_some((name, peer.address))
+            peer.was_heard
+                .then_some((name, peer.address, peer.strength))
         };
         hubs.into_iter().filter_map(known).collect()
     }
 
     /// Returns how many entries that may be hubs come before this one.
     pub fn rank(&self, now: Timestamp) -> usize {
-        let own = order_key(&self.own);
-        let before = self.peers.iter().filter(|(name, _)| order_key(name) < own);
+        let own = order_key(&self.own, self.own_strength);
+        let earlier = |name, peer: &PeerState| order_key(name, peer.strength) < own;
+        let before = self.peers.iter().filter(|(name, peer)| earlier(name, peer));
         before.filter(|(_, peer)| !peer.is_suspect(now)).count()
     }
 
@@ -379,6 +434,21 @@
     }
 }
 
+fn first_of<'a>(
+    peers: impl Iterator<Item = (&'a EntryName, &'a PeerState)>,
+    count: usize,
+) -> Vec<EntryName> {
+    let mut ordered: Vec<OrderKey<'_>> = peers
+        .map(|(name, peer)| order_key(name, peer.strength))
+        .collect();
+    ordered.sort();
+    ordered.truncate(count);
+    ordered
+        .into_iter()
+        .map(|(_, _, name)| name.clone())
+        .collect()
+}
+
 fn sum_uses<'a>(uses: impl IntoIterator<Item = &'a BackendUse>) -> BTreeMap<String, BackendUse> {
     let mut sums: BTreeMap<String, BackendUse> = BTreeMap::new();
     for one in uses {
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -9,6 +9,7 @@
 use crate::gateway::backend_set::BackendId;
 use crate::gateway::backend_set::BackendRecord;
 use crate::gateway::peer_book::HubView;
+use crate::gateway::peer_book::VmStrength;
 use crate::id::AccountName;
 use crate::id::EntryName;
 use crate::id::FenceToken;
@@ -82,7 +83,7 @@
     /// What all entries but the receiver admitted, as the hub counts.
     pub admitted: Vec<AdmittedUnits>,
     /// The hubs that the sender uses itself.
-    pub hubs: Vec<(EntryName, SocketAddr)>,
+    pub hubs: Vec<(EntryName, SocketAddr, VmStrength)>,
     /// The backend servers, if the receiver's list differs.
     pub backends: Option<Vec<BackendRecord>>,
 }
@@ -97,6 +98,8 @@
     pub name: EntryName,
     /// Where the sender listens for other entries.
     pub address: SocketAddr,
+    /// How much the sender can carry as a hub.
+    pub strength: VmStrength,
     /// Microseconds since the sender's start, at sending.
     pub sent_at: u64,
     /// Whether the sender is stopping.
@@ -169,6 +172,8 @@
     name: String,
     #[prost(string, tag = "2")]
     address: String,
+    #[prost(uint32, tag = "3")]
+    strength: u32,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -244,6 +249,8 @@
     view: Option<ViewFrame>,
     #[prost(message, optional, tag = "18")]
     digest: Option<DigestFrame>,
+    #[prost(uint32, tag = "19")]
+    strength: u32,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -314,9 +321,10 @@
 }
 
 fn write_digest(digest: HubDigest) -> DigestFrame {
-    let hub = |(name, address): (EntryName, SocketAddr)| HubFrame {
+    let hub = |(name, address, strength): (EntryName, SocketAddr, VmStrength)| HubFrame {
         name: name.into(),
         address: address.to_string(),
+        strength: strength.0,
     };
     let list = |records: Vec<BackendRecord>| BackendListFrame {
         backends: records.into_iter().map(write_backend).collect(),
@@ -331,7 +339,8 @@
 fn read_digest(frame: DigestFrame) -> Result<HubDigest, WireError> {
     let hub = |hub: HubFrame| {
         let name = read_field("name", &hub.name)?;
-        Ok((name, read_field("address", &hub.address)?))
+        let address = read_field("address", &hub.address)?;
+        Ok((name, address, VmStrength(hub.strength)))
     };
     let list = |list: BackendListFrame| list.backends.into_iter().map(read_backend).collect();
     Ok(HubDigest {
@@ -347,6 +356,7 @@
             incarnation: news.incarnation.0,
             name: news.name.into(),
             address: news.address.to_string(),
+            strength: news.strength.0,
             sent_at: news.sent_at,
             leaving: news.leaving,
             revision: news.revision.0,
@@ -384,6 +394,7 @@
             incarnation: Incarnation(frame.incarnation),
             name: read_field("name", &frame.name)?,
             address: read_field("address", &frame.address)?,
+            strength: VmStrength(frame.strength),
             sent_at: frame.sent_at,
             leaving: frame.leaving,
             revision: RevisionNumber(frame.revision),
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -80,6 +80,7 @@
         incarnation: context.incarnation,
         name: context.settings.name.clone(),
         address: context.settings.peer_address,
+        strength: context.settings.strength,
         sent_at: context.now().0,
         leaving: context.is_leaving(),
         revision,
@@ -295,8 +296,8 @@
     }
     drop(limits);
     let mut peers = context.peers.lock();
-    for (name, address) in &digest.hubs {
-        peers.note_listed(now, name.clone(), *address);
+    for (name, address, strength) in &digest.hubs {
+        peers.note_listed(now, name.clone(), *address, *strength);
     }
     drop(peers);
     let own = context.incarnation;
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -21,6 +21,7 @@
 use crate::gateway::edge::LogTopic;
 use crate::gateway::edge::StoreError;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::peer_book::VmStrength;
 use crate::id::EntryName;
 use crate::id::LogOffset;
 use crate::id::RevisionNumber;
@@ -269,6 +270,9 @@
 pub struct EntryListing {
     /// Where it listens for other entries.
     pub address: SocketAddr,
+    /// How much it can carry as a hub; nothing in listings of older versions.
+    #[serde(default)]
+    pub strength: u32,
 }
 
 /// Lists this entry, then reads who else is listed. Of two entries that start
@@ -276,6 +280,7 @@
 pub async fn join_entries(context: Arc<GatewayContext>) {
     let listing = EntryListing {
         address: context.settings.peer_address,
+        strength: context.settings.strength.0,
     };
     // A struct of one address always has a JSON form.
     let Ok(value) = serde_json::to_vec(&listing) else {
@@ -316,7 +321,10 @@
             .and_then(|key| key.parse::<EntryName>().ok());
         let listing = serde_json::from_slice::<EntryListing>(&record.value);
         match (name, listing) {
-            (Some(name), Ok(listing)) => peers.note_listed(now, name, listing.address),
+            (Some(name), Ok(listing)) => {
+                let strength = VmStrength(listing.strength);
+                peers.note_listed(now, name, listing.address, strength);
+            }
             _ => warn!(context.log, "entry's listing refused"; "key" => record.key.as_deref()),
         }
     }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -6,6 +6,7 @@
 use cloverbend::gateway::peer_book::HUB_COUNT;
 use cloverbend::gateway::peer_book::HubView;
 use cloverbend::gateway::peer_book::PeerBook;
+use cloverbend::gateway::peer_book::VmStrength;
 use cloverbend::gateway::peer_news::AdmittedUnits;
 use cloverbend::gateway::peer_news::BackendUse;
 use cloverbend::gateway::peer_news::ConfigEcho;
@@ -23,6 +24,7 @@
 use prost::Message;
 
 const ROUND_MS: u64 = 250;
+const STRENGTH: VmStrength = VmStrength(100);
 
 fn name(number: usize) -> EntryName {
     format!("entry-{number}").parse().unwrap()
@@ -33,6 +35,7 @@
         incarnation: Incarnation(number as u64 + 1),
         name: name(number),
         address: format!("127.0.0.1:{}", 1_000 + number).parse().unwrap(),
+        strength: STRENGTH,
         sent_at,
         leaving: false,
         revision: RevisionNumber(1),
@@ -61,10 +64,17 @@
 
 impl PeerWorld {
     fn new(count: usize) -> Self {
-        let mut books: Vec<PeerBook> = (0..count).map(|n| PeerBook::new(name(n))).collect();
+        let mut books: Vec<PeerBook> = (0..count)
+            .map(|n| PeerBook::new(name(n), STRENGTH))
+            .collect();
         for book in &mut books {
             for number in 0..count {
-                book.note_listed(Timestamp(0), name(number), news(number, 0).address);
+                book.note_listed(
+                    Timestamp(0),
+                    name(number),
+                    news(number, 0).address,
+                    STRENGTH,
+                );
             }
         }
         Self {
@@ -159,6 +169,49 @@
     );
 }
 
+#[test]
+fn answers_of_each_round_are_spread_over_the_hubs() {
+    let mut answers = std::collections::BTreeMap::new();
+    for number in 0..60 {
+        let mut book = PeerBook::new(name(number), STRENGTH);
+        for other in 0..60 {
+            let address = news(other, 0).address;
+            book.note_listed(Timestamp(0), name(other), address, STRENGTH);
+        }
+        let due = book.due(Timestamp(1), 1);
+        let primary = due.into_iter().find(|message| message.wants_digest);
+        *answers.entry(primary.unwrap().name).or_insert(0) += 1;
+    }
+    assert!(answers.values().all(|count| *count <= 30), "{answers:?}");
+}
+
+#[test]
+fn weak_vms_are_hubs_only_if_there_are_no_others() {
+    let mut book = PeerBook::new(name(0), VmStrength(10));
+    for number in 1..10 {
+        let strength = VmStrength(if number < 3 { 200 } else { 10 });
+        book.note_listed(
+            Timestamp(0),
+            name(number),
+            news(number, 0).address,
+            strength,
+        );
+    }
+    let hubs: Vec<EntryName> = book
+        .due(Timestamp(1), 1)
+        .into_iter()
+        .map(|due| due.name)
+        .collect();
+    assert_eq!(hubs.len(), HUB_COUNT);
+    assert!(
+        hubs.contains(&name(1)) && hubs.contains(&name(2)),
+        "{hubs:?}"
+    );
+    assert!(book.rank(Timestamp(1)) >= 2);
+    assert_eq!(VmStrength::of(10.0, 0.5), VmStrength(10));
+    assert_eq!(VmStrength::of(200.0, 0.12), VmStrength(48));
+}
+
 #[test]
 fn hubs_that_die_are_replaced() {
     let mut world = PeerWorld::new(12);
@@ -185,7 +238,7 @@
 
 #[test]
 fn news_of_an_earlier_moment_change_nothing() {
-    let mut book = PeerBook::new(name(0));
+    let mut book = PeerBook::new(name(0), STRENGTH);
     let mut newer = news(1, 500);
     newer.tells = true;
     newer.fence = Some(FenceToken(7));
@@ -198,7 +251,7 @@
 
 #[test]
 fn the_age_of_knowledge_is_counted_from_the_message_that_is_answered() {
-    let mut book = PeerBook::new(name(0));
+    let mut book = PeerBook::new(name(0), STRENGTH);
     book.note_news(Timestamp(9_000), &news(1, 500));
     let echo = book.echo(&name(1), Some(Timestamp(7_000)), Some(Timestamp(9_500)));
     let expected = ConfigEcho {
@@ -252,7 +305,7 @@
     });
     full.digest = Some(HubDigest {
         admitted: vec![units],
-        hubs: vec![(name(4), "127.0.0.1:9".parse().unwrap())],
+        hubs: vec![(name(4), "127.0.0.1:9".parse().unwrap(), VmStrength(7))],
         backends: Some(vec![BackendRecord {
             id: BackendId("b".to_owned()),
             service: "pool".parse().unwrap(),
