gateway: the call service split by job; refusals that are true after a lost send

Mended on the way, with tests: a repeatable request that may have run at one server and was refused by the next got 503 (it did not run); the failure of a first server is passed on when no other answers; an address that another server has taken counts as broken, not as full.

--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -20,15 +20,15 @@
 
 use crate::gateway::backend_pool::KeptConnection;
 use crate::gateway::backend_set::BackendOutcome;
-use crate::gateway::call_service::AdmittedCall;
-use crate::gateway::call_service::SendGuard;
-use crate::gateway::call_service::SendPlan;
-use crate::gateway::call_service::SentCall;
-use crate::gateway::call_service::count_usage;
-use crate::gateway::call_service::log_send;
-use crate::gateway::call_service::next_send;
-use crate::gateway::call_service::note_outcome;
-use crate::gateway::call_service::onward_answer_headers;
+use crate::gateway::call_admission::AdmittedCall;
+use crate::gateway::call_admission::onward_headers;
+use crate::gateway::call_dispatch::SendGuard;
+use crate::gateway::call_dispatch::SendPlan;
+use crate::gateway::call_dispatch::SentCall;
+use crate::gateway::call_dispatch::next_send;
+use crate::gateway::call_log::count_usage;
+use crate::gateway::call_log::log_send;
+use crate::gateway::call_log::note_outcome;
 use crate::gateway::event_splitter::EventBatch;
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::gateway_context::GatewayContext;
@@ -80,7 +80,7 @@
         let mut response = Response::new(());
         *response.status_mut() = sent.exchange.response.status();
         let headers = sent.exchange.response.headers().clone();
-        *response.headers_mut() = onward_answer_headers(headers);
+        *response.headers_mut() = onward_headers(headers);
         let relay = Self {
             _open: context.open_call(),
             last_event: call.head.last_event,
--- /dev/null
+++ b/lib/src/gateway/call_admission.rs
@@ -0,0 +1,241 @@
+//! Decides whether a request is served at all: its route, its key, its body,
+//! its account's limit. Nothing is sent before.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use slog::info;
+use twox_hash::XxHash64;
+
+use crate::gateway::call_head::CallHead;
+use crate::gateway::call_refusal::CallRefusal;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::log_budget::LineClass;
+use crate::gateway::site_config::AccountRule;
+use crate::gateway::site_config::LimitUnit;
+use crate::gateway::site_config::RouteRule;
+use crate::gateway::site_config::SiteConfig;
+use crate::id::AccountName;
+use crate::id::ServiceName;
+
+/// The age of the configuration from which on requests with a key are refused,
+/// as a share of the time for which a removed key may work. The rest covers
+/// the way from the caller and to the backend server.
+const KEY_AGE_SHARE: f64 = 0.85;
+/// The age of the configuration up to which "no such route or key" is said;
+/// after it the answer is "not now". News arrive within a second.
+const SURE_AGE: Duration = Duration::from_millis(1_800);
+
+/// A request with everything that was decided about it before it is sent.
+pub struct AdmittedCall {
+    /// The decoded head.
+    pub head: CallHead,
+    /// Its route.
+    pub route: RouteRule,
+    /// The service that it goes to.
+    pub service: ServiceName,
+    /// Its account.
+    pub account: Option<AccountRule>,
+    /// Units that were taken from the account's limit.
+    pub units: u64,
+    /// When its time is over.
+    pub until: Instant,
+    /// When its head arrived.
+    pub arrived: Instant,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers without those that concern one connection only.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl AdmittedCall {
+    /// Returns the time that is left.
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the name of its account.
+    pub fn account_name(&self) -> Option<&AccountName> {
+        self.account.as_ref().map(|account| &account.name)
+    }
+
+    /// Returns its urgency, 0 the most urgent; the account's goes first.
+    pub fn priority(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|a| a.priority);
+        account.unwrap_or(self.route.priority).min(9)
+    }
+}
+
+/// Admits a request, or says why not.
+///
+/// # Errors
+///
+/// A refusal; nothing of the request was sent.
+pub async fn admit_call(
+    context: &GatewayContext,
+    head: CallHead,
+    parts: http::request::Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<AdmittedCall, CallRefusal> {
+    let config = current_config(context)?;
+    let (route, account) = authorize(context, &config, &head, &parts)?;
+    let left = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let until = arrived + left;
+    let body = read_call_body(body, config.limits.body_bytes, until).await?;
+    if context.is_refusing() {
+        return Err(CallRefusal::Leaving);
+    }
+    let number = XxHash64::oneshot(0, head.id.0.as_bytes());
+    let service = route.target(number).cloned();
+    let service = service.ok_or(CallRefusal::NoBackend)?;
+    let units = take_units(context, account.as_ref(), &head)?;
+    Ok(AdmittedCall {
+        head,
+        route,
+        service,
+        account,
+        units,
+        until,
+        arrived,
+        method: parts.method,
+        uri: parts.uri,
+        headers: onward_headers(parts.headers),
+        body,
+    })
+}
+
+/// Gives back what a request took from its account's limit, once it is certain
+/// that it did not run.
+pub fn give_back(context: &GatewayContext, call: &AdmittedCall) {
+    if let Some(account) = call.account_name() {
+        context.limits.lock().give_back(account, call.units);
+    }
+}
+
+fn current_config(context: &GatewayContext) -> Result<Arc<SiteConfig>, CallRefusal> {
+    let config = context.config.lock();
+    let adopted = config.adopted().ok_or(CallRefusal::NoConfig)?;
+    Ok(Arc::clone(&adopted.config))
+}
+
+/// Finds the route and the account. A caller hears "no" only while this entry
+/// is sure that its configuration is the newest.
+fn authorize(
+    context: &GatewayContext,
+    config: &SiteConfig,
+    head: &CallHead,
+    parts: &http::request::Parts,
+) -> Result<(RouteRule, Option<AccountRule>), CallRefusal> {
+    let age = context.config.lock().age(context.now());
+    let sure = age.is_some_and(|age| age < SURE_AGE);
+    let no = |refusal| if sure { refusal } else { CallRefusal::NoConfig };
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let route = config
+        .find_route(host, parts.uri.path())
+        .ok_or_else(|| no(CallRefusal::NoRoute))?;
+    if !config.needs_key(route) {
+        return Ok((route.clone(), None));
+    }
+    let oldest = context.settings.bounds.key_age.mul_f64(KEY_AGE_SHARE);
+    if age.is_none_or(|age| age >= oldest) {
+        return Err(CallRefusal::NoConfig);
+    }
+    let key = head.key.as_deref().ok_or(CallRefusal::NoKey)?;
+    let account = config
+        .find_account(key)
+        .ok_or_else(|| no(CallRefusal::NoKey))?;
+    Ok((route.clone(), Some(account.clone())))
+}
+
+async fn read_call_body(
+    body: Incoming,
+    limit: usize,
+    until: Instant,
+) -> Result<Bytes, CallRefusal> {
+    let until = tokio::time::Instant::from_std(until);
+    let collected = tokio::time::timeout_at(until, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(CallRefusal::BodyTooLarge)
+        }
+        Ok(Err(_)) => Err(CallRefusal::BodyBroken),
+        Err(_) => Err(CallRefusal::TooLate),
+    }
+}
+
+fn take_units(
+    context: &GatewayContext,
+    account: Option<&AccountRule>,
+    head: &CallHead,
+) -> Result<u64, CallRefusal> {
+    let Some(account) = account else {
+        return Ok(0);
+    };
+    let units = match account.unit {
+        LimitUnit::Requests => 1,
+        LimitUnit::Tokens { plain } => head.tokens.map_or(plain, |tokens| tokens.total().0),
+    };
+    let now = context.now();
+    let view = context.peers.lock().share_view(now);
+    let mut limits = context.limits.lock();
+    let admitted = limits.admit(now, account, units, view);
+    let level = limits.level(&account.name);
+    drop(limits);
+    admitted.map_err(|after| {
+        if context.logs(&head.id.0, LineClass::Failure) {
+            info!(context.log, "limit reached"; "request" => %head.id, "account" => %account.name,
+            "units" => units, "level" => level, "rate" => account.rate,
+            "entries" => view.entries, "heard" => view.heard,
+            "retry_after_ms" => after.as_millis() as u64);
+        }
+        CallRefusal::OverLimit(after)
+    })?;
+    Ok(units)
+}
+
+/// Removes the headers of a request or answer that concern one connection only.
+pub fn onward_headers(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        header::CONNECTION,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+    headers
+}
--- /dev/null
+++ b/lib/src/gateway/call_dispatch.rs
@@ -0,0 +1,324 @@
+//! Sends a request to backend servers until one begins to answer.
+//!
+//! A request that may run only once is sent again only if certainly nothing of
+//! it ran: nothing left this process, or the backend server said so.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+
+use crate::gateway::backend_pool::Exchange;
+use crate::gateway::backend_pool::ExchangeError;
+use crate::gateway::backend_set::BackendId;
+use crate::gateway::backend_set::BackendOutcome;
+use crate::gateway::call_admission::AdmittedCall;
+use crate::gateway::call_log::log_send;
+use crate::gateway::call_log::log_sent;
+use crate::gateway::call_log::note_outcome;
+use crate::gateway::call_refusal::CallRefusal;
+use crate::gateway::edge::AnswerHead;
+use crate::gateway::edge::SendTerms;
+use crate::gateway::engine_choice::ChoiceQuery;
+use crate::gateway::engine_choice::choose_backend;
+use crate::gateway::gateway_context::GatewayContext;
+
+/// The least time left for which a request is sent.
+const LEAST_LEFT: Duration = Duration::from_millis(10);
+/// The most backend servers that one request is offered to.
+const MAX_OFFERS: usize = 4;
+/// The time after which a repeatable request is tried elsewhere, as a multiple
+/// of its target latency.
+const PATIENCE: f64 = 1.2;
+/// The same for streams, whose first event may wait for long prompts.
+const STREAM_PATIENCE: Duration = Duration::from_secs(3);
+
+/// An answer of which the head has come, and the backend server that sent it.
+pub struct SentCall {
+    /// The answer on its connection.
+    pub exchange: Exchange,
+    /// Its decoded head.
+    pub answer: AnswerHead,
+    /// Counts the request at its backend server.
+    pub guard: SendGuard,
+}
+
+/// Counts a request at a backend server until it is dropped.
+pub struct SendGuard {
+    context: Arc<GatewayContext>,
+    /// The backend server.
+    pub backend: BackendId,
+    unread: u64,
+}
+
+impl SendGuard {
+    /// Notes that the prompt was read.
+    pub fn note_read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.context
+            .backends
+            .lock()
+            .note_read(&self.backend, unread);
+    }
+}
+
+impl Drop for SendGuard {
+    fn drop(&mut self) {
+        let mut backends = self.context.backends.lock();
+        backends.note_read(&self.backend, self.unread);
+        backends.note_left(&self.backend);
+    }
+}
+
+/// What was tried for a request so far.
+pub struct SendPlan {
+    tried: Vec<BackendId>,
+    runs: u32,
+    repeatable: bool,
+}
+
+impl SendPlan {
+    /// Returns the plan of a request that was not sent yet.
+    pub fn new(call: &AdmittedCall) -> Self {
+        Self {
+            tried: Vec::new(),
+            runs: 0,
+            repeatable: call.route.may_repeat(),
+        }
+    }
+
+    /// Returns whether the request may run at one more backend server.
+    pub fn may_run_again(&self, call: &AdmittedCall) -> bool {
+        self.repeatable && self.runs < call.route.max_attempts && call.left() > LEAST_LEFT
+    }
+
+    /// Takes a send beyond the first out of the budget.
+    pub fn take_budget(&self, context: &GatewayContext, call: &AdmittedCall) -> bool {
+        let now = context.now();
+        let entries = context.peers.lock().share_view(now).entries;
+        let rule = &context.settings.bounds.resend;
+        let mut budget = context.budget.lock();
+        budget.take(now, &call.service, rule, entries)
+    }
+}
+
+/// What became of one send.
+enum SendResult {
+    /// The backend server began to answer.
+    Answered(Box<Exchange>, AnswerHead),
+    /// It said that it did not run the request.
+    NotRun(BackendOutcome),
+    /// Nothing left this process.
+    NotSent,
+    /// It may have run; the word tells what was seen.
+    Lost(&'static str),
+}
+
+/// Sends a request until a backend server begins to answer. With `resume_at`
+/// the answer goes on after that event.
+///
+/// # Errors
+///
+/// A refusal, which promises that the request did not run only if no send of
+/// it may have.
+pub async fn next_send(
+    context: &Arc<GatewayContext>,
+    call: &AdmittedCall,
+    plan: &mut SendPlan,
+    resume_at: Option<u64>,
+) -> Result<SentCall, CallRefusal> {
+    let mut refused = false;
+    for _ in 0..MAX_OFFERS {
+        if call.left() <= LEAST_LEFT {
+            break;
+        }
+        let Some(chosen) = choose(context, call, plan) else {
+            break;
+        };
+        let backend = chosen.guard.backend.clone();
+        plan.tried.push(backend.clone());
+        let word = match send_once(context, call, plan, &chosen, resume_at).await {
+            SendResult::Answered(exchange, answer) => {
+                plan.runs += 1;
+                log_sent(context, call, &backend, chosen.unread);
+                return Ok(SentCall {
+                    exchange: *exchange,
+                    answer,
+                    guard: chosen.guard,
+                });
+            }
+            SendResult::NotRun(outcome) => {
+                note_outcome(context, &backend, outcome);
+                refused = true;
+                log_send(context, call, &backend, "not_run");
+                if !plan.take_budget(context, call) {
+                    break;
+                }
+                continue;
+            }
+            SendResult::NotSent => {
+                note_outcome(context, &backend, BackendOutcome::Broken);
+                log_send(context, call, &backend, "not_sent");
+                continue;
+            }
+            SendResult::Lost(word) => word,
+        };
+        plan.runs += 1;
+        note_outcome(context, &backend, BackendOutcome::Broken);
+        log_send(context, call, &backend, word);
+        if !plan.may_run_again(call) || !plan.take_budget(context, call) {
+            break;
+        }
+    }
+    Err(final_refusal(call, plan, refused))
+}
+
+/// Returns the refusal of a request that is not offered any more.
+fn final_refusal(call: &AdmittedCall, plan: &SendPlan, refused: bool) -> CallRefusal {
+    let late = call.left() <= LEAST_LEFT;
+    match (plan.runs > 0, late) {
+        (true, true) => CallRefusal::TimedOut,
+        (true, false) => CallRefusal::Lost,
+        (false, true) => CallRefusal::TooLate,
+        (false, false) if refused => CallRefusal::AllFull,
+        (false, false) => CallRefusal::NoBackend,
+    }
+}
+
+async fn send_once(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    plan: &SendPlan,
+    chosen: &ChosenBackend,
+    resume_at: Option<u64>,
+) -> SendResult {
+    let backend = &chosen.guard.backend;
+    let request = build_send(context, call, backend, resume_at);
+    let exchange = context.pool.exchange(backend, chosen.address, request);
+    match tokio::time::timeout(send_patience(call, plan), exchange).await {
+        Ok(Ok(exchange)) => judge_answer(context, call, backend, exchange),
+        Ok(Err(ExchangeError::NotSent(_))) => SendResult::NotSent,
+        Ok(Err(ExchangeError::Lost(_))) => SendResult::Lost("lost"),
+        Err(_) => SendResult::Lost("no_answer"),
+    }
+}
+
+/// Judges the head of an answer: whether it belongs to the request, and whether
+/// the request ran.
+fn judge_answer(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    backend: &BackendId,
+    exchange: Exchange,
+) -> SendResult {
+    let status = exchange.response.status();
+    let headers = exchange.response.headers();
+    let answer = context.edges.format.decode_answer(status, headers);
+    if let Some(load) = answer.load {
+        let now = context.now();
+        context.backends.lock().note_load(now, backend, load);
+    }
+    if answer.call.as_ref() != Some(&call.head.id.0) {
+        // The answer of an earlier request came late, in the place of this
+        // one's; the connection closes with it.
+        return SendResult::Lost("other_answer");
+    }
+    if answer.not_run {
+        // Another server has the address: this one is gone.
+        let gone = status == StatusCode::MISDIRECTED_REQUEST;
+        return SendResult::NotRun(if gone {
+            BackendOutcome::Broken
+        } else {
+            BackendOutcome::Full
+        });
+    }
+    let outcome = if status.is_server_error() {
+        BackendOutcome::Failed
+    } else {
+        BackendOutcome::Served
+    };
+    note_outcome(context, backend, outcome);
+    SendResult::Answered(Box::new(exchange), answer)
+}
+
+/// A backend server that was chosen, with the request counted there.
+struct ChosenBackend {
+    guard: SendGuard,
+    address: SocketAddr,
+    unread: u64,
+}
+
+fn choose(
+    context: &Arc<GatewayContext>,
+    call: &AdmittedCall,
+    plan: &SendPlan,
+) -> Option<ChosenBackend> {
+    let query = ChoiceQuery {
+        service: &call.service,
+        zone: &context.settings.zone,
+        parts: &call.head.parts,
+        tried: &plan.tried,
+    };
+    let now = context.now();
+    let mut backends = context.backends.lock();
+    let choice = choose_backend(&backends, now, &query)?;
+    let address = backends.get(&choice.id)?.record.address;
+    let parts: Vec<u64> = call.head.parts.iter().map(|part| part.id).collect();
+    backends.note_sent(now, &choice.id, choice.unread, &parts);
+    drop(backends);
+    context.work.lock().note(now, &call.service, choice.unread);
+    let guard = SendGuard {
+        context: Arc::clone(context),
+        backend: choice.id,
+        unread: choice.unread,
+    };
+    Some(ChosenBackend {
+        guard,
+        address,
+        unread: choice.unread,
+    })
+}
+
+/// Returns how long to wait for the head of an answer. Where another backend
+/// server may be tried, only a part of the time is spent on the first.
+fn send_patience(call: &AdmittedCall, plan: &SendPlan) -> Duration {
+    let left = call.left();
+    let more = plan.repeatable && plan.runs + 1 < call.route.max_attempts;
+    if !more {
+        return left;
+    }
+    let patience = if call.route.streaming {
+        STREAM_PATIENCE
+    } else {
+        call.route.target_latency.mul_f64(PATIENCE)
+    };
+    patience.min(left / 2)
+}
+
+fn build_send(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    backend: &BackendId,
+    resume_at: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.headers.clone();
+    let terms = SendTerms {
+        backend,
+        left: call.left(),
+        account: call.account_name(),
+        priority: call.head.tokens.map(|_| call.priority()),
+        last_event: resume_at.or(call.head.last_event),
+    };
+    context
+        .edges
+        .format
+        .encode_send(request.headers_mut(), &terms);
+    request
+}
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -1,10 +1,12 @@
 //! The gateway: one pipeline from a caller's request to a backend server.
 //!
-//! A request passes the modules in this order: [`call_head`] (what the caller
-//! asked), [`site_config`] (its route, its client account), [`account_limits`]
-//! (its account's rate), [`engine_choice`] (which backend server),
-//! [`backend_pool`] (a connection), [`call_service`] (sending, and sending
-//! again where that is safe) and [`answer_relay`] (passing the answer on).
+//! A request passes the modules in this order: [`call_service`] (begins and
+//! ends it), [`call_head`] (what the caller asked), [`call_admission`] with
+//! [`site_config`] (its route, its client account) and [`account_limits`] (its
+//! account's rate), [`call_dispatch`] (sending, and sending again where that is
+//! safe) with [`engine_choice`] (which backend server) and [`backend_pool`] (a
+//! connection), and [`answer_relay`] (passing the answer on). What is refused
+//! on the way ends as a [`call_refusal`].
 //!
 //! Beside it run tasks that keep beliefs fresh: [`store_task`] follows the
 //! configuration and the backend servers, [`peer_task`] exchanges news with
@@ -20,7 +22,11 @@
 pub mod answer_relay;
 pub mod backend_pool;
 pub mod backend_set;
+pub mod call_admission;
+pub mod call_dispatch;
 pub mod call_head;
+pub mod call_log;
+pub mod call_refusal;
 pub mod call_service;
 pub mod config_follower;
 pub mod duty_lease;
