--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -9,11 +9,11 @@
 use crate::gateway::send_budget::SendBudgetRule;
 use crate::id::EntryName;
 use crate::id::ZoneName;
+use crate::setting_reader::SettingKey;
+use crate::setting_reader::SettingReader;
+use crate::setting_reader::setting;
 use crate::settings::LogFormat;
 use crate::settings::LogLevel;
-use crate::settings::SettingKey;
-use crate::settings::SettingReader;
-use crate::settings::setting;
 
 /// Every key of a gateway's settings file.
 pub const GATEWAY_KEYS: &[SettingKey] = &[
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod revision;
 pub mod route_strategy;
 pub mod routing;
+pub mod setting_reader;
 pub mod settings;
 pub mod ticket_route;
 pub mod trace;
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -1,8 +1,7 @@
 //! Settings of one entry daemon, read from an INI file.
 //!
 //! [`EntrySettings::parse`] reports every problem of a file together, each
-//! with its line. `rust-ini` does not keep line numbers, so [`LineIndex`]
-//! finds them in the text again.
+//! with its line.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -11,14 +10,14 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use ini::Ini;
-
 use crate::finding::FindingList;
-use crate::finding::InputPlace;
 use crate::id::EntryName;
 use crate::id::VmId;
 use crate::id::ZoneName;
 use crate::quantity::ByteCount;
+use crate::setting_reader::SettingKey;
+use crate::setting_reader::SettingReader;
+use crate::setting_reader::setting;
 
 /// The form of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -134,39 +133,6 @@
     }
 }
 
-/// One key that a settings file may have. The table of these is the single
-/// source for parsing, for `--check` and for the operators' page.
-#[derive(Clone, Copy, Debug)]
-pub struct SettingKey {
-    /// The section, without brackets.
-    pub section: &'static str,
-    /// The key, or `*` for any name.
-    pub key: &'static str,
-    /// The unit or form of the value.
-    pub unit: &'static str,
-    /// The default as text, or `None` if the key is required or optional.
-    pub default: Option<&'static str>,
-    /// What the key means.
-    pub help: &'static str,
-}
-
-/// Builds the row of one key.
-pub const fn setting(
-    section: &'static str,
-    key: &'static str,
-    unit: &'static str,
-    default: Option<&'static str>,
-    help: &'static str,
-) -> SettingKey {
-    SettingKey {
-        section,
-        key,
-        unit,
-        default,
-        help,
-    }
-}
-
 /// Every key of a settings file.
 pub const SETTING_KEYS: &[SettingKey] = &[
     setting(
@@ -383,171 +349,12 @@
     }
 }
 
-fn syntax_finding(file: &str, error: &ini::ParseError) -> FindingList {
-    let mut findings = FindingList::default();
-    let place = InputPlace {
-        file: Some(file.to_owned()),
-        line: Some(error.line),
-        ..InputPlace::default()
-    };
-    findings.add(place, &error.msg);
-    findings
-}
-
-/// Finds the lines of sections and keys in the text of an INI file.
-struct LineIndex {
-    sections: BTreeMap<String, usize>,
-    keys: BTreeMap<(String, String), usize>,
-}
-
-impl LineIndex {
-    fn new(text: &str) -> Self {
-        let mut index = Self {
-            sections: BTreeMap::new(),
-            keys: BTreeMap::new(),
-        };
-        let mut section = String::new();
-        for (number, line) in text.lines().enumerate() {
-            let line = line.trim();
-            if let Some(name) = line.strip_prefix('[') {
-                section = name.trim_end_matches(']').trim().to_owned();
-                index.sections.entry(section.clone()).or_insert(number + 1);
-            } else if let Some((key, _)) = line.split_once(['=', ':']) {
-                let key = (section.clone(), key.trim().to_owned());
-                index.keys.entry(key).or_insert(number + 1);
-            }
-        }
-        index
-    }
-
-    fn line(&self, section: &str, key: &str) -> Option<usize> {
-        let key = (section.to_owned(), key.to_owned());
-        let section_line = || self.sections.get(section).copied();
-        self.keys.get(&key).copied().or_else(section_line)
-    }
-}
-
-/// Reads the values of a settings file and collects what is wrong with them.
-pub struct SettingReader<'a> {
-    keys: &'static [SettingKey],
-    file: &'a str,
-    lines: LineIndex,
-    ini: &'a Ini,
-    findings: FindingList,
-}
-
 impl SettingReader<'_> {
-    /// Reads a file of the keys of a table with `read`, which returns nothing
-    /// if a value is missing or malformed.
-    ///
-    /// # Errors
-    ///
-    /// Every unknown section or key, missing key and malformed value.
-    pub fn read_file<T>(
-        file: &str,
-        text: &str,
-        keys: &'static [SettingKey],
-        read: impl FnOnce(&mut SettingReader<'_>) -> Option<T>,
-    ) -> Result<T, FindingList> {
-        let ini = Ini::load_from_str(text).map_err(|error| syntax_finding(file, &error))?;
-        let mut reader = SettingReader {
-            keys,
-            file,
-            lines: LineIndex::new(text),
-            ini: &ini,
-            findings: FindingList::default(),
-        };
-        reader.check_unknown_keys();
-        match read(&mut reader) {
-            Some(settings) => reader.findings.into_result(settings),
-            None => Err(reader.findings),
-        }
-    }
-
-    fn place(&self, section: &str, key: &str) -> InputPlace {
-        InputPlace {
-            file: Some(self.file.to_owned()),
-            line: self.lines.line(section, key),
-            section: Some(section.to_owned()),
-            key: Some(key.to_owned()),
-        }
-    }
-
-    fn check_unknown_keys(&mut self) {
-        let ini = self.ini;
-        for (section, properties) in ini.iter() {
-            let section = section.unwrap_or("");
-            for (key, _) in properties.iter() {
-                let known = self
-                    .keys
-                    .iter()
-                    .any(|k| k.section == section && (k.key == key || k.key == "*"));
-                if !known {
-                    let place = self.place(section, key);
-                    self.findings.add(place, "this key is not known");
-                }
-            }
-        }
-    }
-
-    /// Reads a value that may be absent.
-    pub fn optional<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
-    where
-        T::Err: fmt::Display,
-    {
-        let text = self.ini.get_from(Some(section), key)?;
-        self.parse_value(section, key, text.trim())
-    }
-
-    /// Reads a value that must be there.
-    pub fn required<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
-    where
-        T::Err: fmt::Display,
-    {
-        if self.ini.get_from(Some(section), key).is_none() {
-            let place = self.place(section, key);
-            self.findings.add(place, "this key is required");
-            return None;
-        }
-        self.optional(section, key)
-    }
-
-    /// Reads a value, or takes the default of its key.
-    pub fn defaulted<T: FromStr>(&mut self, section: &str, key: &str) -> Option<T>
-    where
-        T::Err: fmt::Display,
-    {
-        let default = self
-            .keys
-            .iter()
-            .find(|k| k.section == section && k.key == key)
-            .and_then(|k| k.default)?;
-        let text = self.ini.get_from(Some(section), key).unwrap_or(default);
-        self.parse_value(section, key, text.trim())
-    }
-
-    fn parse_value<T: FromStr>(&mut self, section: &str, key: &str, text: &str) -> Option<T>
-    where
-        T::Err: fmt::Display,
-    {
-        match text.parse() {
-            Ok(value) => Some(value),
-            Err(error) => {
-                let place = self.place(section, key);
-                self.findings.add(place, error);
-                None
-            }
-        }
-    }
-
     fn read_peers(&mut self) -> BTreeMap<EntryName, SocketAddr> {
         let mut peers = BTreeMap::new();
-        let Some(section) = self.ini.section(Some("peers")) else {
-            return peers;
-        };
-        for (key, text) in section.iter() {
-            let name = self.parse_value::<EntryName>("peers", key, key);
-            let address = self.parse_value::<SocketAddr>("peers", key, text.trim());
+        for (key, text) in self.section("peers") {
+            let name = self.parse_value::<EntryName>("peers", &key, &key);
+            let address = self.parse_value::<SocketAddr>("peers", &key, &text);
             if let (Some(name), Some(address)) = (name, address) {
                 peers.insert(name, address);
             }
