peer_task, duty_task: sums of a round are built once; the stated order of locks holds

A hub summed its own load anew for each receiver, with the peers locked before the backend servers against the stated order. The first window of a holder was kept and changed nothing.

--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -1,6 +1,7 @@
 //! Carries out the duties of the lease: reports of usage, orders of replicas.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -216,8 +217,7 @@
 
 /// What the holder has done so far.
 struct DutyDesk {
-    reported: BTreeMap<WindowNumber, ()>,
-    first_window: Option<WindowNumber>,
+    reported: BTreeSet<WindowNumber>,
     planners: BTreeMap<ServiceName, ReplicaPlanner>,
     orders: BTreeMap<(ServiceName, ZoneName, bool), GivenOrder>,
     planned_at: Option<Timestamp>,
@@ -227,8 +227,7 @@
 impl DutyDesk {
     fn new() -> Self {
         Self {
-            reported: BTreeMap::new(),
-            first_window: None,
+            reported: BTreeSet::new(),
             planners: BTreeMap::new(),
             orders: BTreeMap::new(),
             planned_at: None,
@@ -238,12 +237,9 @@
 
     async fn work(&mut self, context: &Arc<GatewayContext>, fence: FenceToken) {
         let current = context.window();
-        let first = *self.first_window.get_or_insert(current);
-        let oldest = current
-            .saturating_sub(REPORTED_WINDOWS)
-            .max(first.saturating_sub(REPORTED_WINDOWS));
+        let oldest = current.saturating_sub(REPORTED_WINDOWS);
         for window in oldest..current {
-            if self.reported.contains_key(&window) || !is_decidable(context, window) {
+            if self.reported.contains(&window) || !is_decidable(context, window) {
                 continue;
             }
             let result = report_window(context, fence, window).await;
@@ -251,10 +247,10 @@
                 return;
             }
             if result.is_ok() {
-                self.reported.insert(window, ());
+                self.reported.insert(window);
             }
         }
-        self.reported.retain(|window, ()| *window >= oldest);
+        self.reported.retain(|window| *window >= oldest);
         self.order_replicas(context, fence).await;
     }
 
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -450,7 +450,16 @@
 }
 
 fn sum_uses<'a>(uses: impl IntoIterator<Item = &'a BackendUse>) -> BTreeMap<String, BackendUse> {
-    let mut sums: BTreeMap<String, BackendUse> = BTreeMap::new();
+    let mut sums = BTreeMap::new();
+    add_uses(&mut sums, uses);
+    sums
+}
+
+/// Adds loads to the sums of backend servers.
+pub fn add_uses<'a>(
+    sums: &mut BTreeMap<String, BackendUse>,
+    uses: impl IntoIterator<Item = &'a BackendUse>,
+) {
     for one in uses {
         match sums.get_mut(&one.backend) {
             Some(sum) => {
@@ -462,5 +471,4 @@
             }
         }
     }
-    sums
 }
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -11,6 +11,7 @@
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_book::DueMessage;
 use crate::gateway::peer_book::HubView;
+use crate::gateway::peer_book::add_uses;
 use crate::gateway::peer_news::AdmittedUnits;
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
@@ -55,7 +56,8 @@
         return;
     }
     let common = common_news(context);
-    let sums = context.peers.lock().direct_uses(now);
+    let mut sums = context.peers.lock().direct_uses(now);
+    add_uses(&mut sums, &common.uses);
     for message in due {
         if message.reopen {
             context.links.forget(message.address);
@@ -136,15 +138,6 @@
     let incarnation = receiver.and_then(|peer| peer.incarnation);
     let their_hash = receiver.map_or(0, |peer| peer.backends_hash);
     let mut uses = sums.clone();
-    for own in own_uses(context) {
-        let sum = uses.entry(own.backend.clone()).or_insert(BackendUse {
-            in_flight: 0,
-            unread: 0,
-            ..own.clone()
-        });
-        sum.in_flight += own.in_flight;
-        sum.unread += own.unread;
-    }
     for theirs in peers.uses_of(&message.name) {
         if let Some(sum) = uses.get_mut(&theirs.backend) {
             sum.in_flight = sum.in_flight.saturating_sub(theirs.in_flight);
