replica_plan: enough reclaimable replicas for the loss of two zones, and no panic orders of others

Change: where reclaimable ones cost at most 0.3 of others, they cover the loss of two zones; as long as nothing is known they come as if all that was there were needed; waiting requests are no demand; others follow the average need of 6 s instead of the held peak, stay where they are, and after two losses in a row cover two more.

--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -302,7 +302,7 @@
             let planner = self
                 .planners
                 .entry(service.name.clone())
-                .or_insert_with(|| ReplicaPlanner::new(&supply));
+                .or_insert_with(|| ReplicaPlanner::new(rule, &supply));
             let orders = planner.plan(now, &service.name, rule, demand, &supply);
             for order in orders {
                 if !self.give_order(context, fence, order).await {
@@ -359,7 +359,10 @@
     let now = context.now();
     let running: u32 = {
         let backends = context.backends.lock();
-        backends.of_service(service).map(|b| b.occupancy(now)).sum()
+        let of_service = backends.of_service(service);
+        // Requests that wait are not counted: a queue that built up once would
+        // be taken for demand until it is gone.
+        of_service.map(|b| b.occupancy(now).min(slots)).sum()
     };
     let own = {
         let work = context.work.lock();
--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -1,10 +1,12 @@
 //! How many replicas a service is to have in each availability zone.
 //!
 //! Pure. Most replicas are reclaimable, spread evenly over all zones, with
-//! enough of them for the loss of the fullest zone. What is missing while they
-//! are away is filled with others in the cheapest zones.
+//! enough of them for the loss of one zone, or of two where they are cheap.
+//! What is missing while they are away is filled with others in the cheapest
+//! zones.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::gateway::edge::ReplicaOrder;
@@ -23,6 +25,17 @@
 /// The share of the replicas there at the start that is kept until demand is
 /// known: operators size a service for its busiest times.
 const START_SHARE: f64 = 0.4;
+/// The price of a reclaimable replica, relative to another, up to which enough
+/// of them are kept for the loss of two zones. With four zones that costs 0.67
+/// of the demand more than for one; replacing a second zone's by others costs
+/// a third of the demand at the full price for a quarter of a minute each time.
+const CHEAP_PRICE: f64 = 0.3;
+/// Over how long demand is averaged before replicas that are not reclaimable
+/// are ordered for it: shorter rises are over before such replicas start.
+const STEADY_TIME: Duration = Duration::from_secs(6);
+/// The share of the demand that has to be met after two more zones are lost:
+/// what demand needs has room for such a rise of filling.
+const BARE_COVER: f64 = 0.65;
 /// How long less must have been enough before fewer are ordered: a replica
 /// that leaves takes its kept prompts and its long streams along.
 const SHRINK_AFTER: Duration = Duration::from_secs(15);
@@ -32,8 +45,6 @@
 /// How long after a loss of reclaimable replicas another is expected. Reclaims
 /// come in groups within a quarter of a minute.
 const ALARM_TIME: Duration = Duration::from_secs(15);
-/// The fewest replicas that cannot be reclaimed.
-const LEAST_FIXED: u32 = 1;
 /// Over how many of the cheapest zones replicas that are not reclaimable are
 /// dealt.
 const FIXED_ZONES: usize = 2;
@@ -98,31 +109,66 @@
     }
 }
 
+/// The values seen within a while.
+#[derive(Clone, Debug)]
+struct RecentValues {
+    span: Duration,
+    values: VecDeque<(Timestamp, u32)>,
+}
+
+impl RecentValues {
+    fn new(span: Duration) -> Self {
+        let values = VecDeque::new();
+        Self { span, values }
+    }
+
+    fn note(&mut self, now: Timestamp, value: u32) {
+        self.values.push_back((now, value));
+        let span = self.span;
+        self.values.retain(|(at, _)| now.since(*at) <= span);
+    }
+
+    fn highest(&self) -> u32 {
+        let values = self.values.iter().map(|(_, value)| *value);
+        values.max().unwrap_or(0)
+    }
+
+    fn average(&self) -> u32 {
+        let sum: u32 = self.values.iter().map(|(_, value)| *value).sum();
+        sum.div_ceil(self.values.len().max(1) as u32)
+    }
+}
+
 /// Plans the replicas of one service over time.
 #[derive(Clone, Debug)]
 pub struct ReplicaPlanner {
     least: u32,
-    total: SlowFall,
+    start: u32,
+    recent: RecentValues,
+    steady: RecentValues,
     fixed: SlowFall,
     reached: BTreeMap<ZoneName, u32>,
-    alarm_until: Timestamp,
+    losses: Vec<Timestamp>,
 }
 
 impl ReplicaPlanner {
     /// Returns a planner that begins with the replicas that are there. What
     /// an earlier holder of the lease ordered shows in them.
-    pub fn new(supply: &ZoneSupply) -> Self {
+    pub fn new(rule: &ScaleRule, supply: &ZoneSupply) -> Self {
         let reclaimable: u32 = supply.values().map(|zone| zone.reclaimable).sum();
         let fixed: u32 = supply.values().map(|zone| zone.fixed).sum();
         let zones = supply.len().max(1) as u32;
-        let carried = reclaimable * zones.saturating_sub(1) / zones;
+        let carried = reclaimable * carrying_zones(rule, supply.len()) / zones;
         let least = (f64::from(fixed + reclaimable) * START_SHARE).ceil() as u32;
+        let there = fixed + carried;
         Self {
             least,
-            total: SlowFall::new(carried.max(least), SHRINK_AFTER),
-            fixed: SlowFall::new(fixed.min(carried.max(least)), FIXED_SHRINK_AFTER),
+            start: there,
+            recent: RecentValues::new(SHRINK_AFTER),
+            steady: RecentValues::new(STEADY_TIME),
+            fixed: SlowFall::new(fixed.min(there), FIXED_SHRINK_AFTER),
             reached: BTreeMap::new(),
-            alarm_until: Timestamp(0),
+            losses: Vec::new(),
         }
     }
 
@@ -135,25 +181,35 @@
         demand: ReplicaDemand,
         supply: &ZoneSupply,
     ) -> Vec<ReplicaOrder> {
-        let wanted = demand.replicas().ceil() as u32;
-        let total = self.total.update(now, wanted.max(self.least));
+        // Without any demand there are no callers yet, and nothing is known:
+        // reclaimable ones come as if all that was there were needed, and few
+        // others wait for them.
+        let (wanted, sure) = if demand == ReplicaDemand::default() {
+            (self.start, self.least)
+        } else {
+            let needed = (demand.replicas().ceil() as u32).max(self.least);
+            (needed, needed)
+        };
+        self.recent.note(now, wanted);
+        self.steady.note(now, sure);
+        let total = self.recent.highest();
+        let steady = self.steady.average();
         let zones = zones_by_price(rule);
-        let spread = reclaimable_per_zone(total, zones.len());
+        let spread = total.div_ceil(carrying_zones(rule, zones.len()));
         self.watch_losses(now, supply, spread);
-        let alarmed = now < self.alarm_until;
-        let sure = sure_replicas(supply, alarmed);
-        let missing = total.saturating_sub(sure).max(LEAST_FIXED);
+        let missing = missing_replicas(steady, supply, self.losses.len());
         let fixed = self.fixed.update(now, missing);
-        let rooms: Vec<u32> = zones
+        let there = |zone: &ZoneName| supply.get(zone).copied().unwrap_or_default();
+        let places: Vec<FixedPlace> = zones
             .iter()
-            .map(|zone| {
+            .map(|zone| FixedPlace {
+                there: there(zone).fixed,
                 // Only those that are there take room: what cannot be had now
                 // must not push out what serves in its place.
-                let there = supply.get(*zone).map_or(0, |s| s.reclaimable);
-                rule.max.saturating_sub(there)
+                room: rule.max.saturating_sub(there(zone).reclaimable),
             })
             .collect();
-        let dealt = deal(fixed, &rooms);
+        let dealt = deal(fixed, &places);
         let mut orders = Vec::new();
         for (zone, fixed) in zones.iter().zip(dealt) {
             let least = rule.min.saturating_sub(fixed);
@@ -177,30 +233,38 @@
             let reached = self.reached.entry(zone.clone()).or_default();
             *reached = (*reached).min(spread);
             if there.reclaimable < *reached {
-                self.alarm_until = now.after(ALARM_TIME);
+                self.losses.push(now);
             }
             *reached = there.reclaimable;
         }
+        self.losses.retain(|at| now.since(*at) < ALARM_TIME);
     }
 }
 
-/// Returns how many reclaimable replicas can be counted on: in an alarm, the
-/// fullest zone may be the next to lose its own.
-fn sure_replicas(supply: &ZoneSupply, alarmed: bool) -> u32 {
-    let total: u32 = supply.values().map(|zone| zone.reclaimable).sum();
-    let fullest = supply.values().map(|zone| zone.reclaimable).max();
-    if alarmed {
-        total - fullest.unwrap_or(0)
-    } else {
-        total
-    }
+/// Returns how many of the replicas needed are not covered by reclaimable ones,
+/// after that many zones lost theirs a moment ago. The fullest zone may be the
+/// next; after two losses, one more after it.
+fn missing_replicas(needed: u32, supply: &ZoneSupply, losses: usize) -> u32 {
+    let mut there: Vec<u32> = supply.values().map(|zone| zone.reclaimable).collect();
+    there.sort_unstable();
+    let left_after = |lost: usize| -> u32 {
+        let kept = there.len().saturating_sub(lost);
+        there[..kept].iter().sum()
+    };
+    let missing = needed.saturating_sub(left_after(losses.min(1)));
+    let bare = (f64::from(needed) * BARE_COVER).ceil() as u32;
+    missing.max(bare.saturating_sub(left_after(losses.min(2))))
 }
 
-/// Returns how many reclaimable replicas every zone has, so that the others
-/// carry the whole demand when one zone loses all of them.
-fn reclaimable_per_zone(total: u32, zones: usize) -> u32 {
-    let others = zones.saturating_sub(1).max(1) as u32;
-    total.div_ceil(others)
+/// Returns in how many of the zones the reclaimable replicas carry the whole
+/// demand together; those in the others are there for losses.
+fn carrying_zones(rule: &ScaleRule, zones: usize) -> u32 {
+    let spare = if rule.reclaimable_price <= CHEAP_PRICE {
+        2
+    } else {
+        1
+    };
+    zones.saturating_sub(spare).max(1) as u32
 }
 
 fn zones_by_price(rule: &ScaleRule) -> Vec<&ZoneName> {
@@ -209,14 +273,28 @@
     zones.into_iter().map(|(zone, _)| zone).collect()
 }
 
-/// Deals `total` over places with limited room: evenly over the first
-/// [`FIXED_ZONES`], then to the others in order.
-fn deal(total: u32, rooms: &[u32]) -> Vec<u32> {
-    let mut dealt = vec![0; rooms.len()];
+/// Where replicas that are not reclaimable may be.
+#[derive(Clone, Copy, Debug)]
+struct FixedPlace {
+    there: u32,
+    room: u32,
+}
+
+/// Deals `total` over places in order of price. Those that are there stay:
+/// moving one costs two for the time of a start. Others come evenly over the
+/// first [`FIXED_ZONES`], then over the rest.
+fn deal(total: u32, places: &[FixedPlace]) -> Vec<u32> {
+    let mut dealt = Vec::new();
     let mut left = total;
-    for group in [0..FIXED_ZONES.min(rooms.len()), 0..rooms.len()] {
+    for place in places {
+        let kept = place.there.min(place.room).min(left);
+        dealt.push(kept);
+        left -= kept;
+    }
+    for group in [0..FIXED_ZONES.min(places.len()), 0..places.len()] {
         loop {
-            let open: Vec<usize> = group.clone().filter(|i| dealt[*i] < rooms[*i]).collect();
+            let has_room = |index: &usize| dealt[*index] < places[*index].room;
+            let open: Vec<usize> = group.clone().filter(has_room).collect();
             if left == 0 || open.is_empty() {
                 break;
             }
--- a/lib/tests/test_gateway_duties.rs
+++ b/lib/tests/test_gateway_duties.rs
@@ -153,7 +153,7 @@
 #[test]
 fn replicas_move_to_reclaimable_vms_and_back_while_these_are_away() {
     let start = supply([0; 4], [3, 2, 2, 2]);
-    let mut planner = ReplicaPlanner::new(&start);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &start);
     let mut steps = vec![plan(&mut planner, 0, 0.0, &start)];
     let there = supply([2; 4], [0, 2, 0, 2]);
     steps.push(plan(&mut planner, 5_000, 0.6, &there));
@@ -173,18 +173,50 @@
 #[test]
 fn what_cannot_be_had_pushes_out_nothing_that_serves() {
     let start = supply([0; 4], [0, 4, 0, 4]);
-    let mut planner = ReplicaPlanner::new(&start);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &start);
     let shown = plan(&mut planner, 1_000, 12.0, &start);
-    let fixed: u32 = shown
-        .split(", ")
-        .map(|zone| zone.rsplit(' ').next().unwrap().parse::<u32>().unwrap())
-        .sum();
-    assert!(fixed >= 8, "{shown}");
+    assert!(fixed_in(&shown) >= 8, "{shown}");
+}
+
+/// Sums the replicas that are not reclaimable in what [`plan`] shows.
+fn fixed_in(shown: &str) -> u32 {
+    let zones = shown.split(", ");
+    let counts = zones.map(|zone| zone.rsplit(' ').next().unwrap().parse::<u32>().unwrap());
+    counts.sum()
+}
+
+#[test]
+fn a_short_rise_of_demand_orders_few_fixed_replicas() {
+    let there = supply([4; 4], [0; 4]);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
+    for second in 0..10 {
+        plan(&mut planner, second * 1_000, 3.0, &there);
+    }
+    // Twice what all replicas carry, for two seconds.
+    for second in 10..12 {
+        let shown = plan(&mut planner, second * 1_000, 20.0, &there);
+        assert!(fixed_in(&shown) <= 4, "{shown}");
+    }
+}
+
+#[test]
+fn after_two_losses_in_a_row_others_start_before_a_third() {
+    let there = supply([3; 4], [0; 4]);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
+    for second in 0..10 {
+        let shown = plan(&mut planner, second * 1_000, 2.0, &there);
+        assert_eq!(fixed_in(&shown), 0, "{shown}");
+    }
+    let there = supply([0, 3, 3, 3], [0; 4]);
+    let first = plan(&mut planner, 10_000, 2.0, &there);
+    let there = supply([0, 0, 3, 3], [0; 4]);
+    let second = plan(&mut planner, 11_000, 2.0, &there);
+    insta::assert_snapshot!(format!("{first}\n{second}"));
 }
 
 #[test]
 fn a_new_holder_goes_on_with_what_is_there() {
     let there = supply([3; 4], [0, 1, 0, 0]);
-    let mut planner = ReplicaPlanner::new(&there);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
     insta::assert_snapshot!(plan(&mut planner, 0, 0.0, &there));
 }
