duty_task: plan replicas soon after a restart; a new holder keeps what is there for 15 s

Change: the wait for records is that of the first start of the system; later starts wait 1.2 s and for a list that the store confirmed. A planner begins with what is there.

Test: a_new_holder_shrinks_only_after_it_has_watched failed first.

--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -4,6 +4,7 @@
 //! connection to the backend server, which stops its work.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -53,7 +54,7 @@
     body: Incoming,
     connection: KeptConnection,
     guard: SendGuard,
-    keep_idle: Option<std::time::Duration>,
+    keep_idle: Option<Duration>,
 }
 
 /// Relays one stream of events.
@@ -65,6 +66,7 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: usize,
+    first_event_after: Option<Duration>,
     finished: bool,
     _open: OpenCall,
 }
@@ -90,6 +92,7 @@
             answer: Some(open_answer(sent)),
             splitter: EventSplitter::new(),
             events: 0,
+            first_event_after: None,
             finished: false,
         };
         let frames = stream::unfold(relay, EventRelay::next_frame);
@@ -133,6 +136,7 @@
         if self.events == 0 {
             count_usage(&self.context, self.call.account_name());
             let after = self.call.arrived.elapsed();
+            self.first_event_after = Some(after);
             histogram!("cloverbend_first_event_seconds").record(after.as_secs_f64());
         }
         if let Some(answer) = self.answer.as_mut() {
@@ -205,6 +209,7 @@
         if self.logs(LineClass::Step) {
             info!(self.context.log, "request answered"; "request" => %self.call.head.id,
                 "backend" => %guard.backend, "events" => self.events,
+                "first_event_ms" => self.first_event_after.map(|after| after.as_millis() as u64),
                 "after_ms" => self.call.arrived.elapsed().as_millis() as u64);
         }
         let rest = self.splitter.take_rest();
--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -53,9 +53,13 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// The pause between looks at the replicas.
 const PLAN_PAUSE: Duration = Duration::from_millis(1_000);
-/// How long after the start of this process replicas are first planned: all of
-/// them have written their records by then, at least one every two seconds.
+/// How long after the first start of the whole system replicas are first
+/// planned: all of them have written their records by then, at least one every
+/// two seconds.
 const SETTLED_AFTER: Timestamp = Timestamp::from_millis(4_000);
+/// The same for an entry that starts again later: the replicas' records are in
+/// the store already, and other entries have told their load several times.
+const RESTART_SETTLED_AFTER: Timestamp = Timestamp::from_millis(1_200);
 /// After how long an order that seems not to be carried out is given again:
 /// a replica starts in four seconds, and some orders are done late.
 const REORDER_AFTER: Duration = Duration::from_secs(7);
@@ -284,7 +288,12 @@
             return;
         }
         self.planned_at = Some(now);
-        if now < SETTLED_AFTER {
+        let settled = if context.settings.first_start {
+            SETTLED_AFTER
+        } else {
+            RESTART_SETTLED_AFTER
+        };
+        if now < settled || context.backends.lock().confirmed_at().is_none() {
             return;
         }
         let config = context.config.lock().adopted().map(|a| a.config.clone());
--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -190,6 +190,10 @@
             let needed = (demand.replicas().ceil() as u32).max(self.least);
             (needed, needed)
         };
+        if self.recent.values.is_empty() {
+            // What an earlier holder saw is not known here, only its orders.
+            self.recent.note(now, self.start);
+        }
         self.recent.note(now, wanted);
         self.steady.note(now, sure);
         let total = self.recent.highest();
--- a/lib/tests/test_gateway_duties.rs
+++ b/lib/tests/test_gateway_duties.rs
@@ -214,6 +214,23 @@
     insta::assert_snapshot!(format!("{first}\n{second}"));
 }
 
+/// Sums the reclaimable replicas in what [`plan`] shows.
+fn reclaimable_in(shown: &str) -> u32 {
+    let zones = shown.split(", ");
+    let counts = zones.map(|zone| zone.split(' ').nth(1).unwrap().parse::<u32>().unwrap());
+    counts.sum()
+}
+
+#[test]
+fn a_new_holder_shrinks_only_after_it_has_watched() {
+    let there = supply([6; 4], [0; 4]);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
+    let begun = plan(&mut planner, 0, 0.6, &there);
+    assert_eq!(reclaimable_in(&begun), 24, "{begun}");
+    let watched = plan(&mut planner, 16_000, 0.6, &there);
+    assert!(reclaimable_in(&watched) < 24, "{watched}");
+}
+
 #[test]
 fn a_new_holder_goes_on_with_what_is_there() {
     let there = supply([3; 4], [0, 1, 0, 0]);
