replica_plan: two more losses are expected only while they come fast; the first plan drops fixed replicas at once

At the first start of all, 51 replicas that nobody needed were kept for three seconds more.

Change: losses closer together than the start of a replica mean that two more may follow, others one; what may follow is covered for the bare need. The first plan of all sets the number of fixed replicas without a wait.

--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -311,7 +311,9 @@
             let planner = self
                 .planners
                 .entry(service.name.clone())
-                .or_insert_with(|| ReplicaPlanner::new(rule, &supply));
+                .or_insert_with(|| {
+                    ReplicaPlanner::new(rule, &supply, context.settings.first_start)
+                });
             let orders = planner.plan(now, &service.name, rule, demand, &supply);
             for order in orders {
                 if !self.give_order(context, fence, order).await {
--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -33,8 +33,8 @@
 /// Over how long demand is averaged before replicas that are not reclaimable
 /// are ordered for it: shorter rises are over before such replicas start.
 const STEADY_TIME: Duration = Duration::from_secs(6);
-/// The share of the demand that has to be met after two more zones are lost:
-/// what demand needs has room for such a rise of filling.
+/// The share of the demand that has to be met after more zones are lost than
+/// now: what demand needs has room for such a rise of filling.
 const BARE_COVER: f64 = 0.65;
 /// How long less must have been enough before fewer are ordered: a replica
 /// that leaves takes its kept prompts and its long streams along.
@@ -149,12 +149,16 @@
     fixed: SlowFall,
     reached: BTreeMap<ZoneName, u32>,
     losses: Vec<Timestamp>,
+    /// Whether this is the first plan since the whole system started, before
+    /// which there were no callers.
+    is_first_plan: bool,
 }
 
 impl ReplicaPlanner {
     /// Returns a planner that begins with the replicas that are there. What
-    /// an earlier holder of the lease ordered shows in them.
-    pub fn new(rule: &ScaleRule, supply: &ZoneSupply) -> Self {
+    /// an earlier holder of the lease ordered shows in them. `first_start` is
+    /// only right for the first holder since the whole system started.
+    pub fn new(rule: &ScaleRule, supply: &ZoneSupply, first_start: bool) -> Self {
         let reclaimable: u32 = supply.values().map(|zone| zone.reclaimable).sum();
         let fixed: u32 = supply.values().map(|zone| zone.fixed).sum();
         let zones = supply.len().max(1) as u32;
@@ -169,6 +173,7 @@
             fixed: SlowFall::new(fixed.min(there), FIXED_SHRINK_AFTER),
             reached: BTreeMap::new(),
             losses: Vec::new(),
+            is_first_plan: first_start,
         }
     }
 
@@ -201,7 +206,12 @@
         let zones = zones_by_price(rule);
         let spread = total.div_ceil(carrying_zones(rule, zones.len()));
         self.watch_losses(now, supply, spread);
-        let missing = missing_replicas(steady, supply, self.losses.len());
+        let wave = LossWave::of(&self.losses, rule.startup);
+        let missing = missing_replicas(steady, supply, wave);
+        if self.is_first_plan && demand == ReplicaDemand::default() {
+            self.fixed = SlowFall::new(missing, FIXED_SHRINK_AFTER);
+        }
+        self.is_first_plan = false;
         let fixed = self.fixed.update(now, missing);
         let there = |zone: &ZoneName| supply.get(zone).copied().unwrap_or_default();
         let places: Vec<FixedPlace> = zones
@@ -245,19 +255,51 @@
     }
 }
 
-/// Returns how many of the replicas needed are not covered by reclaimable ones,
-/// after that many zones lost theirs a moment ago. The fullest zone may be the
-/// next; after two losses, one more after it.
-fn missing_replicas(needed: u32, supply: &ZoneSupply, losses: usize) -> u32 {
+/// How zones lost their reclaimable replicas lately.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LossWave {
+    /// None did.
+    Calm,
+    /// Some did, far enough apart that replicas can start in between.
+    Slow,
+    /// Two did within the start of a replica, so that two more may follow
+    /// before anything ordered then serves.
+    Fast,
+}
+
+impl LossWave {
+    fn of(losses: &[Timestamp], startup: Duration) -> Self {
+        let is_fast = losses
+            .windows(2)
+            .any(|pair| pair[1].since(pair[0]) < startup);
+        match losses {
+            [] => Self::Calm,
+            _ if is_fast => Self::Fast,
+            _ => Self::Slow,
+        }
+    }
+
+    /// Returns how many more zones may be lost before an order is carried out.
+    fn expected_losses(self) -> usize {
+        match self {
+            Self::Calm => 0,
+            Self::Slow => 1,
+            Self::Fast => 2,
+        }
+    }
+}
+
+/// Returns how many of the replicas needed are not covered by reclaimable ones:
+/// by those that are there for the whole need, and by those that the expected
+/// losses leave for the bare need.
+fn missing_replicas(needed: u32, supply: &ZoneSupply, wave: LossWave) -> u32 {
     let mut there: Vec<u32> = supply.values().map(|zone| zone.reclaimable).collect();
     there.sort_unstable();
-    let left_after = |lost: usize| -> u32 {
-        let kept = there.len().saturating_sub(lost);
-        there[..kept].iter().sum()
-    };
-    let missing = needed.saturating_sub(left_after(losses.min(1)));
+    let kept = there.len().saturating_sub(wave.expected_losses());
+    let left: u32 = there[..kept].iter().sum();
     let bare = (f64::from(needed) * BARE_COVER).ceil() as u32;
-    missing.max(bare.saturating_sub(left_after(losses.min(2))))
+    let missing = needed.saturating_sub(there.iter().sum());
+    missing.max(bare.saturating_sub(left))
 }
 
 /// Returns in how many of the zones the reclaimable replicas carry the whole
--- a/lib/tests/test_gateway_duties.rs
+++ b/lib/tests/test_gateway_duties.rs
@@ -15,6 +15,7 @@
 use cloverbend::id::LogOffset;
 use cloverbend::quantity::Timestamp;
 use proptest::prelude::*;
+use rstest::rstest;
 
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -153,7 +154,7 @@
 #[test]
 fn replicas_move_to_reclaimable_vms_and_back_while_these_are_away() {
     let start = supply([0; 4], [3, 2, 2, 2]);
-    let mut planner = ReplicaPlanner::new(&scale_rule(), &start);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &start, true);
     let mut steps = vec![plan(&mut planner, 0, 0.0, &start)];
     let there = supply([2; 4], [0, 2, 0, 2]);
     steps.push(plan(&mut planner, 5_000, 0.6, &there));
@@ -173,7 +174,7 @@
 #[test]
 fn what_cannot_be_had_pushes_out_nothing_that_serves() {
     let start = supply([0; 4], [0, 4, 0, 4]);
-    let mut planner = ReplicaPlanner::new(&scale_rule(), &start);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &start, true);
     let shown = plan(&mut planner, 1_000, 12.0, &start);
     assert!(fixed_in(&shown) >= 8, "{shown}");
 }
@@ -188,7 +189,7 @@
 #[test]
 fn a_short_rise_of_demand_orders_few_fixed_replicas() {
     let there = supply([4; 4], [0; 4]);
-    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there, false);
     for second in 0..10 {
         plan(&mut planner, second * 1_000, 3.0, &there);
     }
@@ -199,10 +200,12 @@
     }
 }
 
-#[test]
-fn after_two_losses_in_a_row_others_start_before_a_third() {
+#[rstest]
+#[case::within_a_start(1_000)]
+#[case::far_apart(6_000)]
+fn after_two_losses_in_a_row_others_start_before_a_third(#[case] apart: u64) {
     let there = supply([3; 4], [0; 4]);
-    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there, false);
     for second in 0..10 {
         let shown = plan(&mut planner, second * 1_000, 2.0, &there);
         assert_eq!(fixed_in(&shown), 0, "{shown}");
@@ -210,8 +213,11 @@
     let there = supply([0, 3, 3, 3], [0; 4]);
     let first = plan(&mut planner, 10_000, 2.0, &there);
     let there = supply([0, 0, 3, 3], [0; 4]);
-    let second = plan(&mut planner, 11_000, 2.0, &there);
-    insta::assert_snapshot!(format!("{first}\n{second}"));
+    let second = plan(&mut planner, 10_000 + apart, 2.0, &there);
+    insta::assert_snapshot!(
+        format!("losses_{apart}_ms_apart"),
+        format!("{first}\n{second}")
+    );
 }
 
 /// Sums the reclaimable replicas in what [`plan`] shows.
@@ -224,7 +230,7 @@
 #[test]
 fn a_new_holder_shrinks_only_after_it_has_watched() {
     let there = supply([6; 4], [0; 4]);
-    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there, false);
     let begun = plan(&mut planner, 0, 0.6, &there);
     assert_eq!(reclaimable_in(&begun), 24, "{begun}");
     let watched = plan(&mut planner, 16_000, 0.6, &there);
@@ -234,6 +240,6 @@
 #[test]
 fn a_new_holder_goes_on_with_what_is_there() {
     let there = supply([3; 4], [0, 1, 0, 0]);
-    let mut planner = ReplicaPlanner::new(&scale_rule(), &there);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there, false);
     insta::assert_snapshot!(plan(&mut planner, 0, 0.0, &there));
 }
