store_task: an entry that read the list of entries too early is found

Cause: entries tell their news to hubs only. One that is no hub, and that read the list before the hubs were on it, was contacted by nobody and read the list never again: it stayed alone for its whole life.

Ruled out: a holder whose work hangs (no more calls would be made), a claim that fails for ever (replicas were ordered).

Change: the list is read again after a second, and later whenever no other entry is heard.

--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -44,6 +44,13 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// The pause between attempts to be listed among the entries.
 const LISTING_PAUSE: Duration = Duration::from_millis(500);
+/// The pause before the list of entries is read a second time. Entries that
+/// start together do so within a third of a second.
+const RELIST_PAUSE: Duration = Duration::from_millis(1_000);
+/// The longest pause between reads of the list while no other entry is heard.
+const LONGEST_RELIST_PAUSE: Duration = Duration::from_millis(8_000);
+/// The pause between looks at whether other entries are heard.
+const ALONE_CHECK: Duration = Duration::from_millis(1_000);
 
 /// Tells whether a dependency was lost or regained, once for each change.
 struct DependencyWatch {
@@ -275,8 +282,8 @@
     pub strength: u32,
 }
 
-/// Lists this entry, then reads who else is listed. Of two entries that start
-/// together, the one that reads later sees both.
+/// Lists this entry, then reads who else is listed: at once, again when all
+/// that started together are listed, and whenever no other entry is heard.
 pub async fn join_entries(context: Arc<GatewayContext>) {
     let listing = EntryListing {
         address: context.settings.peer_address,
@@ -300,14 +307,31 @@
         }
         tokio::time::sleep(LISTING_PAUSE).await;
     }
+    let mut pause = RELIST_PAUSE;
     loop {
         let listed = store.newest(LogTopic::Entries).await;
         watch.note(&context, &listed);
-        if let Ok(slice) = listed {
-            note_listed(&context, &slice);
-            return;
+        let Ok(slice) = listed else {
+            tokio::time::sleep(LISTING_PAUSE).await;
+            continue;
+        };
+        note_listed(&context, &slice);
+        tokio::time::sleep(pause).await;
+        // The second read finds those that started together with this entry.
+        // Two that read the list before the rest would hear only each other.
+        if pause > RELIST_PAUSE {
+            wait_until_alone(&context).await;
         }
-        tokio::time::sleep(LISTING_PAUSE).await;
+        pause = (pause * 2).min(LONGEST_RELIST_PAUSE);
+    }
+}
+
+/// Waits as long as any other entry is heard. Entries talk to hubs only: one
+/// that is no hub, and that read the list before the hubs were on it, is told
+/// nothing by anybody.
+async fn wait_until_alone(context: &GatewayContext) {
+    while context.peers.lock().share_view(context.now()).heard > 1 {
+        tokio::time::sleep(ALONE_CHECK).await;
     }
 }
 
