replica_plan: only the loss of half of a zone's reclaimable replicas counts as a loss; plan split by job

A reclaim takes all of a zone.

Test: crashes_of_single_replicas_are_no_wave_of_losses failed first.

--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -142,12 +142,18 @@
 /// Plans the replicas of one service over time.
 #[derive(Clone, Debug)]
 pub struct ReplicaPlanner {
+    /// The fewest replicas that are kept.
     least: u32,
+    /// What was there, as far as losses of zones leave it.
     start: u32,
+    /// What was needed within [`SHRINK_AFTER`], for reclaimable replicas.
     recent: RecentValues,
+    /// What was needed within [`STEADY_TIME`], for others.
     steady: RecentValues,
     fixed: SlowFall,
+    /// The reclaimable replicas of each zone at the last plan.
     reached: BTreeMap<ZoneName, u32>,
+    /// When zones lost theirs, within [`ALARM_TIME`].
     losses: Vec<Timestamp>,
     /// Whether this is the first plan since the whole system started, before
     /// which there were no callers.
@@ -186,44 +192,19 @@
         demand: ReplicaDemand,
         supply: &ZoneSupply,
     ) -> Vec<ReplicaOrder> {
-        // Without any demand there are no callers yet, and nothing is known:
-        // reclaimable ones come as if all that was there were needed, and few
-        // others wait for them.
-        let (wanted, sure) = if demand == ReplicaDemand::default() {
-            (self.start, self.least)
-        } else {
-            let needed = (demand.replicas().ceil() as u32).max(self.least);
-            (needed, needed)
-        };
-        if self.recent.values.is_empty() {
-            // What an earlier holder saw is not known here, only its orders.
-            self.recent.note(now, self.start);
-        }
-        self.recent.note(now, wanted);
-        self.steady.note(now, sure);
-        let total = self.recent.highest();
-        let steady = self.steady.average();
+        self.note_demand(now, demand);
         let zones = zones_by_price(rule);
+        let total = self.recent.highest();
         let spread = total.div_ceil(carrying_zones(rule, zones.len()));
         self.watch_losses(now, supply, spread);
         let wave = LossWave::of(&self.losses, rule.startup);
-        let missing = missing_replicas(steady, supply, wave);
+        let missing = missing_replicas(self.steady.average(), supply, wave);
         if self.is_first_plan && demand == ReplicaDemand::default() {
             self.fixed = SlowFall::new(missing, FIXED_SHRINK_AFTER);
         }
         self.is_first_plan = false;
         let fixed = self.fixed.update(now, missing);
-        let there = |zone: &ZoneName| supply.get(zone).copied().unwrap_or_default();
-        let places: Vec<FixedPlace> = zones
-            .iter()
-            .map(|zone| FixedPlace {
-                there: there(zone).fixed,
-                // Only those that are there take room: what cannot be had now
-                // must not push out what serves in its place.
-                room: rule.max.saturating_sub(there(zone).reclaimable),
-            })
-            .collect();
-        let dealt = deal(fixed, &places);
+        let dealt = deal(fixed, &fixed_places(rule, &zones, supply));
         let mut orders = Vec::new();
         for (zone, fixed) in zones.iter().zip(dealt) {
             let least = rule.min.saturating_sub(fixed);
@@ -240,13 +221,32 @@
         orders
     }
 
-    /// Notes zones that lost reclaimable replicas without an order. Others
-    /// often follow within seconds, and new ones are not to be had then.
+    /// Notes how many replicas are needed now. Without any demand there are no
+    /// callers yet, and nothing is known: reclaimable ones come as if all that
+    /// was there were needed, and few others wait for them.
+    fn note_demand(&mut self, now: Timestamp, demand: ReplicaDemand) {
+        let (needed, needed_surely) = if demand == ReplicaDemand::default() {
+            (self.start, self.least)
+        } else {
+            let needed = (demand.replicas().ceil() as u32).max(self.least);
+            (needed, needed)
+        };
+        if self.recent.values.is_empty() {
+            // What an earlier holder saw is not known here, only its orders.
+            self.recent.note(now, self.start);
+        }
+        self.recent.note(now, needed);
+        self.steady.note(now, needed_surely);
+    }
+
+    /// Notes zones that lost half of their reclaimable replicas or more without
+    /// an order. Others often follow within seconds, and new ones are not to be
+    /// had then. Fewer are crashes of single replicas, which announce nothing.
     fn watch_losses(&mut self, now: Timestamp, supply: &ZoneSupply, spread: u32) {
         for (zone, there) in supply {
             let reached = self.reached.entry(zone.clone()).or_default();
             *reached = (*reached).min(spread);
-            if there.reclaimable < *reached {
+            if *reached > 0 && there.reclaimable * 2 <= *reached {
                 self.losses.push(now);
             }
             *reached = there.reclaimable;
@@ -319,6 +319,19 @@
     zones.into_iter().map(|(zone, _)| zone).collect()
 }
 
+fn fixed_places(rule: &ScaleRule, zones: &[&ZoneName], supply: &ZoneSupply) -> Vec<FixedPlace> {
+    let place = |zone: &&ZoneName| {
+        let there = supply.get(*zone).copied().unwrap_or_default();
+        FixedPlace {
+            there: there.fixed,
+            // Only those that are there take room: what cannot be had now must
+            // not push out what serves in its place.
+            room: rule.max.saturating_sub(there.reclaimable),
+        }
+    };
+    zones.iter().map(place).collect()
+}
+
 /// Where replicas that are not reclaimable may be.
 #[derive(Clone, Copy, Debug)]
 struct FixedPlace {
--- a/lib/tests/test_gateway_duties.rs
+++ b/lib/tests/test_gateway_duties.rs
@@ -227,6 +227,18 @@
     counts.sum()
 }
 
+#[test]
+fn crashes_of_single_replicas_are_no_wave_of_losses() {
+    let there = supply([5; 4], [0; 4]);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &there, false);
+    for second in 0..20 {
+        plan(&mut planner, second * 1_000, 7.8, &there);
+    }
+    let there = supply([4; 4], [0; 4]);
+    let shown = plan(&mut planner, 20_000, 7.8, &there);
+    assert_eq!(fixed_in(&shown), 0, "{shown}");
+}
+
 #[test]
 fn a_new_holder_shrinks_only_after_it_has_watched() {
     let there = supply([6; 4], [0; 4]);
