--- a/testutils/src/bin/cloverbend-experiment.rs
+++ b/testutils/src/bin/cloverbend-experiment.rs
@@ -10,13 +10,13 @@
 use cloverbend::route_strategy::RouteStrategy;
 use cloverbend::routing::CostWeights;
 use cloverbend_testutils::engine_model::EngineShape;
-use cloverbend_testutils::load_model::Admission;
-use cloverbend_testutils::load_model::DemandKind;
-use cloverbend_testutils::load_model::LoadRun;
-use cloverbend_testutils::load_model::MoveRule;
-use cloverbend_testutils::load_model::Scenario;
-use cloverbend_testutils::load_model::figure_columns;
 use cloverbend_testutils::load_model::run_load;
+use cloverbend_testutils::load_run::Admission;
+use cloverbend_testutils::load_run::DemandKind;
+use cloverbend_testutils::load_run::LoadRun;
+use cloverbend_testutils::load_run::MoveRule;
+use cloverbend_testutils::load_run::Scenario;
+use cloverbend_testutils::load_run::figure_columns;
 use plotters::prelude::*;
 
 /// The expected wait beyond which requests are refused, in milliseconds.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod histories;
 pub mod linear_fit;
 pub mod load_model;
+pub mod load_run;
 pub mod log_standin;
 pub mod member_world;
 pub mod pair_model;
