--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load_run;
 pub mod log_standin;
 pub mod member_world;
+pub mod pair_explorer;
 pub mod pair_model;
 pub mod plain_standin;
 pub mod processes;
--- a/testutils/tests/test_at_most_once.rs
+++ b/testutils/tests/test_at_most_once.rs
@@ -3,10 +3,10 @@
 //! found.
 
 use cloverbend::configuration::RepeatRule;
+use cloverbend_testutils::pair_explorer::explore;
 use cloverbend_testutils::pair_model::BrokenRule;
 use cloverbend_testutils::pair_model::FaultBudget;
 use cloverbend_testutils::pair_model::PairWorld;
-use cloverbend_testutils::pair_model::explore;
 use rstest::rstest;
 
 const STATE_LIMIT: usize = 1_000_000;
