call_dispatch: a slow try is given up only with the means for another; account_limits: allowance between news is fixed at the news

Now the budget is taken and another server looked for first; else the try goes on.

The allowance is computed once, when news come.

--- a/lib/src/gateway/account_limits.rs
+++ b/lib/src/gateway/account_limits.rs
@@ -91,7 +91,11 @@
 
 #[derive(Clone, Debug)]
 struct AccountBucket {
+    /// Units that were admitted since the last news.
     unheard: f64,
+    /// How many may be, beside what the rate earns, once that was computed.
+    allowance: Option<f64>,
+    /// The last news that were taken into account.
     heard_at: Timestamp,
     level: f64,
     capacity: f64,
@@ -166,6 +170,7 @@
                 filled_at: now,
                 admitted: 0,
                 unheard: 0.0,
+                allowance: None,
                 heard_at,
                 started_part: if starts_full { 1.0 } else { 0.0 },
             });
@@ -186,15 +191,17 @@
             return Err(Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX));
         }
         // What is admitted before others hear of it is bounded too.
-        if bucket.heard_at != heard_at {
+        let entries = view.entries.max(1) as f64;
+        if bucket.heard_at != heard_at || bucket.allowance.is_none() {
             bucket.heard_at = heard_at;
             bucket.unheard = 0.0;
+            // The level is that of the part that the heard entries share.
+            let heard = (part * entries).max(1.0);
+            let reserve = self.slack.total(rule) * UNHEARD_SLACK;
+            bucket.allowance = Some(bucket.level.max(0.0) / heard + reserve / entries);
         }
-        let entries = view.entries.max(1) as f64;
-        let silence = now.since(heard_at);
-        let left = bucket.level.max(0.0) + bucket.unheard;
-        let reserve = self.slack.total(rule) * UNHEARD_SLACK;
-        let allowed = (left + reserve + rule.rate * silence.as_secs_f64()) / entries;
+        let earned = rule.rate * now.since(heard_at).as_secs_f64() / entries;
+        let allowed = bucket.allowance.unwrap_or(0.0) + earned;
         if bucket.unheard > 0.0 && bucket.unheard + units as f64 > allowed {
             return Err(NEWS_OVERDUE);
         }
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -116,6 +116,8 @@
     NotSent,
     /// It may have run; the word tells what was seen.
     Lost(&'static str),
+    /// It was given up for another server, for which the budget was taken.
+    GivenUp,
 }
 
 /// Sends a request until a backend server begins to answer. With `resume_at`
@@ -165,6 +167,12 @@
                 log_send(context, call, &backend, "not_sent");
                 continue;
             }
+            SendResult::GivenUp => {
+                plan.runs += 1;
+                note_outcome(context, &backend, BackendOutcome::Broken);
+                log_send(context, call, &backend, "given_up");
+                continue;
+            }
             SendResult::Lost(word) => word,
         };
         plan.runs += 1;
@@ -199,14 +207,45 @@
     let backend = &chosen.guard.backend;
     let request = build_send(context, call, backend, resume_at);
     let exchange = context.pool.exchange(backend, chosen.address, request);
-    match tokio::time::timeout(send_patience(call, plan), exchange).await {
-        Ok(Ok(exchange)) => judge_answer(context, call, backend, exchange),
-        Ok(Err(ExchangeError::NotSent(_))) => SendResult::NotSent,
-        Ok(Err(ExchangeError::Lost(_))) => SendResult::Lost("lost"),
+    let mut exchange = std::pin::pin!(exchange);
+    if let Some(patience) = first_try_patience(call, plan) {
+        let early = tokio::time::timeout(patience, &mut exchange).await;
+        if let Ok(result) = early {
+            return judge_exchange(context, call, backend, result);
+        }
+        // Without the means for another try, this one is still the best.
+        if has_other_server(context, call, plan) && plan.take_budget(context, call) {
+            return SendResult::GivenUp;
+        }
+    }
+    match tokio::time::timeout(call.left(), exchange).await {
+        Ok(result) => judge_exchange(context, call, backend, result),
         Err(_) => SendResult::Lost("no_answer"),
     }
 }
 
+fn judge_exchange(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    backend: &BackendId,
+    result: Result<Exchange, ExchangeError>,
+) -> SendResult {
+    match result {
+        Ok(exchange) => judge_answer(context, call, backend, exchange),
+        Err(ExchangeError::NotSent(_)) => SendResult::NotSent,
+        Err(ExchangeError::Lost(_)) => SendResult::Lost("lost"),
+    }
+}
+
+fn has_other_server(context: &GatewayContext, call: &AdmittedCall, plan: &SendPlan) -> bool {
+    let now = context.now();
+    let backends = context.backends.lock();
+    backends.of_service(&call.service).any(|backend| {
+        let usable = backend.takes_work() && !backend.is_missing() && !backend.is_excluded(now);
+        usable && !plan.tried.contains(&backend.record.id)
+    })
+}
+
 /// Judges the head of an answer: whether it belongs to the request, and whether
 /// the request ran.
 fn judge_answer(
@@ -283,16 +322,12 @@
     })
 }
 
-/// Returns how long to wait for the head of an answer. Where another backend
-/// server may be tried, only a part of the time is spent on the first.
-fn send_patience(call: &AdmittedCall, plan: &SendPlan) -> Duration {
-    let left = call.left();
+/// Returns how long to wait for the head of an answer before another backend
+/// server is tried, if one may be.
+fn first_try_patience(call: &AdmittedCall, plan: &SendPlan) -> Option<Duration> {
     let more = plan.repeatable && plan.runs + 1 < call.route.max_attempts;
-    if !more {
-        return left;
-    }
     let patience = call.route.target_latency.mul_f64(FIRST_TRY_SHARE);
-    patience.min(left / 2)
+    more.then(|| patience.min(call.left() / 2))
 }
 
 fn build_send(
