--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -16,7 +16,6 @@
 use crate::gateway::edge::LogTopic;
 use crate::gateway::edge::ReplicaOrder;
 use crate::gateway::edge::StoreError;
-use crate::gateway::engine_choice::READ_RATE;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_book::HUB_COUNT;
 use crate::gateway::replica_plan::ReplicaDemand;
@@ -315,6 +314,12 @@
                     ReplicaPlanner::new(rule, &supply, context.settings.first_start)
                 });
             let orders = planner.plan(now, &service.name, rule, demand, &supply);
+            let there = supply_totals(&supply);
+            info!(context.log, "replicas planned"; "service" => %service.name,
+                "demand_slots" => demand.slots, "demand_reading" => demand.reading,
+                "reclaimable" => there.reclaimable, "fixed" => there.fixed,
+                "planned_reclaimable" => ordered(&orders, true),
+                "planned_fixed" => ordered(&orders, false));
             for order in orders {
                 if !self.give_order(context, fence, order).await {
                     return;
@@ -368,12 +373,13 @@
 
 fn measure_demand(context: &GatewayContext, service: &ServiceName, slots: u32) -> ReplicaDemand {
     let now = context.now();
-    let running: u32 = {
+    let (running, token_rate): (u32, f64) = {
         let backends = context.backends.lock();
         let of_service = backends.of_service(service);
         // Requests that wait are not counted: a queue that built up once would
         // be taken for demand until it is gone.
-        of_service.map(|b| b.occupancy(now).min(slots)).sum()
+        let running = of_service.map(|b| b.occupancy(now).min(slots)).sum();
+        (running, backends.reading_speed(service).token_rate().0)
     };
     let own = {
         let work = context.work.lock();
@@ -383,7 +389,7 @@
     let others = context.peers.lock().work(now, service) as f64;
     ReplicaDemand {
         slots: f64::from(running) / f64::from(slots.max(1)),
-        reading: (own + others) / (READ_RATE * 1_000.0),
+        reading: (own + others) / token_rate,
     }
 }
 
@@ -405,6 +411,21 @@
     supply
 }
 
+/// Sums the replicas that take work over all zones.
+fn supply_totals(supply: &ZoneSupply) -> ReplicaSupply {
+    let sum = |count: fn(&ReplicaSupply) -> u32| supply.values().map(count).sum();
+    ReplicaSupply {
+        reclaimable: sum(|zone| zone.reclaimable),
+        fixed: sum(|zone| zone.fixed),
+    }
+}
+
+/// Sums the replicas of one kind that are ordered over all zones.
+fn ordered(orders: &[ReplicaOrder], reclaimable: bool) -> u32 {
+    let of_kind = orders.iter().filter(|o| o.reclaimable == reclaimable);
+    of_kind.map(|order| order.count).sum()
+}
+
 fn is_decidable(context: &GatewayContext, window: WindowNumber) -> bool {
     let length = context.settings.bounds.usage_window_s;
     let end = Duration::from_secs((window + 1) * length) + DECIDE_AFTER;
