answer_relay: a resumable stream that falls silent goes on elsewhere

A stream now counts as silent after twice its longest usual pause, and after twice the target latency before its first event. If it may resume, another replica is free and the budget allows it, the first is stopped and the stream goes on there; else it is kept, since silence alone ends nothing.

--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -26,6 +26,7 @@
 use crate::gateway::call_dispatch::SendGuard;
 use crate::gateway::call_dispatch::SendPlan;
 use crate::gateway::call_dispatch::SentCall;
+use crate::gateway::call_dispatch::has_other_server;
 use crate::gateway::call_dispatch::next_send;
 use crate::gateway::call_log::count_usage;
 use crate::gateway::call_log::log_send;
@@ -35,6 +36,7 @@
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::gateway_context::OpenCall;
 use crate::gateway::log_budget::LineClass;
+use crate::gateway::pause_watch::PauseWatch;
 
 /// Why the body of an answer ends early. hyper then closes the caller's
 /// connection without an end of the body.
@@ -67,6 +69,9 @@
     last_event: Option<u64>,
     events: usize,
     first_event_after: Option<Duration>,
+    pauses: PauseWatch,
+    /// Whether the send that takes up the stream elsewhere is paid for.
+    resume_paid: bool,
     finished: bool,
     _open: OpenCall,
 }
@@ -83,7 +88,10 @@
         *response.status_mut() = sent.exchange.response.status();
         let headers = sent.exchange.response.headers().clone();
         *response.headers_mut() = onward_headers(headers);
+        let now = tokio::time::Instant::now();
         let relay = Self {
+            pauses: PauseWatch::new(now, &call.route),
+            resume_paid: false,
             _open: context.open_call(),
             last_event: call.head.last_event,
             context,
@@ -108,12 +116,15 @@
             let Some(answer) = self.answer.as_mut() else {
                 return self.resume_or_break().await;
             };
-            match tokio::time::timeout_at(until, answer.body.frame()).await {
+            let wait = self.pauses.silent_at().map_or(until, |at| at.min(until));
+            match tokio::time::timeout_at(wait, answer.body.frame()).await {
+                Err(_) if wait < until => self.note_silence(),
                 Err(_) => return Some(self.break_off("timed_out")),
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.pauses.note_bytes(tokio::time::Instant::now());
                     let batch = self.splitter.push(&data);
                     if !batch.bytes.is_empty() {
                         self.note_events(&batch);
@@ -146,6 +157,20 @@
         self.last_event = batch.last_id.or(self.last_event);
     }
 
+    /// Gives a silent stream up if it may go on at another backend server. Else
+    /// it is kept: silence alone does not end what cannot go on elsewhere.
+    fn note_silence(&mut self) {
+        let may_move = self.plan.may_run_again(&self.call)
+            && has_other_server(&self.context, &self.call, &self.plan)
+            && self.plan.take_budget(&self.context, &self.call);
+        if may_move {
+            self.drop_answer("silent");
+            self.resume_paid = true;
+        } else {
+            self.pauses.stop();
+        }
+    }
+
     fn drop_answer(&mut self, word: &str) {
         let Some(answer) = self.answer.take() else {
             return;
@@ -158,8 +183,10 @@
     }
 
     async fn resume_or_break(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
-        let again =
-            self.plan.may_run_again(&self.call) && self.plan.take_budget(&self.context, &self.call);
+        let paid = std::mem::take(&mut self.resume_paid);
+        let again = paid
+            || (self.plan.may_run_again(&self.call)
+                && self.plan.take_budget(&self.context, &self.call));
         if !again {
             return Some(self.break_off("broken_off"));
         }
@@ -172,6 +199,7 @@
                 }
                 counter!("cloverbend_streams_resumed_total").increment(1);
                 self.answer = Some(open_answer(sent));
+                self.pauses.begin(tokio::time::Instant::now());
                 let empty = Frame::data(Bytes::new());
                 Some((Ok(empty), self))
             }
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -251,7 +251,9 @@
     }
 }
 
-fn has_other_server(context: &GatewayContext, call: &AdmittedCall, plan: &SendPlan) -> bool {
+/// Returns whether the service has a sound backend server that the request was
+/// not sent to.
+pub fn has_other_server(context: &GatewayContext, call: &AdmittedCall, plan: &SendPlan) -> bool {
     let now = context.now();
     let backends = context.backends.lock();
     backends.of_service(&call.service).any(|backend| {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod gateway_daemon;
 pub mod gateway_settings;
 pub mod log_budget;
+pub mod pause_watch;
 pub mod peer_book;
 pub mod peer_news;
 pub mod peer_task;
--- a/lib/src/gateway/site_config.rs
+++ b/lib/src/gateway/site_config.rs
@@ -51,6 +51,8 @@
     pub timeout: Duration,
     /// The time within which an answer has its full value.
     pub target_latency: Duration,
+    /// The longest pause between events with which a stream has its full value.
+    pub target_pause: Duration,
     /// The most backend servers that one try may run on.
     pub max_attempts: u32,
     /// The urgency, 0 the most urgent.
--- a/lib/tests/test_gateway_config.rs
+++ b/lib/tests/test_gateway_config.rs
@@ -40,6 +40,7 @@
         resumable: false,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_secs(1),
+        target_pause: Duration::from_millis(500),
         max_attempts: 1,
         priority: 0,
         public: false,
