engine_choice: waiting is reckoned with the observed time of a request

Hypothesis: 40 ms for each request beyond the slots fits streams of one to two seconds on some tens of slots only; a plain service frees a slot after a sixth of that. The time that requests occupy a backend server is now averaged per service.

--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -33,6 +33,11 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// The most prompt parts remembered for a backend server.
 const MAX_PARTS: usize = 512;
+/// How long a request is believed to occupy a backend server before any has
+/// ended: between plain requests of some ten ms and streams of some seconds.
+const PRIOR_HOLD: Duration = Duration::from_millis(500);
+/// The weight of the newest request in the average of such times.
+const HOLD_WEIGHT: f64 = 0.02;
 /// How long a report of load counts; later only the own count does.
 const LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -197,6 +202,7 @@
 pub struct BackendSet {
     backends: BTreeMap<BackendId, Backend>,
     speeds: BTreeMap<ServiceName, ReadingSpeed>,
+    holds: BTreeMap<ServiceName, Duration>,
     store_back_at: Option<Timestamp>,
     confirmed_at: Option<Timestamp>,
 }
@@ -238,6 +244,12 @@
         self.speeds.entry(service).or_default().note(unread, took);
     }
 
+    /// Returns how long a request of a service occupies a backend server, on
+    /// the average of the last ones.
+    pub fn hold_time(&self, service: &ServiceName) -> Duration {
+        self.holds.get(service).copied().unwrap_or(PRIOR_HOLD)
+    }
+
     /// Returns a digest of the list: equal lists have equal digests.
     pub fn list_hash(&self) -> u64 {
         let mut hasher = XxHash64::with_seed(0);
@@ -380,11 +392,15 @@
         }
     }
 
-    /// Notes that a request is no longer there.
-    pub fn note_left(&mut self, id: &BackendId) {
-        if let Some(backend) = self.backends.get_mut(id) {
-            backend.in_flight = backend.in_flight.saturating_sub(1);
-        }
+    /// Notes that a request that was `held` so long is no longer there.
+    pub fn note_left(&mut self, id: &BackendId, held: Duration) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        backend.in_flight = backend.in_flight.saturating_sub(1);
+        let service = backend.record.service.clone();
+        let hold = self.holds.entry(service).or_insert(PRIOR_HOLD);
+        *hold = hold.mul_f64(1.0 - HOLD_WEIGHT) + held.mul_f64(HOLD_WEIGHT);
     }
 
     /// Notes the load that a backend server told.
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -80,11 +80,12 @@
 
 impl Drop for SendGuard {
     fn drop(&mut self) {
+        let held = self.context.now().since(self.sent_at);
         let mut backends = self.context.backends.lock();
         if !self.is_read {
             backends.note_read(&self.backend, self.unread);
         }
-        backends.note_left(&self.backend);
+        backends.note_left(&self.backend, held);
     }
 }
 
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -7,6 +7,7 @@
 //! entries agree on a home for every part without talking.
 
 use std::hash::Hasher;
+use std::time::Duration;
 
 use twox_hash::XxHash64;
 
@@ -23,9 +24,6 @@
 /// it: everything that runs beside it and comes after it waits for it too.
 /// Measured: 4, 8 (docs/DECISIONS.md).
 const RECOMPUTE_WEIGHT: f64 = 8.0;
-/// Milliseconds for every request beyond the slots. A request holds its slot
-/// for one to two seconds, shared over the slots.
-const WAIT_COST: f64 = 40.0;
 /// Milliseconds at full slots, rising with the square of the filling: replicas
 /// generate more slowly the more requests they run.
 const CROWD_COST: f64 = 60.0;
@@ -78,12 +76,15 @@
         .collect();
     let home = part_home(&candidates, query.parts);
     let count = candidates.len();
-    let speed = set.reading_speed(query.service);
+    let times = ServiceTimes {
+        speed: set.reading_speed(query.service),
+        hold: set.hold_time(query.service),
+    };
     candidates
         .drain(..)
         .map(|backend| {
             let unread = unread_tokens(backend, now, query.parts, home);
-            let cost = estimate(backend, now, query, speed, unread);
+            let cost = estimate(backend, now, query, times, unread);
             (cost, unread, backend)
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))
@@ -129,21 +130,32 @@
     total - kept.map(|part| part.tokens.0).sum::<u64>()
 }
 
+/// How long the requests of a service take, as observed.
+#[derive(Clone, Copy, Debug)]
+struct ServiceTimes {
+    speed: ReadingSpeed,
+    hold: Duration,
+}
+
 fn estimate(
     backend: &Backend,
     now: Timestamp,
     query: &ChoiceQuery<'_>,
-    speed: ReadingSpeed,
+    times: ServiceTimes,
     unread: u64,
 ) -> f64 {
     let slots = f64::from(backend.record.slots.max(1));
     let occupancy = f64::from(backend.occupancy(now));
     let filling = occupancy / slots;
     let waiting = (occupancy + 1.0 - slots).max(0.0);
-    let before = speed.reading_millis(backend.unread_tokens + backend.others_unread);
-    let own = speed.reading_millis(unread) * RECOMPUTE_WEIGHT;
+    let before = times
+        .speed
+        .reading_millis(backend.unread_tokens + backend.others_unread);
+    let own = times.speed.reading_millis(unread) * RECOMPUTE_WEIGHT;
     let mut cost = before + own;
-    cost += waiting * WAIT_COST + filling * filling * CROWD_COST;
+    // The slots become free one after the other, within the time of a request.
+    cost += waiting * times.hold.as_secs_f64() * 1_000.0 / slots;
+    cost += filling * filling * CROWD_COST;
     cost += backend.failure_share * FAILURE_COST;
     if backend.record.zone != *query.zone {
         cost += ZONE_COST;
