--- a/lib/src/gateway/account_limits.rs
+++ b/lib/src/gateway/account_limits.rs
@@ -54,6 +54,8 @@
 /// the limits only. News come every quarter of a second; what all entries
 /// admit without hearing of each other for longer would exceed the slack.
 const NEWS_OVERDUE: Duration = Duration::from_millis(700);
+/// How often entries tell each other what they admitted.
+pub const NEWS_PAUSE: Duration = Duration::from_millis(250);
 /// The part of the slack by which all entries together may overdraw their
 /// buckets between news, each an even part of it and of what the bucket holds.
 /// One request is always admitted, however large.
@@ -105,6 +107,19 @@
     started_part: f64,
 }
 
+impl AccountBucket {
+    /// Begins to count anew once news came. `heard` entries share the level;
+    /// `reserve` is this entry's part of the slack.
+    fn renew_allowance(&mut self, heard_at: Timestamp, heard: f64, reserve: f64) {
+        if self.heard_at == heard_at && self.allowance.is_some() {
+            return;
+        }
+        self.heard_at = heard_at;
+        self.unheard = 0.0;
+        self.allowance = Some(self.level.max(0.0) / heard + reserve);
+    }
+}
+
 /// What one entry told that it admitted.
 #[derive(Clone, Copy, Debug)]
 struct ToldUnits {
@@ -192,18 +207,16 @@
         }
         // What is admitted before others hear of it is bounded too.
         let entries = view.entries.max(1) as f64;
-        if bucket.heard_at != heard_at || bucket.allowance.is_none() {
-            bucket.heard_at = heard_at;
-            bucket.unheard = 0.0;
-            // The level is that of the part that the heard entries share.
-            let heard = (part * entries).max(1.0);
-            let reserve = self.slack.total(rule) * UNHEARD_SLACK;
-            bucket.allowance = Some(bucket.level.max(0.0) / heard + reserve / entries);
-        }
-        let earned = rule.rate * now.since(heard_at).as_secs_f64() / entries;
-        let allowed = bucket.allowance.unwrap_or(0.0) + earned;
-        if bucket.unheard > 0.0 && bucket.unheard + units as f64 > allowed {
-            return Err(NEWS_OVERDUE);
+        let reserve = self.slack.total(rule) * UNHEARD_SLACK / entries;
+        bucket.renew_allowance(heard_at, (part * entries).max(1.0), reserve);
+        let fill = rule.rate / entries;
+        let passed = now.since(heard_at);
+        let allowed = bucket.allowance.unwrap_or(0.0) + fill * passed.as_secs_f64();
+        let missing = bucket.unheard + units as f64 - allowed;
+        if bucket.unheard > 0.0 && missing > 0.0 {
+            let earned_after = Duration::try_from_secs_f64(missing / fill.max(f64::MIN_POSITIVE));
+            let news_after = NEWS_PAUSE.checked_sub(passed).unwrap_or(NEWS_PAUSE);
+            return Err(earned_after.unwrap_or(Duration::MAX).min(news_after));
         }
         bucket.unheard += units as f64;
         bucket.level -= units as f64;
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -6,6 +6,7 @@
 
 use slog::info;
 
+use crate::gateway::account_limits::NEWS_PAUSE;
 use crate::gateway::backend_set::BackendId;
 use crate::gateway::backend_set::BackendRecord;
 use crate::gateway::gateway_context::GatewayContext;
@@ -24,9 +25,6 @@
 use crate::quantity::Timestamp;
 use crate::wire::PeerMessage;
 
-/// The pause between rounds of news. Limits overshoot by what an account uses
-/// in it; usage is lost with a killed entry for as long.
-const NEWS_PAUSE: Duration = Duration::from_millis(250);
 /// How many windows back counts are told.
 const TOLD_WINDOWS: u64 = 2;
 /// An entry that has run for longer when it is first heard is counted from
--- a/lib/tests/test_gateway_limits.rs
+++ b/lib/tests/test_gateway_limits.rs
@@ -319,3 +319,21 @@
         .1;
     assert!((4_500.0..5_500.0).contains(&rate), "{rate}");
 }
+
+/// A request that waits for news of others, not for the account's rate, may
+/// come back when they are due.
+#[test]
+fn a_request_that_waits_for_news_is_told_when_they_come() {
+    let mut limits = AccountLimits::new(true, SLACK);
+    let view = ShareView {
+        entries: ENTRIES,
+        heard: ENTRIES,
+    };
+    let at = Timestamp::from_millis;
+    limits.note_heard(at(1_000));
+    limits.admit(at(1_010), &rule(), 20_000, view).unwrap();
+    let after = limits.admit(at(1_100), &rule(), 30_000, view).unwrap_err();
+    assert!(after <= Duration::from_millis(150), "{after:?}");
+    limits.note_heard(at(1_250));
+    assert_eq!(limits.admit(at(1_250), &rule(), 30_000, view), Ok(()));
+}
