replica_desk: entries that stand by plan along; orders go on while reports wait for the store

A report that failed also held up the orders, which need no store; the next holder, 3.3 s later, had seen no loss and took the wave for calm. Ruled out: the cloud's calls (none was refused or late).

Hubs now plan every second without ordering, so that the next holder knows the losses and the demand; orders follow reports whatever became of these, as long as the lease is held. A fenced order now gives the lease up. The planner's surroundings are a module of their own.

--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -1,6 +1,5 @@
-//! Carries out the duties of the lease: reports of usage, orders of replicas.
+//! Carries out the duties of the lease: reports of usage, and orders of replicas.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,21 +13,14 @@
 use crate::gateway::duty_lease::DutyRecord;
 use crate::gateway::edge::LogSlice;
 use crate::gateway::edge::LogTopic;
-use crate::gateway::edge::ReplicaOrder;
 use crate::gateway::edge::StoreError;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_book::HUB_COUNT;
-use crate::gateway::replica_plan::ReplicaDemand;
-use crate::gateway::replica_plan::ReplicaPlanner;
-use crate::gateway::replica_plan::ReplicaSupply;
-use crate::gateway::replica_plan::ZoneSupply;
-use crate::gateway::site_config::ScaleRule;
+use crate::gateway::replica_desk::ReplicaDesk;
 use crate::gateway::usage_table::WindowCounts;
 use crate::gateway::usage_table::WindowNumber;
 use crate::id::FenceToken;
 use crate::id::LogOffset;
-use crate::id::ServiceName;
-use crate::id::ZoneName;
 use crate::quantity::Timestamp;
 
 /// The pause between looks at what is to do.
@@ -50,22 +42,6 @@
 const CLAIM_MARGIN: Duration = Duration::from_millis(1_000);
 /// The pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
-/// The pause between looks at the replicas.
-const PLAN_PAUSE: Duration = Duration::from_millis(1_000);
-/// How long after the first start of the whole system replicas are first
-/// planned: all of them have written their records by then, at least one every
-/// two seconds.
-const SETTLED_AFTER: Timestamp = Timestamp::from_millis(4_000);
-/// The same for an entry that starts again later: the replicas' records are in
-/// the store already, and other entries have told their load several times.
-const RESTART_SETTLED_AFTER: Timestamp = Timestamp::from_millis(1_200);
-/// After how long an order that seems not to be carried out is given again:
-/// a replica starts in four seconds, and some orders are done late.
-const REORDER_AFTER: Duration = Duration::from_secs(7);
-/// The same for an order that was refused: none are to be had for a quarter of
-/// a minute, and each second without costs more than a call.
-const REFUSED_REORDER_AFTER: Duration = Duration::from_millis(2_500);
-
 /// What an entry does about the lease next.
 enum DutyStep {
     /// Carry out the duties under a fence.
@@ -84,10 +60,10 @@
         match next_step(&context) {
             DutyStep::Work(fence) => desk.work(&context, fence).await,
             DutyStep::Claim => {
-                desk = DutyDesk::new();
+                desk.begin();
                 claim_lease(&context).await;
             }
-            DutyStep::Wait => {}
+            DutyStep::Wait => desk.stand_by(&context),
         }
     }
 }
@@ -211,19 +187,10 @@
     }
 }
 
-/// An order as it was given last.
-#[derive(Clone, Copy)]
-struct GivenOrder {
-    count: u32,
-    again_at: Timestamp,
-}
-
 /// What the holder has done so far.
 struct DutyDesk {
     reported: BTreeSet<WindowNumber>,
-    planners: BTreeMap<ServiceName, ReplicaPlanner>,
-    orders: BTreeMap<(ServiceName, ZoneName, bool), GivenOrder>,
-    planned_at: Option<Timestamp>,
+    replicas: ReplicaDesk,
     failing_since: Option<Timestamp>,
 }
 
@@ -231,14 +198,36 @@
     fn new() -> Self {
         Self {
             reported: BTreeSet::new(),
-            planners: BTreeMap::new(),
-            orders: BTreeMap::new(),
-            planned_at: None,
+            replicas: ReplicaDesk::new(),
             failing_since: None,
         }
     }
 
+    /// Begins as a new holder, with the plans made while it stood by.
+    fn begin(&mut self) {
+        self.reported.clear();
+        self.failing_since = None;
+        self.replicas.forget_orders();
+    }
+
+    /// Plans along, if this entry is among those that claim the lease.
+    fn stand_by(&mut self, context: &GatewayContext) {
+        let rank = context.peers.lock().rank(context.now());
+        if rank < HUB_COUNT {
+            self.replicas.plan_along(context);
+        }
+    }
+
     async fn work(&mut self, context: &Arc<GatewayContext>, fence: FenceToken) {
+        self.report(context, fence).await;
+        // Orders do not need the store: they go on while reports wait for it.
+        let is_holder = context.duties.lock().fence().is_some();
+        if is_holder && !self.replicas.order(context, fence).await {
+            give_up(context, &mut context.duties.lock(), "replaced");
+        }
+    }
+
+    async fn report(&mut self, context: &Arc<GatewayContext>, fence: FenceToken) {
         let current = context.window();
         let oldest = current.saturating_sub(REPORTED_WINDOWS);
         for window in oldest..current {
@@ -254,7 +243,6 @@
             }
         }
         self.reported.retain(|window| *window >= oldest);
-        self.order_replicas(context, fence).await;
     }
 
     /// Returns whether this entry goes on as the holder.
@@ -280,150 +268,6 @@
             }
         }
     }
-
-    async fn order_replicas(&mut self, context: &Arc<GatewayContext>, fence: FenceToken) {
-        let now = context.now();
-        if self.planned_at.is_some_and(|at| now.since(at) < PLAN_PAUSE) {
-            return;
-        }
-        self.planned_at = Some(now);
-        let settled = if context.settings.first_start {
-            SETTLED_AFTER
-        } else {
-            RESTART_SETTLED_AFTER
-        };
-        if now < settled || context.backends.lock().confirmed_at().is_none() {
-            return;
-        }
-        let config = context.config.lock().adopted().map(|a| a.config.clone());
-        let Some(config) = config else {
-            return;
-        };
-        let scaled = config
-            .services
-            .values()
-            .filter_map(|s| Some((s, s.scale.as_ref()?)));
-        for (service, rule) in scaled {
-            let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
-            let demand = measure_demand(context, &service.name, slots);
-            let supply = measure_supply(context, &service.name, rule);
-            let planner = self
-                .planners
-                .entry(service.name.clone())
-                .or_insert_with(|| {
-                    ReplicaPlanner::new(rule, &supply, context.settings.first_start)
-                });
-            let orders = planner.plan(now, &service.name, rule, demand, &supply);
-            let there = supply_totals(&supply);
-            info!(context.log, "replicas planned"; "service" => %service.name,
-                "demand_slots" => demand.slots, "demand_reading" => demand.reading,
-                "reclaimable" => there.reclaimable, "fixed" => there.fixed,
-                "planned_reclaimable" => ordered(&orders, true),
-                "planned_fixed" => ordered(&orders, false));
-            for order in orders {
-                if !self.give_order(context, fence, order).await {
-                    return;
-                }
-            }
-        }
-    }
-
-    async fn give_order(
-        &mut self,
-        context: &Arc<GatewayContext>,
-        fence: FenceToken,
-        order: ReplicaOrder,
-    ) -> bool {
-        let now = context.now();
-        let key = (order.service.clone(), order.zone.clone(), order.reclaimable);
-        let given = self.orders.get(&key).copied();
-        let there = count_replicas(context, &order);
-        let is_done = |given: GivenOrder| there == order.count || now < given.again_at;
-        if given.is_some_and(|given| given.count == order.count && is_done(given)) {
-            return true;
-        }
-        let name = &context.settings.name;
-        let result = context
-            .edges
-            .cloud
-            .order_replicas(name, fence, &order)
-            .await;
-        info!(context.log, "replicas ordered"; "service" => %order.service, "zone" => %order.zone,
-            "reclaimable" => order.reclaimable, "count" => order.count, "there" => there,
-            "fence" => fence.0, "error" => result.as_ref().err().map(ToString::to_string));
-        let pause = match &result {
-            Ok(()) => REORDER_AFTER,
-            Err(_) => REFUSED_REORDER_AFTER,
-        };
-        let count = order.count;
-        let again_at = now.after(pause);
-        self.orders.insert(key, GivenOrder { count, again_at });
-        !matches!(result, Err(StoreError::Fenced))
-    }
-}
-
-fn count_replicas(context: &GatewayContext, order: &ReplicaOrder) -> u32 {
-    let backends = context.backends.lock();
-    let there = backends.of_service(&order.service).filter(|backend| {
-        let record = &backend.record;
-        record.zone == order.zone && record.reclaimable == order.reclaimable && !record.leaving
-    });
-    there.count() as u32
-}
-
-fn measure_demand(context: &GatewayContext, service: &ServiceName, slots: u32) -> ReplicaDemand {
-    let now = context.now();
-    let (running, token_rate): (u32, f64) = {
-        let backends = context.backends.lock();
-        let of_service = backends.of_service(service);
-        // Requests that wait are not counted: a queue that built up once would
-        // be taken for demand until it is gone.
-        let running = of_service.map(|b| b.occupancy(now).min(slots)).sum();
-        (running, backends.reading_speed(service).token_rate().0)
-    };
-    let own = {
-        let work = context.work.lock();
-        let own = work.rates(now).find(|(name, _)| *name == service);
-        own.map_or(0.0, |(_, rate)| rate)
-    };
-    let others = context.peers.lock().work(now, service) as f64;
-    ReplicaDemand {
-        slots: f64::from(running) / f64::from(slots.max(1)),
-        reading: (own + others) / token_rate,
-    }
-}
-
-fn measure_supply(context: &GatewayContext, service: &ServiceName, rule: &ScaleRule) -> ZoneSupply {
-    let backends = context.backends.lock();
-    let zones = rule.zone_prices.keys().cloned();
-    let mut supply: ZoneSupply = zones.map(|zone| (zone, ReplicaSupply::default())).collect();
-    let working = backends
-        .of_service(service)
-        .filter(|backend| backend.takes_work() && !backend.is_missing());
-    for backend in working {
-        let zone = supply.entry(backend.record.zone.clone()).or_default();
-        if backend.record.reclaimable {
-            zone.reclaimable += 1;
-        } else {
-            zone.fixed += 1;
-        }
-    }
-    supply
-}
-
-/// Sums the replicas that take work over all zones.
-fn supply_totals(supply: &ZoneSupply) -> ReplicaSupply {
-    let sum = |count: fn(&ReplicaSupply) -> u32| supply.values().map(count).sum();
-    ReplicaSupply {
-        reclaimable: sum(|zone| zone.reclaimable),
-        fixed: sum(|zone| zone.fixed),
-    }
-}
-
-/// Sums the replicas of one kind that are ordered over all zones.
-fn ordered(orders: &[ReplicaOrder], reclaimable: bool) -> u32 {
-    let of_kind = orders.iter().filter(|o| o.reclaimable == reclaimable);
-    of_kind.map(|order| order.count).sum()
 }
 
 fn is_decidable(context: &GatewayContext, window: WindowNumber) -> bool {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -10,8 +10,8 @@
 //!
 //! Beside it run tasks that keep beliefs fresh: [`store_task`] follows the
 //! configuration and the backend servers, [`peer_task`] exchanges news with
-//! other entries, [`duty_task`] reports usage and orders replicas while this
-//! entry holds the lease.
+//! other entries, [`duty_task`] reports usage while this entry holds the lease,
+//! and orders replicas with [`replica_desk`].
 //!
 //! The formats of the platform stand behind the traits of [`edge`].
 //!
@@ -43,6 +43,7 @@
 pub mod peer_news;
 pub mod peer_task;
 pub mod reading_speed;
+pub mod replica_desk;
 pub mod replica_plan;
 pub mod send_budget;
 pub mod site_config;
--- a/lib/tests/test_gateway_duties.rs
+++ b/lib/tests/test_gateway_duties.rs
@@ -249,6 +249,27 @@
     assert!(reclaimable_in(&watched) < 24, "{watched}");
 }
 
+/// An entry that plans along before it holds the lease knows of losses that
+/// one which begins to plan as the holder has not seen.
+#[test]
+fn a_holder_that_planned_along_is_ready_for_the_next_loss() {
+    let there = supply([4; 4], [0; 4]);
+    let mut standing_by = ReplicaPlanner::new(&scale_rule(), &there, false);
+    for second in 0..20 {
+        plan(&mut standing_by, second * 1_000, 2.0, &there);
+    }
+    let there = supply([0, 4, 4, 4], [0; 4]);
+    plan(&mut standing_by, 20_000, 2.0, &there);
+    let there = supply([0, 0, 4, 4], [0; 4]);
+    plan(&mut standing_by, 22_000, 2.0, &there);
+    // The holder changes here; the next zone goes with the fixed ones still
+    // to come.
+    let mut begun_now = ReplicaPlanner::new(&scale_rule(), &there, false);
+    let along = plan(&mut standing_by, 23_000, 2.0, &there);
+    let anew = plan(&mut begun_now, 23_000, 2.0, &there);
+    assert!(fixed_in(&along) > fixed_in(&anew), "{along}; {anew}");
+}
+
 #[test]
 fn a_new_holder_goes_on_with_what_is_there() {
     let there = supply([3; 4], [0, 1, 0, 0]);
