wire_error, vm_strength: frames, news, peers and limits import each other in one direction only

wire, peer_news, peer_book and account_limits imported each other in a circle. The error of a frame and the strength of a VM are modules of their own; what a hub tells is a message and lies with the news; admitted units lie with the limits that count them.

--- a/lib/src/gateway/account_limits.rs
+++ b/lib/src/gateway/account_limits.rs
@@ -14,7 +14,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::gateway::peer_news::AdmittedUnits;
 use crate::gateway::site_config::AccountRule;
 use crate::id::AccountName;
 use crate::id::Incarnation;
@@ -91,6 +90,15 @@
     }
 }
 
+/// What an entry admitted of an account since its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmittedUnits {
+    /// The account.
+    pub account: AccountName,
+    /// Units since the start of the entry.
+    pub units: u64,
+}
+
 #[derive(Clone, Debug)]
 struct AccountBucket {
     /// Units that were admitted since the last news.
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -5,8 +5,8 @@
 
 use crate::finding::FindingList;
 use crate::gateway::account_limits::LimitSlack;
-use crate::gateway::peer_book::VmStrength;
 use crate::gateway::send_budget::SendBudgetRule;
+use crate::gateway::vm_strength::VmStrength;
 use crate::id::EntryName;
 use crate::id::ZoneName;
 use crate::setting_reader::SettingKey;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -49,4 +49,5 @@
 pub mod site_config;
 pub mod store_task;
 pub mod usage_table;
+pub mod vm_strength;
 pub mod work_meter;
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -8,9 +8,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::time::Duration;
 
 use twox_hash::XxHash64;
@@ -19,7 +17,9 @@
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
 use crate::gateway::peer_news::GatewayNews;
+use crate::gateway::peer_news::HubView;
 use crate::gateway::peer_news::ServiceWork;
+use crate::gateway::vm_strength::VmStrength;
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::id::Incarnation;
@@ -43,19 +43,6 @@
 /// of hubs that stand by, and news to hubs that do not answer.
 const SLOW_ROUNDS: u32 = 4;
 
-/// What a hub told of all entries.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HubView {
-    /// Entries that may admit requests.
-    pub entries: usize,
-    /// Those that the hub hears, itself included.
-    pub heard: usize,
-    /// The highest fence that an entry is heard to hold.
-    pub fence: Option<FenceToken>,
-    /// The load that all entries but the receiver put on backend servers.
-    pub uses: Vec<BackendUse>,
-}
-
 /// What is known of another entry.
 #[derive(Clone, Debug)]
 pub struct PeerState {
@@ -146,36 +133,6 @@
     peers: BTreeMap<EntryName, PeerState>,
 }
 
-/// How much a VM can carry as a hub; more is better.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct VmStrength(pub u32);
-
-/// Megabits a second of news that a whole core handles, by the processor time
-/// of hubs at 87 entries.
-const CORE_MBPS: f64 = 400.0;
-
-impl VmStrength {
-    /// Computes the strength by what is scarcer, the link or the processor.
-    pub fn of(link_mbps: f64, cpu_share: f64) -> Self {
-        // Both are positive and small; the cast keeps whole megabits.
-        Self(link_mbps.min(cpu_share * CORE_MBPS) as u32)
-    }
-}
-
-impl fmt::Display for VmStrength {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for VmStrength {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
-
 /// Hubs come in this order: the strongest first, then by hash.
 type OrderKey<'a> = (Reverse<VmStrength>, u64, &'a EntryName);
 
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -6,16 +6,16 @@
 use bytes::Bytes;
 use prost::Message;
 
+use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_set::BackendId;
 use crate::gateway::backend_set::BackendRecord;
-use crate::gateway::peer_book::HubView;
-use crate::gateway::peer_book::VmStrength;
+use crate::gateway::vm_strength::VmStrength;
 use crate::id::AccountName;
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::id::Incarnation;
 use crate::id::RevisionNumber;
-use crate::wire::WireError;
+use crate::wire_error::WireError;
 
 /// How old the sender's knowledge was when it received the message that it
 /// answers. The receiver measures from its own clock.
@@ -57,15 +57,6 @@
     pub tokens_per_s: u64,
 }
 
-/// What an entry admitted of an account since its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AdmittedUnits {
-    /// The account.
-    pub account: AccountName,
-    /// Units since the start of the entry.
-    pub units: u64,
-}
-
 /// Requests of an account that began in a window at an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WindowCount {
@@ -77,6 +68,19 @@
     pub count: u64,
 }
 
+/// What a hub told of all entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HubView {
+    /// Entries that may admit requests.
+    pub entries: usize,
+    /// Those that the hub hears, itself included.
+    pub heard: usize,
+    /// The highest fence that an entry is heard to hold.
+    pub fence: Option<FenceToken>,
+    /// The load that all entries but the receiver put on backend servers.
+    pub uses: Vec<BackendUse>,
+}
+
 /// What a hub adds to its answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HubDigest {
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -6,18 +6,18 @@
 
 use slog::info;
 
+use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::account_limits::NEWS_PAUSE;
 use crate::gateway::backend_set::BackendId;
 use crate::gateway::backend_set::BackendRecord;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_book::DueMessage;
-use crate::gateway::peer_book::HubView;
 use crate::gateway::peer_book::add_uses;
-use crate::gateway::peer_news::AdmittedUnits;
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
 use crate::gateway::peer_news::GatewayNews;
 use crate::gateway::peer_news::HubDigest;
+use crate::gateway::peer_news::HubView;
 use crate::gateway::peer_news::ServiceWork;
 use crate::gateway::peer_news::WindowCount;
 use crate::gateway::store_task::adopt_backends;
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -21,7 +21,7 @@
 use crate::gateway::edge::LogTopic;
 use crate::gateway::edge::StoreError;
 use crate::gateway::gateway_context::GatewayContext;
-use crate::gateway::peer_book::VmStrength;
+use crate::gateway::vm_strength::VmStrength;
 use crate::id::EntryName;
 use crate::id::LogOffset;
 use crate::id::RevisionNumber;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -95,3 +95,4 @@
 pub mod ticket_route;
 pub mod trace;
 pub mod wire;
+pub mod wire_error;
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -2,7 +2,6 @@
 //! to the types of the decisions. A frame that does not convert is refused
 //! whole with a [`WireError`] that names the field.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
@@ -31,33 +30,11 @@
 use crate::pair::RequestKey;
 use crate::pair::RunTerms;
 use crate::request::AcceptedRequest;
+use crate::wire_error::WireError;
 
 /// The largest frame, in bytes.
 pub const MAX_FRAME_LENGTH: usize = 8 * 1024 * 1024;
 
-/// Why a frame was refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum WireError {
-    /// The bytes are not a frame.
-    Decode(String),
-    /// A required field is absent.
-    Missing(&'static str),
-    /// A field has a value that is not valid.
-    Invalid(&'static str),
-}
-
-impl fmt::Display for WireError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Decode(message) => write!(f, "not a frame: {message}"),
-            Self::Missing(field) => write!(f, "the field {field} is missing"),
-            Self::Invalid(field) => write!(f, "the field {field} is not valid"),
-        }
-    }
-}
-
-impl std::error::Error for WireError {}
-
 /// A message from one entry to another.
 #[derive(Clone, Debug)]
 pub enum PeerMessage {
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -1,20 +1,20 @@
 //! Hubs, digests and the frames between gateway entries.
 
+use cloverbend::gateway::account_limits::AdmittedUnits;
 use cloverbend::gateway::backend_set::BackendId;
 use cloverbend::gateway::backend_set::BackendRecord;
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::peer_book::HUB_COUNT;
-use cloverbend::gateway::peer_book::HubView;
 use cloverbend::gateway::peer_book::PeerBook;
-use cloverbend::gateway::peer_book::VmStrength;
-use cloverbend::gateway::peer_news::AdmittedUnits;
 use cloverbend::gateway::peer_news::BackendUse;
 use cloverbend::gateway::peer_news::ConfigEcho;
 use cloverbend::gateway::peer_news::GatewayNews;
 use cloverbend::gateway::peer_news::HubDigest;
+use cloverbend::gateway::peer_news::HubView;
 use cloverbend::gateway::peer_news::NewsFrame;
 use cloverbend::gateway::peer_news::ServiceWork;
 use cloverbend::gateway::peer_news::WindowCount;
+use cloverbend::gateway::vm_strength::VmStrength;
 use cloverbend::id::EntryName;
 use cloverbend::id::FenceToken;
 use cloverbend::id::Incarnation;
