--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -20,7 +20,7 @@
 use slog::info;
 
 use crate::gateway::backend_pool::KeptConnection;
-use crate::gateway::backend_set::BackendOutcome;
+use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::call_admission::onward_headers;
 use crate::gateway::call_dispatch::SendGuard;
--- a/lib/src/gateway/backend_pool.rs
+++ b/lib/src/gateway/backend_pool.rs
@@ -22,7 +22,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
-use crate::gateway::backend_set::BackendId;
+use crate::gateway::backend_record::BackendId;
 
 /// How long a connection may take to open. A round trip within a region takes
 /// two milliseconds; a dark server never answers.
--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -5,16 +5,17 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::fmt;
 use std::hash::Hasher;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use twox_hash::XxHash64;
 
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendOutcome;
+use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::backend_record::LoadReport;
 use crate::gateway::reading_speed::ReadingSpeed;
 use crate::id::ServiceName;
-use crate::id::ZoneName;
 use crate::quantity::Timestamp;
 
 /// How long a record may be missing after the store came back before the
@@ -41,59 +42,6 @@
 /// How long a report of load counts; later only the own count does.
 const LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
-/// One life of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct BackendId(pub String);
-
-impl fmt::Display for BackendId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-/// What a backend server tells of itself in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BackendRecord {
-    /// This life of the server.
-    pub id: BackendId,
-    /// The service it belongs to.
-    pub service: ServiceName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// Whether it takes no new work because it is about to leave.
-    pub leaving: bool,
-    /// Whether its VM may be reclaimed.
-    pub reclaimable: bool,
-}
-
-/// The load that a backend server tells with an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LoadReport {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub slots: u32,
-}
-
-/// How a request ended at a backend server, as far as it tells of the server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BackendOutcome {
-    /// It answered as it should.
-    Served,
-    /// It answered with a failure of its own.
-    Failed,
-    /// It could not be reached, or broke off.
-    Broken,
-    /// It refused for lack of room.
-    Full,
-}
-
 /// A backend server and what is believed of it.
 #[derive(Clone, Debug)]
 pub struct Backend {
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -14,8 +14,8 @@
 
 use crate::gateway::backend_pool::Exchange;
 use crate::gateway::backend_pool::ExchangeError;
-use crate::gateway::backend_set::BackendId;
-use crate::gateway::backend_set::BackendOutcome;
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::call_log::log_send;
 use crate::gateway::call_log::log_sent;
--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -4,8 +4,8 @@
 use metrics::counter;
 use slog::info;
 
-use crate::gateway::backend_set::BackendId;
-use crate::gateway::backend_set::BackendOutcome;
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -18,7 +18,7 @@
 use crate::gateway::answer_relay::EventRelay;
 use crate::gateway::answer_relay::full_body;
 use crate::gateway::backend_pool::Exchange;
-use crate::gateway::backend_set::BackendOutcome;
+use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::call_admission::admit_call;
 use crate::gateway::call_admission::give_back;
--- a/lib/src/gateway/edge.rs
+++ b/lib/src/gateway/edge.rs
@@ -11,9 +11,9 @@
 use futures_util::future::BoxFuture;
 use http::HeaderMap;
 
-use crate::gateway::backend_set::BackendId;
-use crate::gateway::backend_set::BackendRecord;
-use crate::gateway::backend_set::LoadReport;
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::backend_record::LoadReport;
 use crate::gateway::call_head::CallHead;
 use crate::gateway::call_head::HeadError;
 use crate::gateway::site_config::SiteConfig;
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -11,8 +11,8 @@
 
 use twox_hash::XxHash64;
 
+use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_set::Backend;
-use crate::gateway::backend_set::BackendId;
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::call_head::PromptPart;
 use crate::gateway::reading_speed::ReadingSpeed;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod account_limits;
 pub mod answer_relay;
 pub mod backend_pool;
+pub mod backend_record;
 pub mod backend_set;
 pub mod call_admission;
 pub mod call_dispatch;
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -7,8 +7,8 @@
 use prost::Message;
 
 use crate::gateway::account_limits::AdmittedUnits;
-use crate::gateway::backend_set::BackendId;
-use crate::gateway::backend_set::BackendRecord;
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::AccountName;
 use crate::id::EntryName;
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -8,8 +8,8 @@
 
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::account_limits::NEWS_PAUSE;
-use crate::gateway::backend_set::BackendId;
-use crate::gateway::backend_set::BackendRecord;
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_book::DueMessage;
 use crate::gateway::peer_book::add_uses;
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -13,9 +13,9 @@
 use slog::info;
 use slog::warn;
 
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_set::BackendChange;
-use crate::gateway::backend_set::BackendId;
-use crate::gateway::backend_set::BackendRecord;
 use crate::gateway::edge::LogRecord;
 use crate::gateway::edge::LogSlice;
 use crate::gateway::edge::LogTopic;
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use cloverbend::gateway::backend_record::BackendId;
+use cloverbend::gateway::backend_record::BackendOutcome;
+use cloverbend::gateway::backend_record::BackendRecord;
+use cloverbend::gateway::backend_record::LoadReport;
 use cloverbend::gateway::backend_set::BackendChange;
-use cloverbend::gateway::backend_set::BackendId;
-use cloverbend::gateway::backend_set::BackendOutcome;
-use cloverbend::gateway::backend_set::BackendRecord;
 use cloverbend::gateway::backend_set::BackendSet;
-use cloverbend::gateway::backend_set::LoadReport;
 use cloverbend::gateway::call_head::PromptPart;
 use cloverbend::gateway::engine_choice::ChoiceQuery;
 use cloverbend::gateway::engine_choice::choose_backend;
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -1,8 +1,8 @@
 //! Hubs, digests and the frames between gateway entries.
 
 use cloverbend::gateway::account_limits::AdmittedUnits;
-use cloverbend::gateway::backend_set::BackendId;
-use cloverbend::gateway::backend_set::BackendRecord;
+use cloverbend::gateway::backend_record::BackendId;
+use cloverbend::gateway::backend_record::BackendRecord;
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::peer_book::HUB_COUNT;
 use cloverbend::gateway::peer_book::PeerBook;
