test_gateway_backends: proofs that failing servers are chosen less and broken ones left out

With leaving out switched off every test still passed, since the share of failures alone turned the choice. Now a server with a good past that breaks twice is shown to be left out against a full one, and failures that leave nobody out to turn the choice until it serves again. Seen failing: the first with leaving out switched off, the second with failures weighing nothing.

--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -214,6 +214,61 @@
     assert_eq!(chooser.choose(&set, at(4), &[]).unwrap(), first);
 }
 
+/// Answers that are failures leave nobody out: all servers of a service may
+/// fail. They make others the better choice.
+#[test]
+fn a_server_that_fails_often_is_chosen_less_until_it_serves_again() {
+    let mut set = set_of(&["a", "b"]);
+    let chooser = Chooser::new();
+    let first = id(&chooser.choose(&set, at(0), &[]).unwrap());
+    for millis in 0..5 {
+        set.note_outcome(at(millis), &first, BackendOutcome::Failed);
+    }
+    assert!(!set.get(&first).unwrap().is_excluded(at(5)));
+    assert_ne!(id(&chooser.choose(&set, at(5), &[]).unwrap()), first);
+    for millis in 5..60 {
+        set.note_outcome(at(millis), &first, BackendOutcome::Served);
+    }
+    // A short queue at the other one outweighs what is left of the failures.
+    let load = LoadReport {
+        running: 4,
+        waiting: 1,
+        slots: 4,
+    };
+    for other in ["a", "b"].map(id) {
+        if other != first {
+            set.note_load(at(60), &other, load);
+        }
+    }
+    assert_eq!(id(&chooser.choose(&set, at(60), &[]).unwrap()), first);
+}
+
+/// Left out means left out, whatever the share of failures: a server with a
+/// good past that breaks twice gets nothing while it is.
+#[test]
+fn a_server_with_a_good_past_is_left_out_after_two_breaks() {
+    let mut set = set_of(&["a", "b"]);
+    let chooser = Chooser::new();
+    let first = id(&chooser.choose(&set, at(0), &[]).unwrap());
+    let load = |running| LoadReport {
+        running,
+        waiting: 60,
+        slots: 4,
+    };
+    for millis in 0..2 {
+        set.note_outcome(at(millis), &first, BackendOutcome::Broken);
+    }
+    // The other one is so full that only leaving out can outweigh it.
+    for other in ["a", "b"].map(id) {
+        if other != first {
+            set.note_load(at(2), &other, load(4));
+        }
+    }
+    assert!(set.get(&first).unwrap().is_excluded(at(2)));
+    assert_ne!(id(&chooser.choose(&set, at(2), &[]).unwrap()), first);
+    assert!(!set.get(&first).unwrap().is_excluded(at(600)));
+}
+
 #[test]
 fn sends_beyond_the_first_stay_below_the_bound_over_all_entries() {
     let rule = SendBudgetRule {
