loss_report, cli: losses tells what was lost or late, by route, size and cause

`cloverbend losses` does it from the entries' logs and names requests of each group for `cloverbend explain`. `request sent` has the target latency, so that the lines alone tell what is late.

--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -1,12 +1,11 @@
 //! `cloverbend explain`: what log lines say about one request.
 
-use std::io::Read;
 use std::path::PathBuf;
 
 use clap::Args;
 use cloverbend::log_reader::read_request_lines;
 
-use super::read_file;
+use super::read_logs;
 use crate::cli_error::CliError;
 use crate::output::print_json;
 use crate::output::print_text;
@@ -25,15 +24,7 @@
 
 /// Runs `explain`.
 pub fn run(args: ExplainArgs) -> Result<(), CliError> {
-    let mut text = String::new();
-    for file in &args.files {
-        text.push_str(&read_file(file)?);
-        text.push('\n');
-    }
-    if args.files.is_empty() {
-        let read = std::io::stdin().read_to_string(&mut text);
-        read.map_err(|error| CliError::ReadFile("standard input".to_owned(), error))?;
-    }
+    let text = read_logs(&args.files)?;
     let found = read_request_lines(&text, &args.request);
     for bad in &found.bad {
         eprintln!("passed over: {bad}");
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -5,12 +5,14 @@
 mod entries;
 mod explain;
 mod key;
+mod losses;
 mod policy;
 mod publish;
 mod request;
 mod status;
 mod trace;
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -35,6 +37,8 @@
     Check(check::CheckArgs),
     /// What log lines say about one request
     Explain(explain::ExplainArgs),
+    /// Where requests were lost or late, by route, size and cause
+    Losses(losses::LossesArgs),
     /// Try out policies
     #[command(subcommand)]
     Policy(policy::PolicyCommand),
@@ -59,6 +63,7 @@
             Self::Trace(args) => trace::run(args).await,
             Self::Check(args) => check::run(args),
             Self::Explain(args) => explain::run(args),
+            Self::Losses(args) => losses::run(args),
             Self::Policy(command) => policy::run(command),
             Self::Publish(args) => publish::run(args).await,
             Self::Request(command) => request::run(command).await,
@@ -119,6 +124,20 @@
     ))
 }
 
+/// Reads log files whole, or standard input if there are none.
+fn read_logs(files: &[PathBuf]) -> Result<String, CliError> {
+    let mut text = String::new();
+    for file in files {
+        text.push_str(&read_file(file)?);
+        text.push('\n');
+    }
+    if files.is_empty() {
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.map_err(|error| CliError::ReadFile("standard input".to_owned(), error))?;
+    }
+    Ok(text)
+}
+
 /// Reads a file as text.
 pub fn read_file(file: &Path) -> Result<String, CliError> {
     let name = file.display().to_string();
--- a/cli/tests/test_cli_commands.rs
+++ b/cli/tests/test_cli_commands.rs
@@ -152,6 +152,21 @@
     assert!(text.starts_with("exit 0") && text.contains("_cloverbend"));
 }
 
+#[test]
+fn losses_are_shown_as_a_table_and_bad_lines_named() {
+    let folder = folder();
+    let lines = [
+        r#"{"msg":"request sent","ts":"1","request":"a","route":"chat","unread_tokens":26000,"target_ms":500}"#,
+        r#"{"msg":"request answered","ts":"2","request":"a","events":9,"first_event_ms":683}"#,
+        r#"{"msg":"request refused","ts":"1","request":"d","reason":"over_limit"}"#,
+        "{cut",
+    ];
+    std::fs::write(folder.path().join("entry.log"), lines.join("\n")).unwrap();
+    let shown = cloverbend(folder.path(), &["losses", "entry.log"]);
+    let missing = cloverbend(folder.path(), &["losses", "no-such.log"]);
+    insta::assert_snapshot!(format!("{}--\n{}", report(&shown), report(&missing)));
+}
+
 #[test]
 fn explain_shows_what_logs_say_of_a_request() {
     let folder = folder();
--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -37,7 +37,8 @@
     }
     info!(context.log, "request sent"; "request" => %call.head.id, "route" => &call.route.name,
         "account" => call.account_name().map(AccountName::as_str), "backend" => %backend,
-        "unread_tokens" => unread, "left_ms" => call.left().as_millis() as u64);
+        "unread_tokens" => unread, "target_ms" => call.route.target_latency.as_millis() as u64,
+        "left_ms" => call.left().as_millis() as u64);
 }
 
 /// Logs what became of one send.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod log_client;
 pub mod log_reader;
 pub mod logging;
+pub mod loss_report;
 pub mod member_task;
 pub mod membership;
 pub mod metrics_export;
--- a/lib/src/log_reader.rs
+++ b/lib/src/log_reader.rs
@@ -1,4 +1,4 @@
-//! Reads log lines of entries and finds what they say about one request.
+//! Reads log lines of entries, all of them or what they say about one request.
 
 use std::fmt;
 
@@ -60,9 +60,23 @@
 /// The names under which `slog` writes what every line has.
 const OWN_NAMES: [&str; 3] = ["ts", "msg", "level"];
 
-/// Reads the lines that name a request. What stands before the first brace of
-/// a line, such as the prefix of a collector, is passed over; empty lines too.
+/// Reads the lines that name a request, without that name.
 pub fn read_request_lines(text: &str, request: &str) -> LogText {
+    let mut found = read_lines(text);
+    found.lines.retain(|line| names_request(line, request));
+    for line in &mut found.lines {
+        line.fields.remove("request");
+    }
+    found
+}
+
+fn names_request(line: &LogLine, request: &str) -> bool {
+    line.fields.get("request").and_then(Value::as_str) == Some(request)
+}
+
+/// Reads all lines. What stands before the first brace of a line, such as the
+/// prefix of a collector, is passed over; empty lines too.
+pub fn read_lines(text: &str) -> LogText {
     let mut found = LogText::default();
     for (index, line) in text.lines().enumerate() {
         let Some(start) = line.find('{') else {
@@ -75,8 +89,7 @@
             continue;
         };
         match serde_json::from_str::<Map<String, Value>>(&line[start..]) {
-            Ok(fields) if names_request(&fields, request) => found.lines.push(read_line(fields)),
-            Ok(_) => {}
+            Ok(fields) => found.lines.push(read_line(fields)),
             Err(error) => found.bad.push(BadLine {
                 number: index + 1,
                 cause: error.to_string(),
@@ -87,17 +100,13 @@
     found
 }
 
-fn names_request(fields: &Map<String, Value>, request: &str) -> bool {
-    fields.get("request").and_then(Value::as_str) == Some(request)
-}
-
 fn read_line(fields: Map<String, Value>) -> LogLine {
     let text = |name: &str| {
         let value = fields.get(name).and_then(Value::as_str);
         value.unwrap_or_default().to_owned()
     };
     let (at, entry, message) = (text("ts"), text("entry"), text("msg"));
-    let hidden = |name: &str| OWN_NAMES.contains(&name) || name == "entry" || name == "request";
+    let hidden = |name: &str| OWN_NAMES.contains(&name) || name == "entry";
     let fields = fields.into_iter().filter(|(name, _)| !hidden(name));
     LogLine {
         at,
