--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -60,7 +60,6 @@
     load: Option<(Timestamp, LoadReport)>,
     failures_in_row: u32,
     excluded_until: Timestamp,
-    full_until: Timestamp,
     missing_since: Option<Timestamp>,
     parts: HashMap<u64, Timestamp>,
 }
@@ -77,7 +76,6 @@
             load: None,
             failures_in_row: 0,
             excluded_until: Timestamp(0),
-            full_until: Timestamp(0),
             missing_since: None,
             parts: HashMap::new(),
         }
@@ -93,11 +91,6 @@
         now < self.excluded_until
     }
 
-    /// Returns whether it said a moment ago that it has no room.
-    pub fn is_full(&self, now: Timestamp) -> bool {
-        now < self.full_until
-    }
-
     /// Returns whether its record is missing, though perhaps not for good.
     pub fn is_missing(&self) -> bool {
         self.missing_since.is_some()
@@ -382,8 +375,7 @@
         }
         match outcome {
             BackendOutcome::Served => backend.failures_in_row = 0,
-            BackendOutcome::Failed => {}
-            BackendOutcome::Full => backend.full_until = now.after(FULL_PAUSE),
+            BackendOutcome::Failed | BackendOutcome::Full => {}
             BackendOutcome::Broken => {
                 backend.failures_in_row += 1;
                 if backend.failures_in_row >= FAILURES_TO_EXCLUDE {
@@ -397,7 +389,3 @@
         None
     }
 }
-
-/// How long a backend server that refused is passed over: about the time in
-/// which one of its requests ends.
-const FULL_PAUSE: Duration = Duration::from_millis(60);
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -24,16 +24,11 @@
 /// it: everything that runs beside it and comes after it waits for it too.
 /// Measured: 4, 8 (docs/DECISIONS.md).
 const RECOMPUTE_WEIGHT: f64 = 8.0;
-/// Milliseconds at full slots, rising with the square of the filling: replicas
-/// generate more slowly the more requests they run.
-const CROWD_COST: f64 = 60.0;
 /// Milliseconds for a certain failure; a caller's second try costs as much.
 const FAILURE_COST: f64 = 1_500.0;
 /// Milliseconds for another availability zone: two ways of a millisecond, and
 /// the price of bytes between zones.
 const ZONE_COST: f64 = 3.0;
-/// Milliseconds for a backend server that said a moment ago that it is full.
-const FULL_COST: f64 = 2_000.0;
 /// Milliseconds for one whose record is missing or that failed repeatedly; it
 /// is used only if there is no other.
 const DOUBT_COST: f64 = 100_000.0;
@@ -85,10 +80,12 @@
         .map(|backend| {
             let unread = unread_tokens(backend, now, query.parts, home);
             let cost = estimate(backend, now, query, times, unread);
-            (cost, unread, backend)
+            (cost, filling(backend, now), unread, backend)
         })
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(cost, unread, backend)| BackendChoice {
+        // Among equals the emptiest: replicas generate faster the fewer
+        // requests they run.
+        .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))
+        .map(|(cost, _, unread, backend)| BackendChoice {
             id: backend.record.id.clone(),
             cost,
             unread,
@@ -137,6 +134,11 @@
     hold: Duration,
 }
 
+/// Returns how full a backend server is; 1 if all its slots are taken.
+fn filling(backend: &Backend, now: Timestamp) -> f64 {
+    f64::from(backend.occupancy(now)) / f64::from(backend.record.slots.max(1))
+}
+
 fn estimate(
     backend: &Backend,
     now: Timestamp,
@@ -146,7 +148,6 @@
 ) -> f64 {
     let slots = f64::from(backend.record.slots.max(1));
     let occupancy = f64::from(backend.occupancy(now));
-    let filling = occupancy / slots;
     let waiting = (occupancy + 1.0 - slots).max(0.0);
     let before = times
         .speed
@@ -155,14 +156,10 @@
     let mut cost = before + own;
     // The slots become free one after the other, within the time of a request.
     cost += waiting * times.hold.as_secs_f64() * 1_000.0 / slots;
-    cost += filling * filling * CROWD_COST;
     cost += backend.failure_share * FAILURE_COST;
     if backend.record.zone != *query.zone {
         cost += ZONE_COST;
     }
-    if backend.is_full(now) {
-        cost += FULL_COST;
-    }
     if backend.is_missing() || backend.is_excluded(now) {
         cost += DOUBT_COST;
     }
