replica_desk: an entry that stood by long ago begins to plan anew

Found in reading: an entry that drops out of the hubs and comes back would take replicas that went meanwhile for a loss of now, and order fixed ones. No run has shown it.

--- a/lib/src/gateway/replica_desk.rs
+++ b/lib/src/gateway/replica_desk.rs
@@ -26,6 +26,9 @@
 
 /// The pause between looks at the replicas.
 const PLAN_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long after its last plan an entry begins to plan anew: some plans may
+/// be missed while the cloud answers slowly.
+const STALE_PLANS_AFTER: Duration = Duration::from_secs(6);
 /// How long after the first start of the whole system replicas are first
 /// planned: all of them have written their records by then, at least one every
 /// two seconds.
@@ -96,6 +99,9 @@
         if !self.is_due(context, now) {
             return Vec::new();
         }
+        if self.has_missed_plans(now) {
+            self.planners.clear();
+        }
         self.planned_at = Some(now);
         let config = context.config.lock().adopted().map(|a| a.config.clone());
         let Some(config) = config else {
@@ -118,6 +124,13 @@
         rested && now >= settled && context.backends.lock().confirmed_at().is_some()
     }
 
+    /// Returns whether this entry stood by, then did not for a while, so that
+    /// what it takes for lost now may have gone long ago.
+    fn has_missed_plans(&self, now: Timestamp) -> bool {
+        self.planned_at
+            .is_some_and(|at| now.since(at) > STALE_PLANS_AFTER)
+    }
+
     fn plan_service(
         &mut self,
         context: &GatewayContext,
