call_admission: keys fail closed only where the operator says so

Cause: after 4.25 s without news of the store every request with a key was refused, also where the deployment's bounds say fail-closed false. The setting bounds.fail_closed is filled from the platform's; true by default.

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -152,8 +152,11 @@
     if !config.needs_key(route) {
         return Ok((route.clone(), None));
     }
-    let oldest = context.settings.bounds.key_age.mul_f64(KEY_AGE_SHARE);
-    if age.is_none_or(|age| age >= oldest) {
+    let bounds = &context.settings.bounds;
+    let oldest = bounds.key_age.mul_f64(KEY_AGE_SHARE);
+    // Where operators would rather have a revoked key work for longer than no
+    // key at all, an outage of the store refuses nobody.
+    if bounds.fail_closed && age.is_none_or(|age| age >= oldest) {
         return Err(CallRefusal::NoConfig);
     }
     let key = head.key.as_deref().ok_or(CallRefusal::NoKey)?;
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -101,6 +101,13 @@
         Some("5000"),
         "the longest time after which a revoked key may still work",
     ),
+    setting(
+        "bounds",
+        "fail_closed",
+        "true or false",
+        Some("true"),
+        "whether requests with a key are refused once a revoked key could go unnoticed for longer",
+    ),
     setting(
         "bounds",
         "drain_ms",
@@ -192,6 +199,8 @@
 pub struct GatewayBounds {
     /// How long after its removal a key may still work.
     pub key_age: Duration,
+    /// Whether requests with a key are refused while that cannot be ensured.
+    pub fail_closed: bool,
     /// How long a leaving backend server may get new work.
     pub drain: Duration,
     /// The time from SIGTERM to the end of the process.
@@ -282,6 +291,7 @@
 
 fn read_bounds(reader: &mut SettingReader<'_>) -> Option<GatewayBounds> {
     let key_age = reader.defaulted("bounds", "key_age_ms");
+    let fail_closed = reader.defaulted("bounds", "fail_closed");
     let drain = reader.defaulted("bounds", "drain_ms");
     let grace = reader.defaulted("bounds", "grace_s");
     let lease = reader.defaulted("bounds", "lease_ms");
@@ -294,6 +304,7 @@
     let usage_window_s: Option<u64> = reader.defaulted("bounds", "usage_window_s");
     Some(GatewayBounds {
         key_age: Duration::from_millis(key_age?),
+        fail_closed: fail_closed?,
         drain: Duration::from_millis(drain?),
         grace: Duration::from_secs(grace?),
         lease: Duration::from_millis(lease?),
