peer_link: count the bytes that wait in links, and the links

Cause: nothing tells how much waits for slow peers.

Ruled out: counting at each place where a frame is queued, written or dropped; there are five, and a link that is stopped ends in the middle of any. Counting up to the hand-over to the framed writer only: what it has in its buffer and has not written waits as well, and is a whole document.

Change: a frame is queued with a share of the count that ends with it: when the next frame has been taken or the buffer flushed, or when the frame is dropped. Links that were given up are counted until they end, as they hold their queue. What is sent, and when, is the same.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod id;
 pub mod lease;
 pub mod limits;
+pub mod link_ledger;
 pub mod log_client;
 pub mod log_reader;
 pub mod logging;
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -24,6 +24,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::id::Incarnation;
+use crate::link_ledger::LinkLedger;
+use crate::link_ledger::QueuedFrame;
 use crate::wire::MAX_FRAME_LENGTH;
 use crate::wire::PeerMessage;
 
@@ -48,7 +50,8 @@
 #[derive(Clone, Debug)]
 pub struct PeerSender {
     routes: Arc<Mutex<HashMap<Incarnation, SocketAddr>>>,
-    links: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<Bytes>>>>,
+    links: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<QueuedFrame>>>>,
+    ledger: LinkLedger,
     stop: CancellationToken,
     log: Logger,
 }
@@ -59,11 +62,17 @@
         Self {
             routes: Arc::default(),
             links: Arc::default(),
+            ledger: LinkLedger::default(),
             stop,
             log,
         }
     }
 
+    /// Returns the counts of what waits.
+    pub fn ledger(&self) -> &LinkLedger {
+        &self.ledger
+    }
+
     /// Notes where an incarnation listens.
     pub fn set_route(&self, incarnation: Incarnation, address: SocketAddr) {
         let mut routes = self.routes.lock();
@@ -97,7 +106,7 @@
                 link
             }
         };
-        if link.try_send(frame).is_err() {
+        if link.try_send(self.ledger.enqueue(frame)).is_err() {
             count_dropped("queue_full");
         }
     }
@@ -108,15 +117,17 @@
         self.links.lock().remove(&address);
     }
 
-    fn open(&self, address: SocketAddr) -> mpsc::Sender<Bytes> {
+    fn open(&self, address: SocketAddr) -> mpsc::Sender<QueuedFrame> {
         let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
         let stop = self.stop.clone();
         let log = self.log.clone();
+        let open_link = self.ledger.open_link();
         tokio::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
                 () = run_link(address, receiver, log) => {}
             }
+            drop(open_link);
         });
         sender
     }
@@ -126,7 +137,7 @@
     counter!("cloverbend_peer_dropped_frames_total", "cause" => cause).increment(1);
 }
 
-async fn run_link(address: SocketAddr, mut queue: mpsc::Receiver<Bytes>, log: Logger) {
+async fn run_link(address: SocketAddr, mut queue: mpsc::Receiver<QueuedFrame>, log: Logger) {
     loop {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let Ok(Ok(socket)) = connected else {
@@ -160,24 +171,29 @@
     Broken(String),
 }
 
-async fn send_frames(socket: TcpStream, queue: &mut mpsc::Receiver<Bytes>) -> LinkEnd {
+async fn send_frames(socket: TcpStream, queue: &mut mpsc::Receiver<QueuedFrame>) -> LinkEnd {
     let mut framed = Framed::new(socket, frame_codec());
     loop {
-        let frame = match tokio::time::timeout(IDLE_TIMEOUT, queue.recv()).await {
-            Ok(Some(frame)) => frame,
-            Ok(None) | Err(_) => return LinkEnd::Idle,
-        };
+        let QueuedFrame { frame, mut share } =
+            match tokio::time::timeout(IDLE_TIMEOUT, queue.recv()).await {
+                Ok(Some(queued)) => queued,
+                Ok(None) | Err(_) => return LinkEnd::Idle,
+            };
         if let Err(error) = framed.feed(frame).await {
             return LinkEnd::Broken(error.to_string());
         }
-        while let Ok(frame) = queue.try_recv() {
-            if let Err(error) = framed.feed(frame).await {
+        while let Ok(next) = queue.try_recv() {
+            if let Err(error) = framed.feed(next.frame).await {
                 return LinkEnd::Broken(error.to_string());
             }
+            // Before it takes a frame, the writer empties its buffer of all but
+            // a few kilobytes: the frame before this one no longer waits.
+            share = next.share;
         }
         if let Err(error) = SinkExt::<Bytes>::flush(&mut framed).await {
             return LinkEnd::Broken(error.to_string());
         }
+        drop(share);
     }
 }
 
