--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -129,7 +129,7 @@
 fn current_config(context: &GatewayContext) -> Result<Arc<SiteConfig>, CallRefusal> {
     let config = context.config.lock();
     let adopted = config.adopted().ok_or(CallRefusal::NoConfig)?;
-    Ok(Arc::clone(&adopted.config))
+    Ok(Arc::clone(adopted))
 }
 
 /// Finds the route and the account. A caller hears "no" only while this entry
--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -8,26 +8,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-
+use crate::gateway::document_parts::DocumentPart;
+use crate::gateway::document_parts::DocumentPull;
+use crate::gateway::document_transfer::DocumentShelf;
+use crate::gateway::document_transfer::KeptDocument;
+use crate::gateway::packed_document::PackedDocument;
 use crate::gateway::site_config::SiteConfig;
+use crate::id::LogOffset;
 use crate::id::RevisionNumber;
 use crate::quantity::Timestamp;
 
-/// A configuration together with the document it was decoded from.
-#[derive(Clone, Debug)]
-pub struct AdoptedConfig {
-    /// The decoded configuration.
-    pub config: Arc<SiteConfig>,
-    /// The document, to pass on to other entries.
-    pub document: Bytes,
-}
-
 /// Follows the configuration forwards.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFollower {
-    adopted: Option<AdoptedConfig>,
+    adopted: Option<Arc<SiteConfig>>,
+    shelf: DocumentShelf,
     confirmed_at: Option<Timestamp>,
+    log_end: Option<LogOffset>,
 }
 
 impl ConfigFollower {
@@ -37,26 +34,70 @@
     }
 
     /// Returns the configuration in force as far as this entry knows.
-    pub fn adopted(&self) -> Option<&AdoptedConfig> {
+    pub fn adopted(&self) -> Option<&Arc<SiteConfig>> {
         self.adopted.as_ref()
     }
 
     /// Returns the adopted revision; 0 if there is none.
     pub fn revision(&self) -> RevisionNumber {
         let none = RevisionNumber(0);
-        self.adopted.as_ref().map_or(none, |a| a.config.revision)
+        self.adopted.as_ref().map_or(none, |config| config.revision)
     }
 
-    /// Offers a configuration; returns whether it was adopted.
-    pub fn offer(&mut self, config: SiteConfig, document: Bytes) -> bool {
+    /// Offers a configuration; returns whether it was adopted. `log_end` is
+    /// where the log goes on after it, if known.
+    pub fn offer(
+        &mut self,
+        now: Timestamp,
+        config: SiteConfig,
+        document: PackedDocument,
+        log_end: Option<LogOffset>,
+    ) -> bool {
         if config.revision <= self.revision() {
             return false;
         }
-        let config = Arc::new(config);
-        self.adopted = Some(AdoptedConfig { config, document });
+        let kept = KeptDocument {
+            revision: config.revision,
+            document,
+            log_end,
+        };
+        self.shelf.put(now, kept);
+        self.adopted = Some(Arc::new(config));
+        self.log_end = self.log_end.max(log_end);
         true
     }
 
+    /// Returns the part of a document that another entry asks for.
+    pub fn answer(&mut self, now: Timestamp, pull: &DocumentPull) -> Option<DocumentPart> {
+        self.shelf.answer(now, pull)
+    }
+
+    /// Lets go of documents that nobody asks for any more.
+    pub fn drop_unasked(&mut self, now: Timestamp) {
+        self.shelf.drop_unasked(now);
+    }
+
+    /// Returns the bytes of the documents kept.
+    pub fn kept_bytes(&self) -> usize {
+        self.shelf.kept_bytes()
+    }
+
+    /// Returns from where the log is to be read; none if the newest record is
+    /// to be asked for. What came from other entries is not read again.
+    pub fn log_end(&self) -> Option<LogOffset> {
+        self.log_end
+    }
+
+    /// Notes that the log was read up to `end`.
+    pub fn note_read(&mut self, end: LogOffset) {
+        self.log_end = self.log_end.max(Some(end));
+    }
+
+    /// Notes that the log no longer has the records that would come next.
+    pub fn forget_log(&mut self) {
+        self.log_end = None;
+    }
+
     /// Notes that no revision above `newest` existed at `asked_at`. It counts
     /// only if this entry has adopted that revision.
     pub fn confirm(&mut self, newest: RevisionNumber, asked_at: Timestamp) {
--- /dev/null
+++ b/lib/src/gateway/document_parts.rs
@@ -0,0 +1,127 @@
+//! Messages by which an entry asks another for the configuration, as `prost`
+//! frames: it asks for one part at a time.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use prost::Message;
+
+use crate::id::LogOffset;
+use crate::id::RevisionNumber;
+use crate::wire_error::WireError;
+
+/// The most bytes of a packed document in one part: 26 ms on 10 Mbit/s, so that
+/// news never wait long behind it.
+pub const PART_BYTES: usize = 32 * 1024;
+
+/// Asks for a part of a packed document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DocumentPull {
+    /// Where to answer.
+    pub reply_to: SocketAddr,
+    /// The revision that is wanted; if it is no longer kept, a newer one.
+    pub revision: RevisionNumber,
+    /// Where the part begins, in bytes.
+    pub from: u64,
+}
+
+/// A part of a packed document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentPart {
+    /// The revision.
+    pub revision: RevisionNumber,
+    /// The length of the whole packed document, in bytes.
+    pub length: u64,
+    /// The digest of the whole packed document.
+    pub digest: u64,
+    /// Where the part begins, in bytes.
+    pub from: u64,
+    /// The part.
+    pub bytes: Bytes,
+    /// Where the log of the store goes on after this revision, if known.
+    pub log_end: Option<LogOffset>,
+}
+
+impl DocumentPart {
+    /// Returns whether the document ends with this part.
+    pub fn is_last(&self) -> bool {
+        self.from + self.bytes.len() as u64 >= self.length
+    }
+}
+
+/// The frame of [`DocumentPull`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PullDocumentFrame {
+    #[prost(string, tag = "1")]
+    reply_to: String,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+    #[prost(uint64, tag = "3")]
+    from: u64,
+}
+
+/// The frame of [`DocumentPart`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PartFrame {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(uint64, tag = "2")]
+    length: u64,
+    #[prost(fixed64, tag = "3")]
+    digest: u64,
+    #[prost(uint64, tag = "4")]
+    from: u64,
+    #[prost(bytes = "bytes", tag = "5")]
+    bytes: Bytes,
+    #[prost(uint64, optional, tag = "6")]
+    log_end: Option<u64>,
+}
+
+impl From<DocumentPull> for PullDocumentFrame {
+    fn from(pull: DocumentPull) -> Self {
+        Self {
+            reply_to: pull.reply_to.to_string(),
+            revision: pull.revision.0,
+            from: pull.from,
+        }
+    }
+}
+
+impl TryFrom<PullDocumentFrame> for DocumentPull {
+    type Error = WireError;
+
+    fn try_from(frame: PullDocumentFrame) -> Result<Self, WireError> {
+        let reply_to = frame.reply_to.parse();
+        Ok(Self {
+            reply_to: reply_to.map_err(|_| WireError::Invalid("reply_to"))?,
+            revision: RevisionNumber(frame.revision),
+            from: frame.from,
+        })
+    }
+}
+
+impl From<DocumentPart> for PartFrame {
+    fn from(part: DocumentPart) -> Self {
+        Self {
+            revision: part.revision.0,
+            length: part.length,
+            digest: part.digest,
+            from: part.from,
+            bytes: part.bytes,
+            log_end: part.log_end.map(|end| end.0),
+        }
+    }
+}
+
+impl From<PartFrame> for DocumentPart {
+    fn from(frame: PartFrame) -> Self {
+        Self {
+            revision: RevisionNumber(frame.revision),
+            length: frame.length,
+            digest: frame.digest,
+            from: frame.from,
+            bytes: frame.bytes,
+            log_end: frame.log_end.map(LogOffset),
+        }
+    }
+}
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -19,6 +19,7 @@
 use crate::gateway::backend_pool::BackendPool;
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::config_follower::ConfigFollower;
+use crate::gateway::document_transfer::DocumentTransfer;
 use crate::gateway::duty_lease::DutyLease;
 use crate::gateway::edge::CloudOrders;
 use crate::gateway::edge::LogStore;
@@ -57,6 +58,8 @@
     pub log: Logger,
     /// The configuration.
     pub config: Mutex<ConfigFollower>,
+    /// The configuration on its way here from another entry.
+    pub transfer: Mutex<DocumentTransfer>,
     /// The backend servers.
     pub backends: Mutex<BackendSet>,
     /// The accounts' limits.
@@ -107,6 +110,7 @@
             incarnation,
             edges,
             config: Mutex::new(ConfigFollower::new()),
+            transfer: Mutex::new(DocumentTransfer::new()),
             backends: Mutex::new(BackendSet::new()),
             limits: Mutex::new(AccountLimits::new(
                 settings.first_start,
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -27,8 +27,10 @@
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::gateway_context::PlatformEdges;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::peer_task::answer_pull;
 use crate::gateway::peer_task::exchange_news;
 use crate::gateway::peer_task::receive_news;
+use crate::gateway::peer_task::receive_part;
 use crate::gateway::state_sizes::SizeReporter;
 use crate::gateway::store_task::follow_backends;
 use crate::gateway::store_task::follow_config;
@@ -233,6 +235,8 @@
 fn receive_message(context: &GatewayContext, message: PeerMessage) {
     match message {
         PeerMessage::News(news) => receive_news(context, *news),
+        PeerMessage::DocumentPull(pull) => answer_pull(context, &pull),
+        PeerMessage::DocumentPart(part) => receive_part(context, &part),
         _ => slog::warn!(context.log, "peer message refused"; "cause" => "not for a gateway"),
     }
 }
@@ -242,6 +246,7 @@
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
         context.pool.sweep();
+        context.config.lock().drop_unasked(context.now());
         let dropped = context.log_budget.lock().take_dropped();
         if dropped > 0 {
             counter!("cloverbend_log_lines_dropped_total").increment(dropped);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -10,12 +10,13 @@
 //!
 //! Beside it run tasks that keep beliefs fresh: [`store_task`] follows the
 //! configuration and the backend servers, [`peer_task`] exchanges news with
-//! other entries, [`duty_task`] reports usage while this entry holds the lease,
+//! other entries and gets the configuration from them with
+//! [`document_transfer`], [`duty_task`] reports usage while this entry holds the lease,
 //! and orders replicas with [`replica_desk`].
 //!
 //! The formats of the platform stand behind the traits of [`edge`].
 //!
-//! Lock order: `config`, `backends`, `limits`, `usage`, `peers`, `duties`.
+//! Lock order: `config`, `transfer`, `backends`, `limits`, `usage`, `peers`, `duties`.
 //! None is held across an await.
 
 pub mod account_limits;
@@ -30,6 +31,8 @@
 pub mod call_refusal;
 pub mod call_service;
 pub mod config_follower;
+pub mod document_parts;
+pub mod document_transfer;
 pub mod duty_lease;
 pub mod duty_task;
 pub mod edge;
@@ -39,6 +42,7 @@
 pub mod gateway_daemon;
 pub mod gateway_settings;
 pub mod log_budget;
+pub mod packed_document;
 pub mod pause_watch;
 pub mod peer_book;
 pub mod peer_news;
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -14,6 +14,7 @@
 use twox_hash::XxHash64;
 
 use crate::gateway::account_limits::ShareView;
+use crate::gateway::document_transfer::DocumentSource;
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
 use crate::gateway::peer_news::GatewayNews;
@@ -231,6 +232,29 @@
         self.peers.get(name)
     }
 
+    /// Returns the entries that were heard lately with a higher revision than
+    /// `own`: the newest first, and among equals others for each entry that
+    /// asks, so that none has to answer all.
+    pub fn ahead(&self, now: Timestamp, own: RevisionNumber) -> Vec<DocumentSource> {
+        let is_ahead = |peer: &PeerState| {
+            peer.revision > own && peer.was_heard && now.since(peer.heard_at) < HUB_HEARD_WITHIN
+        };
+        let ahead = self.peers.iter().filter(|(_, peer)| is_ahead(peer));
+        let mut ranked: Vec<_> = ahead
+            .map(|(name, peer)| (Reverse(peer.revision), self.pair_hash(name), peer.address))
+            .collect();
+        ranked.sort_unstable();
+        ranked
+            .into_iter()
+            .map(|(Reverse(revision), _, address)| DocumentSource { address, revision })
+            .collect()
+    }
+
+    fn pair_hash(&self, other: &EntryName) -> u64 {
+        let own = XxHash64::oneshot(0, self.own.as_str().as_bytes());
+        XxHash64::oneshot(own, other.as_str().as_bytes())
+    }
+
     /// Returns the messages that are due in a round, and notes that they are
     /// sent.
     pub fn due(&mut self, now: Timestamp, round: u32) -> Vec<DueMessage> {
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use bytes::Bytes;
 use prost::Message;
 
 use crate::gateway::account_limits::AdmittedUnits;
@@ -110,8 +109,6 @@
     pub leaving: bool,
     /// The sender's revision of the configuration.
     pub revision: RevisionNumber,
-    /// The configuration's document, if the receiver's is older.
-    pub document: Option<Bytes>,
     /// The age of the sender's knowledge.
     pub echo: Option<ConfigEcho>,
     /// The fence of the lease, if the sender holds it.
@@ -229,8 +226,6 @@
     leaving: bool,
     #[prost(uint64, tag = "6")]
     revision: u64,
-    #[prost(bytes = "bytes", optional, tag = "7")]
-    document: Option<Bytes>,
     #[prost(message, optional, tag = "8")]
     echo: Option<EchoFrame>,
     #[prost(uint64, optional, tag = "9")]
@@ -364,7 +359,6 @@
             sent_at: news.sent_at,
             leaving: news.leaving,
             revision: news.revision.0,
-            document: news.document,
             echo: news.echo.map(|echo| EchoFrame {
                 incarnation: echo.incarnation.0,
                 sent_at: echo.sent_at,
@@ -402,7 +396,6 @@
             sent_at: frame.sent_at,
             leaving: frame.leaving,
             revision: RevisionNumber(frame.revision),
-            document: frame.document,
             echo: frame.echo.map(|echo| ConfigEcho {
                 incarnation: Incarnation(echo.incarnation),
                 sent_at: echo.sent_at,
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -11,6 +11,8 @@
 use crate::gateway::account_limits::NEWS_PAUSE;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::document_parts::DocumentPart;
+use crate::gateway::document_parts::DocumentPull;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_book::DueMessage;
 use crate::gateway::peer_book::add_uses;
@@ -21,8 +23,8 @@
 use crate::gateway::peer_news::HubView;
 use crate::gateway::peer_news::ServiceWork;
 use crate::gateway::peer_news::WindowCount;
+use crate::gateway::store_task::adopt_arrived;
 use crate::gateway::store_task::adopt_backends;
-use crate::gateway::store_task::offer_config;
 use crate::quantity::Timestamp;
 use crate::wire::PeerMessage;
 
@@ -46,6 +48,7 @@
         }
         note_uses(&context, now);
         send_round(&context, now, round);
+        pull_document(&context, now);
     }
 }
 
@@ -61,14 +64,17 @@
         if message.reopen {
             context.links.forget(message.address);
         }
+        // News are always the whole state, so those that a slow link could not
+        // take yet are replaced by the next ones.
+        if context.links.is_busy(message.address) {
+            counter!("cloverbend_peer_news_skipped_total").increment(1);
+            continue;
+        }
         let mut news = common.clone();
         address_news(context, &mut news, &message);
         if message.digest {
             add_digest(context, &mut news, &message, &sums, now);
         }
-        if news.document.is_some() {
-            counter!("cloverbend_config_documents_sent_total").increment(1);
-        }
         context
             .links
             .send(message.address, PeerMessage::News(Box::new(news)));
@@ -88,7 +94,6 @@
         sent_at: context.now().0,
         leaving: context.is_leaving(),
         revision,
-        document: None,
         echo: None,
         fence,
         tells: true,
@@ -105,17 +110,12 @@
 
 fn address_news(context: &GatewayContext, news: &mut GatewayNews, message: &DueMessage) {
     let config = context.config.lock();
-    let adopted = config.adopted().map(|a| a.document.clone());
     let config_at = config.confirmed_at();
     drop(config);
     let backends_at = context.backends.lock().confirmed_at();
     let peers = context.peers.lock();
     news.echo = peers.echo(&message.name, config_at, backends_at);
-    let behind = peers
-        .get(&message.name)
-        .is_some_and(|peer| peer.incarnation.is_some() && peer.revision < news.revision);
     drop(peers);
-    news.document = adopted.filter(|_| behind);
     news.wants_digest = message.wants_digest;
     if !message.tells {
         news.tells = false;
@@ -172,6 +172,58 @@
     offered.then(|| backends.records())
 }
 
+/// Asks an entry that is ahead for the next part of the configuration, if this
+/// entry is behind and no answer is open.
+fn pull_document(context: &GatewayContext, now: Timestamp) {
+    let own = context.config.lock().revision();
+    let address = context.settings.peer_address;
+    let mut transfer = context.transfer.lock();
+    let sources = context.peers.lock().ahead(now, own);
+    let failures = transfer.failures();
+    let pull = transfer.next_pull(now, address, &sources);
+    let failed_again = transfer.failures() > failures;
+    let held = transfer.held_bytes();
+    drop(transfer);
+    let Some((source, pull)) = pull else {
+        return;
+    };
+    if failed_again {
+        counter!("cloverbend_config_pulls_unanswered_total").increment(1);
+        info!(context.log, "configuration asked for elsewhere"; "revision" => pull.revision.0,
+            "own_revision" => own.0, "from" => %source, "held_bytes" => held);
+    }
+    context.links.send(source, PeerMessage::DocumentPull(pull));
+}
+
+/// Answers an entry that asks for a part of the configuration.
+pub fn answer_pull(context: &GatewayContext, pull: &DocumentPull) {
+    let answer = context.config.lock().answer(context.now(), pull);
+    let Some(part) = answer else {
+        return;
+    };
+    counter!("cloverbend_config_parts_sent_total").increment(1);
+    if part.is_last() {
+        counter!("cloverbend_config_documents_sent_total").increment(1);
+    }
+    context
+        .links
+        .send(pull.reply_to, PeerMessage::DocumentPart(part));
+}
+
+/// Takes over a part of the configuration, and asks for the next one.
+pub fn receive_part(context: &GatewayContext, part: &DocumentPart) {
+    let own = context.config.lock().revision();
+    let arrived = context.transfer.lock().take_part(own, part);
+    let now = context.now();
+    if let Some(arrived) = arrived {
+        counter!("cloverbend_config_documents_received_total").increment(1);
+        if !adopt_arrived(context, arrived) {
+            context.transfer.lock().note_unusable(now);
+        }
+    }
+    pull_document(context, now);
+}
+
 fn own_uses(context: &GatewayContext) -> Vec<BackendUse> {
     let backends = context.backends.lock();
     backends
@@ -230,9 +282,8 @@
         info!(context.log, "entry heard"; "other" => %news.name,
             "incarnation" => %news.incarnation, "address" => %news.address);
     }
-    if let Some(document) = &news.document {
-        counter!("cloverbend_config_documents_received_total").increment(1);
-        offer_config(context, document, "entry");
+    if news.revision > context.config.lock().revision() {
+        pull_document(context, now);
     }
     if news.tells {
         note_admitted(context, &news);
--- a/lib/src/gateway/replica_desk.rs
+++ b/lib/src/gateway/replica_desk.rs
@@ -103,7 +103,7 @@
             self.planners.clear();
         }
         self.planned_at = Some(now);
-        let config = context.config.lock().adopted().map(|a| a.config.clone());
+        let config = context.config.lock().adopted().cloned();
         let Some(config) = config else {
             return Vec::new();
         };
--- a/lib/src/gateway/state_sizes.rs
+++ b/lib/src/gateway/state_sizes.rs
@@ -44,28 +44,34 @@
 /// What of an entry's state may hold much memory.
 #[derive(Clone, Copy, Debug)]
 struct StateSizes {
-    queued_bytes: u64,
+    /// Bytes that wait in the links to other entries.
+    queued: usize,
     links: usize,
-    document_bytes: usize,
+    /// Bytes of the documents that other entries may ask for.
+    kept: usize,
+    /// Bytes of the document that is on its way here.
+    arriving: usize,
     revision: RevisionNumber,
 }
 
 impl StateSizes {
     fn of(context: &GatewayContext) -> Self {
-        let ledger = context.links.ledger();
+        let arriving = context.transfer.lock().held_bytes();
         let config = context.config.lock();
         Self {
-            queued_bytes: ledger.queued_bytes(),
-            links: ledger.links(),
-            document_bytes: config.adopted().map_or(0, |a| a.document.len()),
+            queued: context.links.queued_bytes(),
+            links: context.links.link_count(),
+            kept: config.kept_bytes(),
+            arriving,
             revision: config.revision(),
         }
     }
 
     fn set_gauges(&self) {
-        gauge!("cloverbend_peer_queued_bytes").set(self.queued_bytes as f64);
+        gauge!("cloverbend_peer_queued_bytes").set(self.queued as f64);
         gauge!("cloverbend_peer_links").set(self.links as f64);
-        gauge!("cloverbend_config_document_bytes").set(self.document_bytes as f64);
+        gauge!("cloverbend_config_document_bytes").set(self.kept as f64);
+        gauge!("cloverbend_config_arriving_bytes").set(self.arriving as f64);
         gauge!("cloverbend_config_revision").set(self.revision.0 as f64);
     }
 }
@@ -97,8 +103,9 @@
         gauge!("cloverbend_resident_bytes").set(resident.0 as f64);
         if self.growth.takes(context.now(), resident) {
             info!(context.log, "state sizes"; "resident_mb" => resident.mebibytes(),
-                "queued_bytes" => sizes.queued_bytes, "links" => sizes.links,
-                "document_bytes" => sizes.document_bytes, "revision" => sizes.revision.0);
+                "queued_bytes" => sizes.queued, "links" => sizes.links,
+                "document_bytes" => sizes.kept, "arriving_bytes" => sizes.arriving,
+                "revision" => sizes.revision.0);
         }
     }
 
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -16,15 +16,16 @@
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_set::BackendChange;
+use crate::gateway::document_transfer::ArrivedDocument;
 use crate::gateway::edge::LogRecord;
 use crate::gateway::edge::LogSlice;
 use crate::gateway::edge::LogTopic;
 use crate::gateway::edge::StoreError;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::packed_document::PackedDocument;
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::EntryName;
 use crate::id::LogOffset;
-use crate::id::RevisionNumber;
 use crate::quantity::Timestamp;
 
 /// How long a read of the configuration waits for news. Its answer, also an
@@ -131,70 +132,107 @@
 /// Follows the configuration until the entry stops.
 pub async fn follow_config(context: Arc<GatewayContext>) {
     let mut watch = DependencyWatch::new("store: configuration");
-    let mut next: Option<LogOffset> = None;
     loop {
         wait_own_read(&context, || context.config.lock().confirmed_at()).await;
         let asked_at = context.now();
         let store = &context.edges.store;
         let topic = LogTopic::Configuration;
+        let next = context.config.lock().log_end();
         let result = match next {
             None => store.newest(topic).await,
             Some(from) => store.read(topic, from, CONFIG_WAIT).await,
         };
         watch.note(&context, &result);
         match result {
-            Ok(slice) if next.is_some_and(|from| slice.first > from) => next = None,
+            Ok(slice) if next.is_some_and(|from| slice.first > from) => {
+                context.config.lock().forget_log();
+            }
             Ok(slice) => {
-                next = Some(slice.end);
                 if apply_config(&context, &slice) {
                     let mut config = context.config.lock();
+                    config.note_read(slice.end);
                     let revision = config.revision();
                     config.confirm(revision, asked_at);
                 }
             }
-            Err(StoreError::Forgotten(_)) => next = None,
+            Err(StoreError::Forgotten(_)) => context.config.lock().forget_log(),
             Err(_) => watch.wait_after_failure(&context).await,
         }
     }
 }
 
-/// Adopts what a slice has. Returns whether everything could be read.
+/// Adopts the newest configuration of a slice. Returns whether it could be
+/// read; what came before it is of no use to anybody.
 fn apply_config(context: &GatewayContext, slice: &LogSlice) -> bool {
     let key = context.edges.format.config_key();
-    let mut whole = true;
-    for record in &slice.records {
-        if record.key.as_deref() == Some(key) && !record.value.is_empty() {
-            whole &= offer_config(context, &record.value, "store").is_some();
-        }
+    let published =
+        |record: &&LogRecord| record.key.as_deref() == Some(key) && !record.value.is_empty();
+    let Some(record) = slice.records.iter().rev().find(published) else {
+        return true;
+    };
+    let log_end = LogOffset(record.offset.0 + 1);
+    let known = context.config.lock().log_end();
+    // Another entry's copy may have come first.
+    if known.is_some_and(|known| known >= log_end) {
+        return true;
+    }
+    adopt_published(context, &record.value, log_end)
+}
+
+/// Adopts a document that the store has, whose log goes on at `log_end`.
+/// Returns whether it could be read.
+pub fn adopt_published(context: &GatewayContext, document: &Bytes, log_end: LogOffset) -> bool {
+    let offered = PackedDocument::pack(document)
+        .map_err(|error| error.to_string())
+        .and_then(|packed| offer_config(context, document, packed, Some(log_end), "store"));
+    note_unreadable(context, "store", &offered);
+    offered.is_ok()
+}
+
+/// Adopts a document that came whole from another entry. Returns whether it
+/// could be read.
+pub fn adopt_arrived(context: &GatewayContext, arrived: ArrivedDocument) -> bool {
+    let ArrivedDocument {
+        document, log_end, ..
+    } = arrived;
+    let offered = document
+        .unpack()
+        .map_err(|error| error.to_string())
+        .and_then(|unpacked| offer_config(context, &unpacked, document, log_end, "entry"));
+    note_unreadable(context, "entry", &offered);
+    offered.is_ok()
+}
+
+fn note_unreadable(context: &GatewayContext, source: &str, offered: &Result<(), String>) {
+    if let Err(error) = offered {
+        counter!("cloverbend_configs_unreadable_total").increment(1);
+        warn!(context.log, "configuration refused"; "source" => source, "error" => error);
     }
-    whole
 }
 
-/// Decodes and offers a configuration; returns its revision if it can be read.
-pub fn offer_config(
+/// Decodes a configuration and adopts it if it is newer.
+fn offer_config(
     context: &GatewayContext,
-    document: &Bytes,
+    document: &[u8],
+    packed: PackedDocument,
+    log_end: Option<LogOffset>,
     source: &str,
-) -> Option<RevisionNumber> {
+) -> Result<(), String> {
     counter!("cloverbend_config_documents_decoded_total").increment(1);
     let decoded = context.edges.format.decode_config(document);
-    let config = match decoded {
-        Ok(config) => config,
-        Err(error) => {
-            counter!("cloverbend_configs_unreadable_total").increment(1);
-            warn!(context.log, "configuration refused"; "source" => source, "error" => %error);
-            return None;
-        }
-    };
+    let config = decoded.map_err(|error| error.to_string())?;
     let revision = config.revision;
     let routes = config.routes.len();
-    if context.config.lock().offer(config, document.clone()) {
+    let packed_bytes = packed.bytes().len();
+    let now = context.now();
+    if context.config.lock().offer(now, config, packed, log_end) {
         context.news_due.notify_one();
         counter!("cloverbend_configs_adopted_total").increment(1);
         info!(context.log, "configuration adopted"; "revision" => revision.0,
-            "source" => source, "routes" => routes, "bytes" => document.len());
+            "source" => source, "routes" => routes, "bytes" => document.len(),
+            "packed_bytes" => packed_bytes);
     }
-    Some(revision)
+    Ok(())
 }
 
 /// Follows the backend servers until the entry stops.
--- a/lib/src/member_task.rs
+++ b/lib/src/member_task.rs
@@ -66,7 +66,7 @@
                 }
             }
             PeerMessage::ConfigPush(transfer) => self.receive_config(transfer),
-            PeerMessage::News(_) => {
+            PeerMessage::News(_) | PeerMessage::DocumentPull(_) | PeerMessage::DocumentPart(_) => {
                 warn!(self.log, "peer message refused"; "cause" => "only for a gateway");
             }
         }
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -1,35 +1,45 @@
 //! Connections between entries: length-delimited frames over TCP.
 //!
 //! Sending never waits. A frame that cannot be sent is dropped and counted,
-//! since every decision that sends also repeats what was not answered.
+//! since every decision that sends also repeats what was not answered. What
+//! waits is bounded in bytes, for each link and for all of them, and no buffer
+//! of a connection keeps the size of the largest frame that passed it. What is
+//! read at one time is bounded by [`crate::frame_reader`].
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
+use bytes::Buf;
 use bytes::Bytes;
 use futures_util::SinkExt;
-use futures_util::StreamExt;
 use metrics::counter;
 use parking_lot::Mutex;
 use slog::Logger;
 use slog::debug;
 use slog::warn;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
 
+use crate::frame_reader::FrameError;
+use crate::frame_reader::FrameReader;
+use crate::frame_reader::LARGE_FRAMES_KB;
 use crate::id::Incarnation;
-use crate::link_ledger::LinkLedger;
-use crate::link_ledger::QueuedFrame;
-use crate::wire::MAX_FRAME_LENGTH;
+use crate::link_queue::QueueRefusal;
+use crate::link_queue::QueueUse;
+use crate::link_queue::QueuedFrame;
 use crate::wire::PeerMessage;
 
-/// The most frames that wait for one connection.
+/// The most frames that wait for one connection; their bytes are bounded by
+/// [`crate::link_queue`].
 const QUEUE_LENGTH: usize = 8_192;
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -37,11 +47,30 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a connection without traffic is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long writing what waits may take: the bytes that one link may hold pass
+/// 10 Mbit/s in a second. A connection that takes longer is given up with what
+/// waits for it, so that a silent peer keeps no memory.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The size from which on a frame is written from where it lies instead of
+/// being collected with others, in bytes. The collecting buffer would keep the
+/// capacity of the largest frame for as long as the connection lives.
+const DIRECT_FRAME: usize = 8 * 1024;
+/// The pause between log lines about frames that did not fit.
+const REFUSAL_LOG_PAUSE: Duration = Duration::from_secs(5);
 
-fn frame_codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_LENGTH)
-        .new_codec()
+/// One connection, as senders see it.
+#[derive(Debug)]
+struct PeerLink {
+    frames: mpsc::Sender<QueuedFrame>,
+    waiting: QueueUse,
+    stop: CancellationToken,
+}
+
+impl Drop for PeerLink {
+    /// Ends the connection also while a write to it hangs.
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
 }
 
 /// Sends messages to other entries. Clones share connections.
@@ -50,8 +79,9 @@
 #[derive(Clone, Debug)]
 pub struct PeerSender {
     routes: Arc<Mutex<HashMap<Incarnation, SocketAddr>>>,
-    links: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<QueuedFrame>>>>,
-    ledger: LinkLedger,
+    links: Arc<Mutex<HashMap<SocketAddr, PeerLink>>>,
+    waiting: QueueUse,
+    refusal_logged: Arc<Mutex<Option<Instant>>>,
     stop: CancellationToken,
     log: Logger,
 }
@@ -62,17 +92,13 @@
         Self {
             routes: Arc::default(),
             links: Arc::default(),
-            ledger: LinkLedger::default(),
+            waiting: QueueUse::default(),
+            refusal_logged: Arc::default(),
             stop,
             log,
         }
     }
 
-    /// Returns the counts of what waits.
-    pub fn ledger(&self) -> &LinkLedger {
-        &self.ledger
-    }
-
     /// Notes where an incarnation listens.
     pub fn set_route(&self, incarnation: Incarnation, address: SocketAddr) {
         let mut routes = self.routes.lock();
@@ -94,42 +120,86 @@
     /// Sends to an address.
     pub fn send(&self, address: SocketAddr, message: PeerMessage) {
         let frame = message.encode();
-        counter!("cloverbend_peer_sent_bytes_total").increment(frame.len() as u64);
-        counter!("cloverbend_peer_sent_frames_total").increment(1);
-        let mut links = self.links.lock();
-        let known = links.get(&address).filter(|link| !link.is_closed());
-        let link = match known {
-            Some(link) => link.clone(),
-            None => {
-                let link = self.open(address);
-                links.insert(address, link.clone());
-                link
+        let length = frame.len();
+        match self.queue(address, frame) {
+            Ok(()) => {
+                counter!("cloverbend_peer_sent_bytes_total").increment(length as u64);
+                counter!("cloverbend_peer_sent_frames_total").increment(1);
+            }
+            Err(refusal) => {
+                count_dropped(refusal.word());
+                self.log_refusal(address, length, refusal);
             }
-        };
-        if link.try_send(self.ledger.enqueue(frame)).is_err() {
-            count_dropped("queue_full");
         }
     }
 
+    fn queue(&self, address: SocketAddr, frame: Bytes) -> Result<(), QueueRefusal> {
+        let mut links = self.links.lock();
+        if links
+            .get(&address)
+            .is_none_or(|link| link.frames.is_closed())
+        {
+            links.retain(|_, link| !link.frames.is_closed());
+        }
+        let link = links.entry(address).or_insert_with(|| self.open(address));
+        let charged = QueuedFrame::charge(frame, &link.waiting, &self.waiting)?;
+        link.frames.try_send(charged).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => QueueRefusal::LinkFull,
+            mpsc::error::TrySendError::Closed(_) => QueueRefusal::Closed,
+        })
+    }
+
+    fn log_refusal(&self, address: SocketAddr, length: usize, refusal: QueueRefusal) {
+        let now = Instant::now();
+        let mut logged = self.refusal_logged.lock();
+        if logged.is_some_and(|at| now - at < REFUSAL_LOG_PAUSE) {
+            return;
+        }
+        *logged = Some(now);
+        warn!(self.log, "peer queue full"; "address" => %address, "cause" => %refusal,
+            "frame_bytes" => length, "queued_bytes" => self.queued_bytes());
+    }
+
+    /// Returns whether bytes still wait for an address. What is always the
+    /// whole state need not be sent then: the next message replaces it.
+    pub fn is_busy(&self, address: SocketAddr) -> bool {
+        let links = self.links.lock();
+        links
+            .get(&address)
+            .is_some_and(|link| link.waiting.bytes() > 0)
+    }
+
+    /// Returns the bytes that wait for all links.
+    pub fn queued_bytes(&self) -> usize {
+        self.waiting.bytes()
+    }
+
+    /// Returns the number of links.
+    pub fn link_count(&self) -> usize {
+        self.links.lock().len()
+    }
+
     /// Gives a link up whose peer does not answer; the next message opens
     /// another. A connection through a cut may hang for long after it.
     pub fn forget(&self, address: SocketAddr) {
         self.links.lock().remove(&address);
     }
 
-    fn open(&self, address: SocketAddr) -> mpsc::Sender<QueuedFrame> {
-        let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
-        let stop = self.stop.clone();
-        let log = self.log.clone();
-        let open_link = self.ledger.open_link();
+    fn open(&self, address: SocketAddr) -> PeerLink {
+        let (frames, receiver) = mpsc::channel(QUEUE_LENGTH);
+        let stop = self.stop.child_token();
+        let (stopped, log) = (stop.clone(), self.log.clone());
         tokio::spawn(async move {
             tokio::select! {
-                () = stop.cancelled() => {}
+                () = stopped.cancelled() => {}
                 () = run_link(address, receiver, log) => {}
             }
-            drop(open_link);
         });
-        sender
+        PeerLink {
+            frames,
+            waiting: QueueUse::default(),
+            stop,
+        }
     }
 }
 
@@ -172,31 +242,51 @@
 }
 
 async fn send_frames(socket: TcpStream, queue: &mut mpsc::Receiver<QueuedFrame>) -> LinkEnd {
-    let mut framed = Framed::new(socket, frame_codec());
+    // Only what is shorter than `DIRECT_FRAME` passes this codec, so it needs
+    // no bound of its own.
+    let mut framed = Framed::new(socket, LengthDelimitedCodec::new());
     loop {
-        let QueuedFrame { frame, mut share } =
-            match tokio::time::timeout(IDLE_TIMEOUT, queue.recv()).await {
-                Ok(Some(queued)) => queued,
-                Ok(None) | Err(_) => return LinkEnd::Idle,
-            };
-        if let Err(error) = framed.feed(frame).await {
-            return LinkEnd::Broken(error.to_string());
-        }
-        while let Ok(next) = queue.try_recv() {
-            if let Err(error) = framed.feed(next.frame).await {
-                return LinkEnd::Broken(error.to_string());
-            }
-            // Before it takes a frame, the writer empties its buffer of all but
-            // a few kilobytes: the frame before this one no longer waits.
-            share = next.share;
-        }
-        if let Err(error) = SinkExt::<Bytes>::flush(&mut framed).await {
-            return LinkEnd::Broken(error.to_string());
+        let frame = match tokio::time::timeout(IDLE_TIMEOUT, queue.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) | Err(_) => return LinkEnd::Idle,
+        };
+        let written = write_waiting(&mut framed, frame, queue);
+        match tokio::time::timeout(WRITE_TIMEOUT, written).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return LinkEnd::Broken(error.to_string()),
+            Err(_) => return LinkEnd::Broken("the peer does not read".to_owned()),
         }
-        drop(share);
     }
 }
 
+/// Writes a frame and those that wait behind it.
+async fn write_waiting(
+    framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
+    first: QueuedFrame,
+    queue: &mut mpsc::Receiver<QueuedFrame>,
+) -> std::io::Result<()> {
+    let mut next = Some(first);
+    while let Some(frame) = next {
+        write_frame(framed, frame).await?;
+        next = queue.try_recv().ok();
+    }
+    SinkExt::<Bytes>::flush(framed).await
+}
+
+async fn write_frame(
+    framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
+    frame: QueuedFrame,
+) -> std::io::Result<()> {
+    if frame.bytes.len() < DIRECT_FRAME {
+        return framed.feed(frame.bytes.clone()).await;
+    }
+    SinkExt::<Bytes>::flush(framed).await?;
+    let length = u32::try_from(frame.bytes.len()).map_err(std::io::Error::other)?;
+    let prefix = Bytes::copy_from_slice(&length.to_be_bytes());
+    let mut whole = prefix.chain(frame.bytes.clone());
+    framed.get_mut().write_all_buf(&mut whole).await
+}
+
 /// Receives messages of other entries until `stop`, and hands each to
 /// `receive`. A frame that cannot be decoded closes its connection.
 pub async fn receive_frames<F>(
@@ -207,6 +297,7 @@
 ) where
     F: Fn(PeerMessage) + Clone + Send + Sync + 'static,
 {
+    let room = Arc::new(Semaphore::new(LARGE_FRAMES_KB));
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
@@ -219,10 +310,11 @@
         let receive = receive.clone();
         let stop = stop.clone();
         let log = log.clone();
+        let room = Arc::clone(&room);
         tokio::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = read_link(socket, peer, receive, log) => {}
+                () = read_link(socket, room, peer, receive, log) => {}
             }
         });
     }
@@ -230,23 +322,25 @@
 
 async fn read_link<F: Fn(PeerMessage)>(
     socket: TcpStream,
+    room: Arc<Semaphore>,
     peer: SocketAddr,
     receive: F,
     log: Logger,
 ) {
-    let mut framed = Framed::new(socket, frame_codec());
-    while let Some(frame) = framed.next().await {
-        let Ok(frame) = frame else {
-            return;
-        };
-        counter!("cloverbend_peer_received_bytes_total").increment(frame.len() as u64);
-        match PeerMessage::decode(frame.freeze()) {
-            Ok(message) => receive(message),
-            Err(error) => {
+    let mut reader = FrameReader::new(socket, room);
+    loop {
+        match reader.next().await {
+            Ok(Some(message)) => receive(message),
+            Ok(None) => return,
+            Err(FrameError::Refused(error)) => {
                 warn!(log, "a frame was refused"; "peer" => %peer, "error" => %error);
                 counter!("cloverbend_peer_refused_frames_total").increment(1);
                 return;
             }
+            Err(FrameError::Broken(error)) => {
+                debug!(log, "link from an entry broke"; "peer" => %peer, "cause" => %error);
+                return;
+            }
         }
     }
 }
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -11,6 +11,10 @@
 
 use crate::answer::AnswerHead;
 use crate::configuration::RepeatRule;
+use crate::gateway::document_parts::DocumentPart;
+use crate::gateway::document_parts::DocumentPull;
+use crate::gateway::document_parts::PartFrame;
+use crate::gateway::document_parts::PullDocumentFrame;
 use crate::gateway::peer_news::GatewayNews;
 use crate::gateway::peer_news::NewsFrame;
 use crate::id::Incarnation;
@@ -57,6 +61,10 @@
     ConfigPush(ConfigTransfer),
     /// What a gateway entry tells another.
     News(Box<GatewayNews>),
+    /// Asks a gateway entry for a part of the configuration's document.
+    DocumentPull(DocumentPull),
+    /// A part of the configuration's document.
+    DocumentPart(DocumentPart),
 }
 
 /// New chunks of an answer.
@@ -254,11 +262,15 @@
     ConfigPush(ConfigFrame),
     #[prost(message, boxed, tag = "8")]
     News(Box<NewsFrame>),
+    #[prost(message, tag = "9")]
+    DocumentPull(PullDocumentFrame),
+    #[prost(message, tag = "10")]
+    DocumentPart(PartFrame),
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct PeerFrame {
-    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     body: Option<FrameBody>,
 }
 
@@ -562,6 +574,8 @@
                 serving: transfer.serving,
             }),
             Self::News(news) => FrameBody::News(Box::new((*news).into())),
+            Self::DocumentPull(pull) => FrameBody::DocumentPull(pull.into()),
+            Self::DocumentPart(part) => FrameBody::DocumentPart(part.into()),
         };
         PeerFrame { body: Some(body) }.encode_to_vec().into()
     }
@@ -596,6 +610,8 @@
                 serving: frame.serving,
             }),
             FrameBody::News(frame) => Self::News(Box::new((*frame).try_into()?)),
+            FrameBody::DocumentPull(frame) => Self::DocumentPull(frame.try_into()?),
+            FrameBody::DocumentPart(frame) => Self::DocumentPart(frame.into()),
         })
     }
 }
--- a/lib/tests/test_gateway_config.rs
+++ b/lib/tests/test_gateway_config.rs
@@ -1,7 +1,7 @@
 //! Routes, keys and how old the knowledge of a configuration is.
 
-use bytes::Bytes;
 use cloverbend::gateway::config_follower::ConfigFollower;
+use cloverbend::gateway::packed_document::PackedDocument;
 use cloverbend::gateway::site_config::AccountRule;
 use cloverbend::gateway::site_config::CallerLimits;
 use cloverbend::gateway::site_config::LimitUnit;
@@ -9,6 +9,7 @@
 use cloverbend::gateway::site_config::RouteRule;
 use cloverbend::gateway::site_config::RouteTarget;
 use cloverbend::gateway::site_config::SiteConfig;
+use cloverbend::id::LogOffset;
 use cloverbend::id::RevisionNumber;
 use cloverbend::quantity::Timestamp;
 use proptest::prelude::*;
@@ -98,12 +99,34 @@
     assert_eq!(left.count(), 900);
 }
 
+fn offer(follower: &mut ConfigFollower, revision: u64, log_end: Option<u64>) -> bool {
+    let document = PackedDocument::pack(b"{}").unwrap();
+    let log_end = log_end.map(LogOffset);
+    follower.offer(Timestamp(0), config(revision), document, log_end)
+}
+
+#[test]
+fn what_came_from_another_entry_is_not_read_from_the_log_again() {
+    let mut follower = ConfigFollower::new();
+    assert_eq!(follower.log_end(), None);
+    assert!(offer(&mut follower, 3, Some(8)));
+    assert_eq!(follower.log_end(), Some(LogOffset(8)));
+    // A read that was on its way ends before.
+    follower.note_read(LogOffset(6));
+    assert_eq!(follower.log_end(), Some(LogOffset(8)));
+    // A sender that does not know its place in the log changes nothing.
+    assert!(offer(&mut follower, 4, None));
+    assert_eq!(follower.log_end(), Some(LogOffset(8)));
+    follower.forget_log();
+    assert_eq!(follower.log_end(), None);
+}
+
 #[test]
 fn knowledge_ages_from_the_question() {
     let mut follower = ConfigFollower::new();
     follower.confirm(RevisionNumber(0), Timestamp::from_millis(5));
     assert_eq!(follower.age(Timestamp::from_millis(9)), None);
-    assert!(follower.offer(config(3), Bytes::new()));
+    assert!(offer(&mut follower, 3, None));
     follower.confirm(RevisionNumber(3), Timestamp::from_millis(10));
     // Others know of a newer one: what this entry has is not the newest.
     follower.confirm(RevisionNumber(4), Timestamp::from_millis(500));
@@ -120,7 +143,7 @@
         let mut follower = ConfigFollower::new();
         let mut highest = 0;
         for revision in offered {
-            let adopted = follower.offer(config(revision), Bytes::new());
+            let adopted = offer(&mut follower, revision, None);
             prop_assert_eq!(adopted, revision > highest);
             highest = highest.max(revision);
             prop_assert_eq!(follower.revision(), RevisionNumber(highest));
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -39,7 +39,6 @@
         sent_at,
         leaving: false,
         revision: RevisionNumber(1),
-        document: None,
         echo: None,
         fence: None,
         tells: false,
@@ -263,10 +262,47 @@
     assert_eq!(echo, Some(expected));
 }
 
+#[test]
+fn only_entries_that_were_heard_lately_with_a_newer_revision_are_asked_for_it() {
+    let mut book = PeerBook::new(name(0), STRENGTH);
+    let heard = |book: &mut PeerBook, number: usize, at: u64, revision: u64| {
+        let mut heard = news(number, 500);
+        heard.revision = RevisionNumber(revision);
+        book.note_news(Timestamp::from_millis(at), &heard);
+    };
+    heard(&mut book, 1, 9_000, 4);
+    heard(&mut book, 2, 9_000, 5);
+    heard(&mut book, 3, 9_000, 3);
+    heard(&mut book, 4, 1_000, 6);
+    book.note_listed(
+        Timestamp::from_millis(9_000),
+        name(5),
+        "127.0.0.1:9".parse().unwrap(),
+        STRENGTH,
+    );
+    let ahead = book.ahead(Timestamp::from_millis(10_000), RevisionNumber(3));
+    let revisions: Vec<u64> = ahead.iter().map(|source| source.revision.0).collect();
+    assert_eq!(revisions, [5, 4]);
+}
+
+#[test]
+fn entries_that_are_behind_do_not_all_ask_the_same_one() {
+    let mut first = std::collections::BTreeMap::new();
+    for asking in 10..310 {
+        let mut book = PeerBook::new(name(asking), STRENGTH);
+        for hub in 0..3 {
+            book.note_news(Timestamp(9_000), &news(hub, 500));
+        }
+        let ahead = book.ahead(Timestamp(9_000), RevisionNumber(0));
+        *first.entry(ahead[0].address).or_insert(0) += 1;
+    }
+    assert_eq!(first.len(), 3);
+    assert!(first.values().all(|asked| *asked >= 60), "{first:?}");
+}
+
 fn full_news() -> GatewayNews {
     let mut full = news(3, 77);
     full.leaving = true;
-    full.document = Some("{}".into());
     full.echo = Some(ConfigEcho {
         incarnation: Incarnation(9),
         sent_at: 5,
--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -1,114 +1,194 @@
-//! Links between entries count what waits in them.
+//! Links between entries: what waits, what is kept and what hangs is bounded.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use cloverbend::gateway::document_parts::DocumentPart;
 use cloverbend::id::RevisionNumber;
-use cloverbend::link_ledger::LinkLedger;
+use cloverbend::link_queue::ENTRY_BYTES;
+use cloverbend::link_queue::LINK_BYTES;
+use cloverbend::link_queue::QueueRefusal;
+use cloverbend::link_queue::QueueUse;
+use cloverbend::link_queue::QueuedFrame;
 use cloverbend::logging::discard_logger;
 use cloverbend::peer_link::PeerSender;
 use cloverbend::peer_link::receive_frames;
-use cloverbend::wire::ConfigTransfer;
+use cloverbend::wire::MAX_FRAME_LENGTH;
 use cloverbend::wire::PeerMessage;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::unbounded_channel;
 use tokio_util::sync::CancellationToken;
 
-/// How long something may take to become true before a test fails.
+/// How long something may take before a test fails.
 const PATIENCE: Duration = Duration::from_secs(30);
-/// Less than the longest frame; two are more than the sockets of a loopback
-/// connection hold.
-const LARGE_BYTES: usize = 7 * 1024 * 1024;
-/// How many large messages are sent.
-const MESSAGES: usize = 4;
 
-fn large_message() -> PeerMessage {
-    PeerMessage::ConfigPush(ConfigTransfer {
-        number: RevisionNumber(1),
-        publication: "publication".to_owned(),
-        document: "x".repeat(LARGE_BYTES),
-        serving: true,
+fn message(length: usize) -> PeerMessage {
+    PeerMessage::DocumentPart(DocumentPart {
+        revision: RevisionNumber(1),
+        length: length as u64,
+        digest: 0,
+        from: 0,
+        bytes: Bytes::from(vec![7; length]),
+        log_end: None,
     })
 }
 
-fn send_large(sender: &PeerSender, address: SocketAddr) {
-    for _ in 0..MESSAGES {
-        sender.send(address, large_message());
-    }
+/// Accepts connections and never reads from them.
+async fn silent_peer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((socket, _)) = listener.accept().await {
+            open.push(socket);
+        }
+    });
+    address
 }
 
-async fn wait_until(holds: impl Fn() -> bool) {
-    let wait = async {
-        while !holds() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+/// Receives frames, and tells the lengths of what arrives.
+async fn listening() -> (SocketAddr, UnboundedReceiver<usize>, CancellationToken) {
+    let stop = CancellationToken::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (arrived, lengths) = unbounded_channel();
+    let receive = move |message| {
+        if let PeerMessage::DocumentPart(part) = message {
+            let _ = arrived.send(part.bytes.len());
         }
     };
-    let held = tokio::time::timeout(PATIENCE, wait).await;
-    assert!(held.is_ok(), "the condition did not come to hold");
+    let frames = receive_frames(listener, stop.clone(), discard_logger(), receive);
+    tokio::spawn(frames);
+    (address, lengths, stop)
 }
 
-/// What a sender counts.
-fn counts(ledger: &LinkLedger) -> (u64, usize) {
-    (ledger.queued_bytes(), ledger.links())
+#[test]
+fn frames_are_charged_until_they_are_dropped() {
+    let (link, entry) = (QueueUse::default(), QueueUse::default());
+    let charge = |length: usize| QueuedFrame::charge(Bytes::from(vec![0; length]), &link, &entry);
+    let first = charge(LINK_BYTES - 10).unwrap();
+    assert_eq!(charge(11).unwrap_err(), QueueRefusal::LinkFull);
+    let second = charge(10).unwrap();
+    assert_eq!((link.bytes(), entry.bytes()), (LINK_BYTES, LINK_BYTES));
+    drop((first, second));
+    assert_eq!((link.bytes(), entry.bytes()), (0, 0));
+    // One frame is taken however long it is, if nothing else waits.
+    let long = charge(LINK_BYTES * 2).unwrap();
+    assert_eq!(charge(1).unwrap_err(), QueueRefusal::LinkFull);
+    drop(long);
+    assert_eq!(
+        charge(ENTRY_BYTES + 1).unwrap_err(),
+        QueueRefusal::EntryFull
+    );
+    assert_eq!((link.bytes(), entry.bytes()), (0, 0));
 }
 
-fn new_sender() -> (PeerSender, CancellationToken) {
+#[rstest]
+#[case::one_peer(1, LINK_BYTES)]
+#[case::many_peers(40, ENTRY_BYTES)]
+#[tokio::test]
+async fn peers_that_do_not_read_hold_a_bounded_number_of_bytes(
+    #[case] peers: usize,
+    #[case] most: usize,
+) {
     let stop = CancellationToken::new();
     let sender = PeerSender::new(stop.clone(), discard_logger());
-    (sender, stop)
+    let mut addresses = Vec::new();
+    for _ in 0..peers {
+        addresses.push(silent_peer().await);
+    }
+    let mut highest = 0;
+    for _ in 0..200 {
+        for address in &addresses {
+            sender.send(*address, message(100_000));
+        }
+        highest = highest.max(sender.queued_bytes());
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(highest <= most, "{highest} bytes waited");
+    assert!(highest > most / 2, "the bound was not reached: {highest}");
+    assert!(sender.is_busy(addresses[0]));
+    stop.cancel();
 }
 
 #[tokio::test]
-async fn frames_wait_until_their_peer_reads_them() {
-    let (sender, stop) = new_sender();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let frame = large_message().encode().len() as u64;
-    let whole = MESSAGES as u64 * frame;
-    send_large(&sender, address);
-    assert_eq!(counts(sender.ledger()), (whole, 1));
-
-    // The peer reads nothing: what the sockets do not hold waits.
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let (queued, _) = counts(sender.ledger());
-    assert!(queued >= whole - frame, "{queued} of {whole}");
-
-    let (heard, mut hears) = mpsc::unbounded_channel();
-    let receive = move |message| {
-        let _ = heard.send(message);
+async fn a_link_that_is_given_up_keeps_nothing_though_its_peer_hangs() {
+    let sender = PeerSender::new(CancellationToken::new(), discard_logger());
+    let address = silent_peer().await;
+    for _ in 0..100 {
+        sender.send(address, message(100_000));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(sender.queued_bytes() > 0);
+    sender.forget(address);
+    let emptied = async {
+        while sender.queued_bytes() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
     };
-    let reading = receive_frames(listener, stop.clone(), discard_logger(), receive);
-    tokio::spawn(reading);
-    for _ in 0..MESSAGES {
-        let message = tokio::time::timeout(PATIENCE, hears.recv()).await.unwrap();
-        assert!(matches!(message, Some(PeerMessage::ConfigPush(_))));
+    let within = tokio::time::timeout(Duration::from_secs(2), emptied).await;
+    assert!(within.is_ok(), "{} bytes are kept", sender.queued_bytes());
+    assert!(!sender.is_busy(address));
+}
+
+#[tokio::test]
+async fn frames_of_all_sizes_arrive_in_order() {
+    let (address, mut lengths, stop) = listening().await;
+    let sender = PeerSender::new(stop.clone(), discard_logger());
+    let sent = [1, 9_000, 2, 300_000, 7_000, 40_000, 3];
+    for length in sent {
+        sender.send(address, message(length));
+    }
+    for length in sent {
+        let arrived = tokio::time::timeout(PATIENCE, lengths.recv()).await;
+        assert_eq!(arrived.unwrap(), Some(length));
     }
-    wait_until(|| counts(sender.ledger()) == (0, 1)).await;
     stop.cancel();
-    wait_until(|| counts(sender.ledger()) == (0, 0)).await;
 }
 
 #[tokio::test]
-async fn frames_that_are_dropped_do_not_wait() {
-    let (sender, _stop) = new_sender();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
-    send_large(&sender, address);
-    wait_until(|| sender.ledger().queued_bytes() == 0).await;
+async fn a_frame_over_the_limit_closes_its_connection_unread() {
+    let (address, mut lengths, stop) = listening().await;
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let length = MAX_FRAME_LENGTH as u32 + 1;
+    socket.write_all(&length.to_be_bytes()).await.unwrap();
+    let closed = tokio::time::timeout(PATIENCE, socket.read_u8()).await;
+    assert!(closed.unwrap().is_err());
+    // Other connections serve on.
+    let sender = PeerSender::new(stop.clone(), discard_logger());
+    sender.send(address, message(10));
+    let arrived = tokio::time::timeout(PATIENCE, lengths.recv()).await;
+    assert_eq!(arrived.unwrap(), Some(10));
+    stop.cancel();
 }
 
+/// Peers that begin large frames and stall leave room to small ones at once,
+/// and to large ones once their connections end.
 #[tokio::test]
-async fn a_link_that_was_given_up_counts_until_it_ends() {
-    let (sender, stop) = new_sender();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    send_large(&sender, address);
-    sender.forget(address);
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let (queued, links) = counts(sender.ledger());
-    assert!(queued > 0, "the peer reads nothing");
-    assert_eq!(links, 1);
+async fn large_frames_that_stall_hold_up_only_large_ones() {
+    let (address, mut lengths, stop) = listening().await;
+    let mut stalled = Vec::new();
+    for _ in 0..4 {
+        let mut socket = TcpStream::connect(address).await.unwrap();
+        let length = MAX_FRAME_LENGTH as u32;
+        socket.write_all(&length.to_be_bytes()).await.unwrap();
+        socket.write_all(&[0; 100]).await.unwrap();
+        stalled.push(socket);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let sender = PeerSender::new(stop.clone(), discard_logger());
+    sender.send(address, message(20_000));
+    let small = tokio::time::timeout(Duration::from_secs(2), lengths.recv()).await;
+    assert_eq!(small.unwrap(), Some(20_000));
+    drop(stalled);
+    sender.send(address, message(200_000));
+    let large = tokio::time::timeout(PATIENCE, lengths.recv()).await;
+    assert_eq!(large.unwrap(), Some(200_000));
     stop.cancel();
-    wait_until(|| counts(sender.ledger()) == (0, 0)).await;
 }
