store_task: a page of the log that is cut proves nothing

Cause: the readers of the configuration and of the backend servers went on from the log's end, though an answer holds at most 1,024 KB of records before it.

Ruled out: reading on page by page, which fetches every document in between; a larger page, which moves the bound and lets one answer hold more memory.

Change: a slice says where its records end. One that is cut is not confirmed and not gone on from; the newest record of each key is asked for instead.

--- a/lib/src/gateway/edge.rs
+++ b/lib/src/gateway/edge.rs
@@ -131,17 +131,28 @@
     pub value: Bytes,
 }
 
-/// A contiguous part of a topic.
+/// A contiguous part of a topic, or the newest records of a keyed one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LogSlice {
     /// The records.
     pub records: Vec<LogRecord>,
     /// The oldest offset that is kept.
     pub first: LogOffset,
+    /// The offset after the last record that was looked at. The store cuts
+    /// long answers, so this may lie before the end.
+    pub next: LogOffset,
     /// The offset that the next append will get.
     pub end: LogOffset,
 }
 
+impl LogSlice {
+    /// Returns whether there are records that the answer has no room for. It
+    /// proves nothing about what is newest then.
+    pub fn is_cut(&self) -> bool {
+        self.next < self.end
+    }
+}
+
 /// Why a call to the store or the cloud failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -144,9 +144,7 @@
         };
         watch.note(&context, &result);
         match result {
-            Ok(slice) if next.is_some_and(|from| slice.first > from) => {
-                context.config.lock().forget_log();
-            }
+            Ok(slice) if passes_over(&slice, next) => context.config.lock().forget_log(),
             Ok(slice) => {
                 if apply_config(&context, &slice) {
                     let mut config = context.config.lock();
@@ -161,6 +159,13 @@
     }
 }
 
+/// Returns whether a slice lacks records that came after what is known: they
+/// are no longer kept, or the answer had no room for them. In a keyed topic only
+/// the newest of each key counts, so these are asked for then.
+fn passes_over(slice: &LogSlice, next: Option<LogOffset>) -> bool {
+    slice.is_cut() || next.is_some_and(|from| slice.first > from)
+}
+
 /// Adopts the newest configuration of a slice. Returns whether it could be
 /// read; what came before it is of no use to anybody.
 fn apply_config(context: &GatewayContext, slice: &LogSlice) -> bool {
@@ -253,7 +258,7 @@
             context.backends.lock().note_store_back(now);
         }
         match result {
-            Ok(slice) if next.is_some_and(|from| slice.first > from) => next = None,
+            Ok(slice) if passes_over(&slice, next) => next = None,
             Ok(slice) => {
                 let whole = next.is_none();
                 next = Some(slice.end);
