call_admission: a body that is read slowly keeps no configuration

Cause: the whole configuration was kept while a request's body was read, up to the request's time. With slow bodies, every revision of that time stayed in memory beside the newest, at some thousand routes each. Only the route, the account and the longest body are needed after the decision.

Ruled out: keeping a weak reference and deciding again after the body; a request is decided once, under the revision at its head, as before.

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -91,11 +91,14 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<AdmittedCall, CallRefusal> {
-    let config = current_config(context)?;
-    let (route, account) = authorize(context, &config, &head, &parts)?;
+    let AllowedCall {
+        route,
+        account,
+        body_limit,
+    } = allow_call(context, &head, &parts)?;
     let left = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = arrived + left;
-    let body = read_call_body(body, config.limits.body_bytes, until).await?;
+    let body = read_call_body(body, body_limit, until).await?;
     if context.is_refusing() {
         return Err(CallRefusal::Leaving);
     }
@@ -126,6 +129,30 @@
     }
 }
 
+/// What the configuration says about a request.
+struct AllowedCall {
+    route: RouteRule,
+    account: Option<AccountRule>,
+    /// The longest body, in bytes.
+    body_limit: usize,
+}
+
+/// Takes out of the configuration what a request needs. While its body comes
+/// slowly, many revisions may follow; none is kept for it.
+fn allow_call(
+    context: &GatewayContext,
+    head: &CallHead,
+    parts: &http::request::Parts,
+) -> Result<AllowedCall, CallRefusal> {
+    let config = current_config(context)?;
+    let (route, account) = authorize(context, &config, head, parts)?;
+    Ok(AllowedCall {
+        route,
+        account,
+        body_limit: config.limits.body_bytes,
+    })
+}
+
 fn current_config(context: &GatewayContext) -> Result<Arc<SiteConfig>, CallRefusal> {
     let config = context.config.lock();
     let adopted = config.adopted().ok_or(CallRefusal::NoConfig)?;
