call_body: bodies are held within one budget of bytes

Cause: the body of each open request was collected up to max-body-bytes (4 MB), and nothing bounded the sum. Eleven large bodies that arrive slowly take a weak VM's 40 MB, forty its 160 MB, and the process is killed with all its open requests.

Change: a budget of a quarter of the new setting memory_mb (filled from the platform's; 160, the smallest VM's, by default). Bytes are taken as they arrive and given back with the last clone of the body, so that also a send that still writes counts. A body that does not fit is refused at once with 503 and Retry-After, one with a length before it is read; nothing of it was sent. The rest of it is read beside the answer and thrown away, for two seconds at most: closing with unread bytes resets, and the caller might never see the refusal. Where the caller waits for a word before its body, what comes next may be another request, so that nothing is read and the connection closes.

Ruled out: reserving the limit up front, which would refuse ordinary load (ten open requests, however small, would fill it); waiting for room, which holds callers without a promise.

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -10,12 +10,12 @@
 use http::Method;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use slog::info;
 use twox_hash::XxHash64;
 
+use crate::gateway::call_body::BodyTerms;
+use crate::gateway::call_body::read_call_body;
 use crate::gateway::call_head::CallHead;
 use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::gateway_context::GatewayContext;
@@ -98,7 +98,12 @@
     } = allow_call(context, &head, &parts)?;
     let left = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = arrived + left;
-    let body = read_call_body(body, body_limit, until).await?;
+    let terms = BodyTerms {
+        limit: body_limit,
+        until,
+        waits: parts.headers.contains_key(header::EXPECT),
+    };
+    let body = read_call_body(&context.held, body, terms).await?;
     if context.is_refusing() {
         return Err(CallRefusal::Leaving);
     }
@@ -193,23 +198,6 @@
     Ok((route.clone(), Some(account.clone())))
 }
 
-async fn read_call_body(
-    body: Incoming,
-    limit: usize,
-    until: Instant,
-) -> Result<Bytes, CallRefusal> {
-    let until = tokio::time::Instant::from_std(until);
-    let collected = tokio::time::timeout_at(until, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(CallRefusal::BodyTooLarge)
-        }
-        Ok(Err(_)) => Err(CallRefusal::BodyBroken),
-        Err(_) => Err(CallRefusal::TooLate),
-    }
-}
-
 fn take_units(
     context: &GatewayContext,
     account: Option<&AccountRule>,
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -22,6 +22,8 @@
     BodyTooLarge,
     /// The body ended early.
     BodyBroken,
+    /// There is no room for the body.
+    NoRoom,
     /// No configuration is known, or it may no longer be in force.
     NoConfig,
     /// There is no such route.
@@ -56,6 +58,7 @@
             Self::BadHead(_) => "bad_head",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyBroken => "body_broken",
+            Self::NoRoom => "no_room",
             Self::NoConfig => "no_config",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
@@ -77,9 +80,12 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfig | Self::NoBackend | Self::AllFull | Self::Leaving | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoRoom
+            | Self::NoConfig
+            | Self::NoBackend
+            | Self::AllFull
+            | Self::Leaving
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -89,7 +95,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::OverLimit(after) => Some((*after).clamp(COME_BACK, LONGEST_COME_BACK)),
-            Self::NoConfig | Self::NoBackend | Self::AllFull => {
+            Self::NoRoom | Self::NoConfig | Self::NoBackend | Self::AllFull => {
                 Some(COME_BACK + COME_BACK.mul_f64(rand::rng().random()))
             }
             Self::Leaving => Some(Duration::from_millis(10)),
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -25,6 +25,7 @@
 use crate::gateway::edge::LogStore;
 use crate::gateway::edge::PlatformFormat;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::held_bytes::ByteBudget;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::log_budget::LogBudget;
 use crate::gateway::peer_book::PeerBook;
@@ -74,6 +75,8 @@
     pub peers: Mutex<PeerBook>,
     /// The lease.
     pub duties: Mutex<DutyLease>,
+    /// The bytes of bodies and whole answers that are held.
+    pub held: Arc<ByteBudget>,
     /// Connections to backend servers.
     pub pool: BackendPool,
     /// Connections to other entries.
@@ -121,6 +124,7 @@
             usage: Mutex::new(UsageTable::new(incarnation)),
             peers: Mutex::new(PeerBook::new(settings.name.clone(), settings.strength)),
             duties: Mutex::new(DutyLease::new(now, incarnation)),
+            held: Arc::new(ByteBudget::of_memory(settings.memory_mb)),
             pool: BackendPool::new(),
             links: PeerSender::new(stop.clone(), log.clone()),
             log_budget: Mutex::new(LogBudget::new()),
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -271,6 +271,7 @@
     gauge!("cloverbend_entries").set(view.entries as f64);
     gauge!("cloverbend_entries_heard").set(view.heard as f64);
     gauge!("cloverbend_open_requests").set(context.open_calls() as f64);
+    gauge!("cloverbend_held_bytes").set(context.held.used() as f64);
     let holds = context.duties.lock().fence().is_some();
     gauge!("cloverbend_lease_held").set(f64::from(u8::from(holds)));
     sizes.report(context);
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -73,6 +73,13 @@
         Some("1"),
         "the VM's part of a core; the same",
     ),
+    setting(
+        "gateway",
+        "memory_mb",
+        "MB",
+        Some("160"),
+        "memory that the process may use; a quarter of it is for bodies and answers that are held",
+    ),
     setting(
         "gateway",
         "first_start",
@@ -232,6 +239,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// How much this VM can carry as a hub.
     pub strength: VmStrength,
+    /// The memory that the process may use, in megabytes.
+    pub memory_mb: f64,
     /// Whether all entries start for the first time.
     pub first_start: bool,
     /// The log store.
@@ -266,6 +275,7 @@
     let metrics_address = reader.optional("gateway", "metrics_address");
     let link_mbps: Option<f64> = reader.defaulted("gateway", "link_mbps");
     let cpu_share: Option<f64> = reader.defaulted("gateway", "cpu_share");
+    let memory_mb = reader.defaulted("gateway", "memory_mb");
     let first_start = reader.defaulted("gateway", "first_start");
     let store = reader.required("store", "address");
     let cloud = reader.required("cloud", "address");
@@ -280,6 +290,7 @@
         peer_address: peer_address?,
         metrics_address,
         strength: VmStrength::of(link_mbps?, cpu_share?),
+        memory_mb: memory_mb?,
         first_start: first_start?,
         store: store?,
         cloud: cloud?,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -2,11 +2,12 @@
 //!
 //! A request passes the modules in this order: [`call_service`] (begins and
 //! ends it), [`call_head`] (what the caller asked), [`call_admission`] with
-//! [`site_config`] (its route, its client account) and [`account_limits`] (its
-//! account's rate), [`call_dispatch`] (sending, and sending again where that is
-//! safe) with [`engine_choice`] (which backend server) and [`backend_pool`] (a
-//! connection), and [`answer_relay`] (passing the answer on). What is refused
-//! on the way ends as a [`call_refusal`].
+//! [`site_config`] (its route, its client account), [`call_body`] and
+//! [`account_limits`] (its account's rate), [`call_dispatch`] (sending, and
+//! sending again where that is safe) with [`engine_choice`] (which backend
+//! server) and [`backend_pool`] (a connection), and [`answer_relay`] (passing
+//! the answer on). What is refused on the way ends as a [`call_refusal`]. What
+//! is held of bodies is taken from the budget of [`held_bytes`].
 //!
 //! Beside it run tasks that keep beliefs fresh: [`store_task`] follows the
 //! configuration and the backend servers, [`peer_task`] exchanges news with
@@ -25,6 +26,7 @@
 pub mod backend_record;
 pub mod backend_set;
 pub mod call_admission;
+pub mod call_body;
 pub mod call_dispatch;
 pub mod call_head;
 pub mod call_log;
@@ -41,6 +43,7 @@
 pub mod gateway_context;
 pub mod gateway_daemon;
 pub mod gateway_settings;
+pub mod held_bytes;
 pub mod log_budget;
 pub mod packed_document;
 pub mod pause_watch;
