answer_passage: an answer that can't be held is passed on as it comes

Cause: each plain answer was collected whole before any of it was passed on, without any bound on one or on their sum; what a slow caller had not read stayed until it had.

Change: answers are collected in the same budget as bodies. One over 1 MiB, or for which the budget has no room, is passed on from there as it comes, with its length if that was told; it is no longer sent elsewhere when it breaks off, and ends visibly (a length that is not reached, or chunks without an end). The deadline ends it the same way. The connection is kept after it only if it was read whole. The body of a request is given back once no further send can need it.

Ruled out: a failure (502 or 503) in place of an answer that is there, which would replace what a server made and, for the 503, promise what is not true.

The tests failed before: an answer of 3 MB that breaks off was a 502 after it had been collected; the body of a stream that may not go on elsewhere was held for its 6 s.

--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -40,7 +40,7 @@
 
 /// Why the body of an answer ends early. hyper then closes the caller's
 /// connection without an end of the body.
-type RelayError = std::io::Error;
+pub type RelayError = std::io::Error;
 
 /// The body of an answer to a caller.
 pub type CallBody = UnsyncBoxBody<Bytes, RelayError>;
@@ -84,6 +84,10 @@
         plan: SendPlan,
         sent: SentCall,
     ) -> Response<CallBody> {
+        let mut call = call;
+        if !call.route.may_repeat() {
+            call.let_go_of_body();
+        }
         let mut response = Response::new(());
         *response.status_mut() = sent.exchange.response.status();
         let headers = sent.exchange.response.headers().clone();
--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -67,6 +67,11 @@
         self.until.saturating_duration_since(Instant::now())
     }
 
+    /// Gives the body back, once no further send can need it.
+    pub fn let_go_of_body(&mut self) {
+        self.body = Bytes::new();
+    }
+
     /// Returns the name of its account.
     pub fn account_name(&self) -> Option<&AccountName> {
         self.account.as_ref().map(|account| &account.name)
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -8,12 +8,14 @@
 use http::Request;
 use http::Response;
 use http::header;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use metrics::counter;
 use metrics::histogram;
 use slog::info;
 
+use crate::gateway::answer_body::AnswerBody;
+use crate::gateway::answer_body::collect_body;
+use crate::gateway::answer_passage::AnswerPassage;
 use crate::gateway::answer_relay::CallBody;
 use crate::gateway::answer_relay::EventRelay;
 use crate::gateway::answer_relay::full_body;
@@ -118,7 +120,7 @@
     // The failure of an earlier backend server, in case no other one answers.
     let mut failure: Option<Response<CallBody>> = None;
     loop {
-        let sent = match next_send(context, &call, &mut plan, None).await {
+        let mut sent = match next_send(context, &call, &mut plan, None).await {
             Ok(sent) => sent,
             Err(refusal) => return failure.ok_or((call, refusal)),
         };
@@ -128,18 +130,25 @@
         }
         count_usage(context, call.account_name());
         let backend = sent.guard.backend.clone();
-        let refusal = match collect_answer(context, &call, sent).await {
-            Ok(response) if status.is_server_error() && may_send_again(context, &call, &plan) => {
-                log_send(context, &call, &backend, "failed_try_again");
-                failure = Some(response);
-                continue;
+        let refusal = match collect_answer(context, &call, &mut sent).await {
+            Ok(AnswerBody::Begun(begun)) => {
+                let context = Arc::clone(context);
+                return Ok(AnswerPassage::start(context, call, sent, begun));
             }
-            Ok(response) => {
+            Ok(AnswerBody::Whole(body)) => {
+                let response = whole_answer(context, &call, sent, body);
+                if status.is_server_error() && may_send_again(context, &call, &plan) {
+                    log_send(context, &call, &backend, "failed_try_again");
+                    failure = Some(response);
+                    continue;
+                }
                 log_end(context, &call, &backend, status);
                 return Ok(response);
             }
             Err(refusal) => refusal,
         };
+        // The connection closes, which stops the backend server.
+        drop(sent);
         log_send(context, &call, &backend, refusal.word());
         if refusal != CallRefusal::Lost || !may_send_again(context, &call, &plan) {
             return Err((call, refusal));
@@ -152,29 +161,39 @@
 }
 
 async fn collect_answer(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    sent: &mut SentCall,
+) -> Result<AnswerBody, CallRefusal> {
+    let until = tokio::time::Instant::from_std(call.until);
+    let body = collect_body(&context.held, sent.exchange.response.body_mut());
+    match tokio::time::timeout_at(until, body).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(_)) => {
+            note_outcome(context, &sent.guard.backend, BackendOutcome::Broken);
+            Err(CallRefusal::Lost)
+        }
+        Err(_) => Err(CallRefusal::TimedOut),
+    }
+}
+
+/// Builds the answer to the caller from one that was read whole.
+fn whole_answer(
     context: &GatewayContext,
     call: &AdmittedCall,
     sent: SentCall,
-) -> Result<Response<CallBody>, CallRefusal> {
+    body: Bytes,
+) -> Response<CallBody> {
     let Exchange {
         response,
         connection,
     } = sent.exchange;
-    let (parts, body) = response.into_parts();
-    let until = tokio::time::Instant::from_std(call.until);
-    let body = match tokio::time::timeout_at(until, body.collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(_)) => {
-            note_outcome(context, &sent.guard.backend, BackendOutcome::Broken);
-            return Err(CallRefusal::Lost);
-        }
-        Err(_) => return Err(CallRefusal::TimedOut),
-    };
+    let (parts, _) = response.into_parts();
     context
         .pool
         .put_back(&sent.guard.backend, connection, sent.answer.keep_idle);
     let mut response = Response::from_parts(parts, full_body(body));
     *response.headers_mut() = onward_headers(std::mem::take(response.headers_mut()));
     histogram!("cloverbend_answer_seconds").record(call.arrived.elapsed().as_secs_f64());
-    Ok(response)
+    response
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -5,9 +5,11 @@
 //! [`site_config`] (its route, its client account), [`call_body`] and
 //! [`account_limits`] (its account's rate), [`call_dispatch`] (sending, and
 //! sending again where that is safe) with [`engine_choice`] (which backend
-//! server) and [`backend_pool`] (a connection), and [`answer_relay`] (passing
-//! the answer on). What is refused on the way ends as a [`call_refusal`]. What
-//! is held of bodies is taken from the budget of [`held_bytes`].
+//! server) and [`backend_pool`] (a connection), and then one of three:
+//! [`answer_relay`] (passing events on), [`answer_body`] (holding an answer
+//! until it is whole) or [`answer_passage`] (passing on one that can't be
+//! held). What is refused on the way ends as a [`call_refusal`]. What is held
+//! of bodies and answers is taken from the budget of [`held_bytes`].
 //!
 //! Beside it run tasks that keep beliefs fresh: [`store_task`] follows the
 //! configuration and the backend servers, [`peer_task`] exchanges news with
@@ -21,6 +23,8 @@
 //! None is held across an await.
 
 pub mod account_limits;
+pub mod answer_body;
+pub mod answer_passage;
 pub mod answer_relay;
 pub mod backend_pool;
 pub mod backend_record;
