usage_table: windows that others told are forgotten too

Cause: old windows were dropped only when the entry counted a request itself. A hub that gets no requests with a key kept every window that the others told, by entry and account, for its whole life: by the types, 0.3 MB a window at 320 entries and 16 accounts, every few seconds.

Ruled out: dropping by the newest window that was told; one entry whose clock is ahead would drop the windows that are not reported yet.

--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -48,7 +48,7 @@
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// The pause between looks at whether all requests have ended.
 const STOP_CHECK: Duration = Duration::from_millis(50);
-/// The pause between removals of old connections.
+/// The pause between removals of old connections and windows of usage.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -247,6 +247,9 @@
         tokio::time::sleep(SWEEP_PAUSE).await;
         context.pool.sweep();
         context.config.lock().drop_unasked(context.now());
+        // An entry that counts nothing itself still hears what others counted.
+        let window = context.window();
+        context.usage.lock().drop_old(window);
         let dropped = context.log_budget.lock().take_dropped();
         if dropped > 0 {
             counter!("cloverbend_log_lines_dropped_total").increment(dropped);
--- a/lib/src/gateway/usage_table.rs
+++ b/lib/src/gateway/usage_table.rs
@@ -90,7 +90,8 @@
         total
     }
 
-    fn drop_old(&mut self, newest: WindowNumber) {
+    /// Forgets the windows before those that are kept beside `newest`.
+    pub fn drop_old(&mut self, newest: WindowNumber) {
         let oldest = newest.saturating_sub(KEPT_WINDOWS);
         self.counts.retain(|window, _| *window >= oldest);
     }
