event_splitter: a stream does not go on elsewhere within an event that was begun

Cause: of an event over 256 KB the beginning is let through. When its server then broke off, the next one sent the event from its start, and the caller got parts of two joined. When the event went on, its position was not known if the beginning named it, so that a later resumption sent it again. Both found in reading, while the bytes kept back were bounded: streams kept up to 256 KB each, in no budget.

Change: the splitter knows that it is within an event, and keeps back what may be its end or the line of its position. The stream ends visibly if it breaks off there. What is kept back above 16 KB, what a connection reads at once, counts in the budget of bytes; without room it is let through.

--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -35,6 +35,7 @@
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::gateway_context::OpenCall;
+use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::pause_watch::PauseWatch;
 
@@ -52,6 +53,10 @@
         .boxed_unsync()
 }
 
+/// Kept back bytes of an event that do not count in the budget: as many as a
+/// connection reads at once, so that usual events pass whole when it is full.
+const FREE_PENDING: usize = 16 * 1024;
+
 struct OpenAnswer {
     body: Incoming,
     connection: KeptConnection,
@@ -66,6 +71,8 @@
     plan: SendPlan,
     answer: Option<OpenAnswer>,
     splitter: EventSplitter,
+    /// The bytes that the splitter keeps back.
+    held: HeldBytes,
     last_event: Option<u64>,
     events: usize,
     first_event_after: Option<Duration>,
@@ -98,6 +105,7 @@
             resume_paid: false,
             _open: context.open_call(),
             last_event: call.head.last_event,
+            held: HeldBytes::new(&context.held),
             context,
             call,
             plan,
@@ -129,7 +137,7 @@
                         continue;
                     };
                     self.pauses.note_bytes(tokio::time::Instant::now());
-                    let batch = self.splitter.push(&data);
+                    let batch = self.split(&data);
                     if !batch.bytes.is_empty() {
                         self.note_events(&batch);
                         return Some((Ok(Frame::data(batch.bytes)), self));
@@ -143,12 +151,33 @@
         }
     }
 
+    /// Takes bytes and returns the events that are whole by now, or the
+    /// beginning of one that there is no room to keep back.
+    fn split(&mut self, data: &[u8]) -> EventBatch {
+        let mut batch = self.splitter.push(data);
+        let pending = self.splitter.pending();
+        let counted = if pending > FREE_PENDING { pending } else { 0 };
+        let fits = self.held.resize(counted).is_ok();
+        if !fits && batch.bytes.is_empty() {
+            batch.bytes = self.splitter.let_through();
+            // Giving back always succeeds.
+            let _ = self.held.resize(0);
+        }
+        batch
+    }
+
+    /// Returns whether the stream may go on at another backend server. Within
+    /// an event it may not: the caller would join parts of two.
+    fn may_resume(&self) -> bool {
+        !self.splitter.is_inside_event() && self.plan.may_run_again(&self.call)
+    }
+
     fn logs(&self, class: LineClass) -> bool {
         self.context.logs(&self.call.head.id.0, class)
     }
 
     fn note_events(&mut self, batch: &EventBatch) {
-        if self.events == 0 {
+        if self.first_event_after.is_none() {
             count_usage(&self.context, self.call.account_name());
             let after = self.call.arrived.elapsed();
             self.first_event_after = Some(after);
@@ -164,7 +193,7 @@
     /// Gives a silent stream up if it may go on at another backend server. Else
     /// it is kept: silence alone does not end what cannot go on elsewhere.
     fn note_silence(&mut self) {
-        let may_move = self.plan.may_run_again(&self.call)
+        let may_move = self.may_resume()
             && has_other_server(&self.context, &self.call, &self.plan)
             && self.plan.take_budget(&self.context, &self.call);
         if may_move {
@@ -184,13 +213,13 @@
         log_send(&self.context, &self.call, backend, word);
         // The rest of an event is sent again by the next backend server.
         self.splitter.take_rest();
+        // Giving back always succeeds.
+        let _ = self.held.resize(0);
     }
 
     async fn resume_or_break(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
         let paid = std::mem::take(&mut self.resume_paid);
-        let again = paid
-            || (self.plan.may_run_again(&self.call)
-                && self.plan.take_budget(&self.context, &self.call));
+        let again = paid || (self.may_resume() && self.plan.take_budget(&self.context, &self.call));
         if !again {
             return Some(self.break_off("broken_off"));
         }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -397,4 +397,37 @@
         prop_assert_eq!(last, Some(12));
         prop_assert_eq!(events, 12);
     }
+    /// However an event is cut, and wherever its beginning was let through, its
+    /// end is found, and the position that it names.
+    #[test]
+    fn events_let_through_in_part_keep_their_ends_and_positions(
+        cuts in prop::collection::vec((1_usize..60, any::<bool>()), 1..40),
+        end in prop::sample::select(vec!["\n", "\r\n"]),
+    ) {
+        let long = "v".repeat(40);
+        let events = (1..=12).map(|n| format!("data: {long}{end}id: {n}{end}data: w{n}{long}{end}{end}"));
+        let text: String = events.clone().collect();
+        let ends: Vec<usize> = events.scan(0, |at, event| { *at += event.len(); Some(*at) }).collect();
+        let mut splitter = EventSplitter::new();
+        let mut passed = Vec::new();
+        let mut last = None;
+        let mut rest = text.as_bytes();
+        for (cut, let_through) in cuts.iter().cycle() {
+            if rest.is_empty() { break; }
+            let (head, tail) = rest.split_at((*cut).min(rest.len()));
+            let batch = splitter.push(head);
+            passed.extend_from_slice(&batch.bytes);
+            last = batch.last_id.or(last);
+            if *let_through {
+                passed.extend_from_slice(&splitter.let_through());
+            }
+            let whole = ends.iter().filter(|end| **end <= passed.len()).count();
+            prop_assert_eq!(last.unwrap_or(0), whole as u64);
+            let inside = passed.len() > whole.checked_sub(1).map_or(0, |index| ends[index]);
+            prop_assert_eq!(splitter.is_inside_event(), inside);
+            rest = tail;
+        }
+        prop_assert_eq!(passed, text.as_bytes());
+        prop_assert_eq!(splitter.pending(), 0);
+    }
 }
