backend_pool: idle connections are bounded in all

Cause: eight idle connections were kept for each backend server and nothing bounded their sum: with 1,000 servers 8,000 connections, by their buffers up to 250 MB, more than a weak VM has.

Change: at most 256 in all. One that is not kept closes, and costs a further request the opening of another. The usual load of an entry stays below.

Ruled out: closing the oldest for the newest, which needs an order over all servers for a case that only a burst brings about.

--- a/lib/src/gateway/backend_pool.rs
+++ b/lib/src/gateway/backend_pool.rs
@@ -34,6 +34,10 @@
 const KEEP_IDLE_MARGIN: Duration = Duration::from_millis(800);
 /// The most idle connections kept for one backend server.
 const MAX_IDLE: usize = 8;
+/// The most idle connections kept in all: what 20 requests a second leave, a
+/// weak VM's part of the load, to servers that keep connections for twelve
+/// seconds. With two buffers of 16 KB each they take at most 8 MB.
+const MAX_IDLE_IN_ALL: usize = 256;
 /// The largest read buffer of a connection; answers' heads are small.
 const READ_BUFFER: usize = 16 * 1024;
 
@@ -148,6 +152,10 @@
         }
         let now = Instant::now();
         let mut idle = self.idle.lock();
+        // A closed connection costs a further request the opening of one.
+        if idle.values().map(Vec::len).sum::<usize>() >= MAX_IDLE_IN_ALL {
+            return;
+        }
         let connections = idle.entry(id.clone()).or_default();
         connections.retain(|c| c.keep_until > now && !c.sender.is_closed());
         if connections.len() < MAX_IDLE {
