peer_book: a life that replaces another names it, so that its counts are retired

Cause: what an entry that started anew had told and counted before was kept for each of its lives, 1.8 KB each at 16 accounts (computed), and summed each round; only the last life of an entry that fell silent was ever retired.

Ruled out: retiring by age of the last word, since entries that are cut off keep their part of every limit.

Change: noting news returns which life they replace, and that one is retired: its sums are kept, its counts are not.

Test: a_life_that_replaces_another_names_it."

--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -98,6 +98,15 @@
         self.told_at.is_some_and(|at| now.since(at) < HEARD_WITHIN)
     }
 
+    fn life_of(&self, incarnation: Incarnation) -> HeardLife {
+        if self.incarnation == Some(incarnation) {
+            return HeardLife::Known;
+        }
+        HeardLife::New {
+            replaced: self.incarnation,
+        }
+    }
+
     fn is_suspect(&self, now: Timestamp) -> bool {
         let silent = |since| now.since(since) >= SUSPECT_AFTER;
         self.leaving || self.unanswered_since.is_some_and(silent)
@@ -109,6 +118,18 @@
     }
 }
 
+/// What a message tells of its sender's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeardLife {
+    /// It is the one that was heard before.
+    Known,
+    /// It is new, or the entry started anew after the one that it replaces.
+    New {
+        /// The life that was heard last.
+        replaced: Option<Incarnation>,
+    },
+}
+
 /// A message that is due to another entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DueMessage {
@@ -171,21 +192,21 @@
         }
     }
 
-    /// Notes a message. Returns whether the entry's life is new; a message
-    /// that is older than the last one of the same life changes nothing.
-    pub fn note_news(&mut self, now: Timestamp, news: &GatewayNews) -> bool {
+    /// Notes a message. One that is older than the last one of the same life
+    /// changes nothing.
+    pub fn note_news(&mut self, now: Timestamp, news: &GatewayNews) -> HeardLife {
         if news.name == self.own {
-            return false;
+            return HeardLife::Known;
         }
         self.note_listed(now, news.name.clone(), news.address, news.strength);
         let Some(peer) = self.peers.get_mut(&news.name) else {
-            return false;
+            return HeardLife::Known;
         };
-        let new_life = peer.incarnation != Some(news.incarnation);
-        if !new_life && news.sent_at <= peer.their_time {
-            return false;
+        let life = peer.life_of(news.incarnation);
+        if life == HeardLife::Known && news.sent_at <= peer.their_time {
+            return HeardLife::Known;
         }
-        if new_life {
+        if let HeardLife::New { .. } = life {
             *peer = PeerState::listed(now, news.address, news.strength);
             peer.incarnation = Some(news.incarnation);
         }
@@ -206,7 +227,7 @@
         if let Some(view) = &news.view {
             peer.view = Some((now, view.clone()));
         }
-        new_life
+        life
     }
 
     /// Returns what to answer to a peer about the age of the configuration
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -15,6 +15,7 @@
 use crate::gateway::document_parts::DocumentPull;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_book::DueMessage;
+use crate::gateway::peer_book::HeardLife;
 use crate::gateway::peer_book::add_uses;
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
@@ -277,8 +278,11 @@
     if news.incarnation == context.incarnation {
         return;
     }
-    let new_life = context.peers.lock().note_news(now, &news);
-    if new_life {
+    let life = context.peers.lock().note_news(now, &news);
+    if let HeardLife::New { replaced } = life {
+        if let Some(gone) = replaced {
+            context.limits.lock().retire(gone);
+        }
         info!(context.log, "entry heard"; "other" => %news.name,
             "incarnation" => %news.incarnation, "address" => %news.address);
     }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -5,6 +5,7 @@
 use cloverbend::gateway::backend_record::BackendRecord;
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::peer_book::HUB_COUNT;
+use cloverbend::gateway::peer_book::HeardLife;
 use cloverbend::gateway::peer_book::PeerBook;
 use cloverbend::gateway::peer_news::BackendUse;
 use cloverbend::gateway::peer_news::ConfigEcho;
@@ -241,10 +242,11 @@
     let mut newer = news(1, 500);
     newer.tells = true;
     newer.fence = Some(FenceToken(7));
-    assert!(book.note_news(Timestamp(1_000), &newer));
+    let life = book.note_news(Timestamp(1_000), &newer);
+    assert_eq!(life, HeardLife::New { replaced: None });
     let mut older = news(1, 400);
     older.tells = true;
-    assert!(!book.note_news(Timestamp(1_100), &older));
+    assert_eq!(book.note_news(Timestamp(1_100), &older), HeardLife::Known);
     assert_eq!(book.heard_fence(Timestamp(1_200)), Some(FenceToken(7)));
 }
 
@@ -262,6 +264,18 @@
     assert_eq!(echo, Some(expected));
 }
 
+#[test]
+fn a_life_that_replaces_another_names_it() {
+    let mut book = PeerBook::new(name(0), STRENGTH);
+    let mut heard = news(1, 500);
+    book.note_news(Timestamp(1_000), &heard);
+    let before = heard.incarnation;
+    heard.incarnation = Incarnation(77);
+    let life = book.note_news(Timestamp(2_000), &heard);
+    let replaced = Some(before);
+    assert_eq!(life, HeardLife::New { replaced });
+}
+
 #[test]
 fn only_entries_that_were_heard_lately_with_a_newer_revision_are_asked_for_it() {
     let mut book = PeerBook::new(name(0), STRENGTH);
--- a/lib/tests/test_operations_page.rs
+++ b/lib/tests/test_operations_page.rs
@@ -8,7 +8,9 @@
 
 fn gateway_sources() -> String {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
-    let mut text = fs::read_to_string(folder.join("peer_link.rs")).unwrap();
+    let links = ["peer_link.rs", "frame_reader.rs"];
+    let read = |name: &str| fs::read_to_string(folder.join(name)).unwrap();
+    let mut text: String = links.map(read).concat();
     for entry in fs::read_dir(folder.join("gateway")).unwrap() {
         text.push_str(&fs::read_to_string(entry.unwrap().path()).unwrap());
     }
