config_follower: nothing is confirmed after a document that cannot be used

Also, found by reading the change again: - an entry of an earlier version closes a connection on which it is asked for a part, and with it the news; news tell now whether their sender answers. - the time-out of writing covered all that waits for a link, so that a link that is always in use would have been cut after it; it covers one frame now. - a document whose content is no newer than what is there is not asked for over and over. - news go beside a part of a document; they are left out once more than 48 KiB wait.

--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -25,6 +25,9 @@
     shelf: DocumentShelf,
     confirmed_at: Option<Timestamp>,
     log_end: Option<LogOffset>,
+    /// Where the log goes on after a document that cannot be used, if it is the
+    /// newest one that is known.
+    unusable_end: Option<LogOffset>,
 }
 
 impl ConfigFollower {
@@ -64,9 +67,18 @@
         self.shelf.put(now, kept);
         self.adopted = Some(Arc::new(config));
         self.log_end = self.log_end.max(log_end);
+        self.unusable_end = self.unusable_end.filter(|end| Some(*end) > log_end);
         true
     }
 
+    /// Notes that the log has a document that cannot be used, and goes on at
+    /// `end` after it. What is adopted is not the newest then, until a later one
+    /// is.
+    pub fn note_unusable(&mut self, end: LogOffset) {
+        self.note_read(end);
+        self.unusable_end = self.unusable_end.max(Some(end));
+    }
+
     /// Returns the part of a document that another entry asks for.
     pub fn answer(&mut self, now: Timestamp, pull: &DocumentPull) -> Option<DocumentPart> {
         self.shelf.answer(now, pull)
@@ -101,7 +113,8 @@
     /// Notes that no revision above `newest` existed at `asked_at`. It counts
     /// only if this entry has adopted that revision.
     pub fn confirm(&mut self, newest: RevisionNumber, asked_at: Timestamp) {
-        if newest > self.revision() || self.adopted.is_none() {
+        let is_newest = newest <= self.revision() && self.unusable_end.is_none();
+        if !is_newest || self.adopted.is_none() {
             return;
         }
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -59,6 +59,7 @@
     pub revision: RevisionNumber,
     /// The digest of its list of backend servers.
     pub backends_hash: u64,
+    answers_pulls: bool,
     was_heard: bool,
     their_time: u64,
     leaving: bool,
@@ -80,6 +81,7 @@
             heard_at: now,
             revision: RevisionNumber(0),
             backends_hash: 0,
+            answers_pulls: false,
             was_heard: false,
             their_time: 0,
             leaving: false,
@@ -215,6 +217,7 @@
         peer.unanswered_since = None;
         peer.their_time = news.sent_at;
         peer.revision = news.revision;
+        peer.answers_pulls = news.answers_pulls;
         peer.backends_hash = news.backends_hash;
         peer.leaving = news.leaving;
         peer.fence = news.fence;
@@ -254,11 +257,11 @@
     }
 
     /// Returns the entries that were heard lately with a higher revision than
-    /// `own`: the newest first, and among equals others for each entry that
+    /// `own`, and answer who asks for it: the newest first, and among equals others for each entry that
     /// asks, so that none has to answer all.
     pub fn ahead(&self, now: Timestamp, own: RevisionNumber) -> Vec<DocumentSource> {
         let is_ahead = |peer: &PeerState| {
-            peer.revision > own && peer.was_heard && now.since(peer.heard_at) < HUB_HEARD_WITHIN
+            peer.revision > own && peer.answers_pulls && now.since(peer.heard_at) < HUB_HEARD_WITHIN
         };
         let ahead = self.peers.iter().filter(|(_, peer)| is_ahead(peer));
         let mut ranked: Vec<_> = ahead
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -109,6 +109,9 @@
     pub leaving: bool,
     /// The sender's revision of the configuration.
     pub revision: RevisionNumber,
+    /// Whether the sender answers questions for parts of the configuration's
+    /// document. Entries of earlier versions close the connection instead.
+    pub answers_pulls: bool,
     /// The age of the sender's knowledge.
     pub echo: Option<ConfigEcho>,
     /// The fence of the lease, if the sender holds it.
@@ -250,6 +253,8 @@
     digest: Option<DigestFrame>,
     #[prost(uint32, tag = "19")]
     strength: u32,
+    #[prost(bool, tag = "20")]
+    answers_pulls: bool,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -359,6 +364,7 @@
             sent_at: news.sent_at,
             leaving: news.leaving,
             revision: news.revision.0,
+            answers_pulls: news.answers_pulls,
             echo: news.echo.map(|echo| EchoFrame {
                 incarnation: echo.incarnation.0,
                 sent_at: echo.sent_at,
@@ -396,6 +402,7 @@
             sent_at: frame.sent_at,
             leaving: frame.leaving,
             revision: RevisionNumber(frame.revision),
+            answers_pulls: frame.answers_pulls,
             echo: frame.echo.map(|echo| ConfigEcho {
                 incarnation: Incarnation(echo.incarnation),
                 sent_at: echo.sent_at,
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -95,6 +95,7 @@
         sent_at: context.now().0,
         leaving: context.is_leaving(),
         revision,
+        answers_pulls: true,
         echo: None,
         fence,
         tells: true,
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -146,12 +146,11 @@
         match result {
             Ok(slice) if passes_over(&slice, next) => context.config.lock().forget_log(),
             Ok(slice) => {
-                if apply_config(&context, &slice) {
-                    let mut config = context.config.lock();
-                    config.note_read(slice.end);
-                    let revision = config.revision();
-                    config.confirm(revision, asked_at);
-                }
+                apply_config(&context, &slice);
+                let mut config = context.config.lock();
+                config.note_read(slice.end);
+                let revision = config.revision();
+                config.confirm(revision, asked_at);
             }
             Err(StoreError::Forgotten(_)) => context.config.lock().forget_log(),
             Err(_) => watch.wait_after_failure(&context).await,
@@ -166,22 +165,24 @@
     slice.is_cut() || next.is_some_and(|from| slice.first > from)
 }
 
-/// Adopts the newest configuration of a slice. Returns whether it could be
-/// read; what came before it is of no use to anybody.
-fn apply_config(context: &GatewayContext, slice: &LogSlice) -> bool {
+/// Adopts the newest configuration of a slice; what came before it is of no use
+/// to anybody.
+fn apply_config(context: &GatewayContext, slice: &LogSlice) {
     let key = context.edges.format.config_key();
     let published =
         |record: &&LogRecord| record.key.as_deref() == Some(key) && !record.value.is_empty();
     let Some(record) = slice.records.iter().rev().find(published) else {
-        return true;
+        return;
     };
     let log_end = LogOffset(record.offset.0 + 1);
     let known = context.config.lock().log_end();
     // Another entry's copy may have come first.
     if known.is_some_and(|known| known >= log_end) {
-        return true;
+        return;
+    }
+    if !adopt_published(context, &record.value, log_end) {
+        context.config.lock().note_unusable(log_end);
     }
-    adopt_published(context, &record.value, log_end)
 }
 
 /// Adopts a document that the store has, whose log goes on at `log_end`.
@@ -194,18 +195,20 @@
     offered.is_ok()
 }
 
-/// Adopts a document that came whole from another entry. Returns whether it
-/// could be read.
+/// Adopts a document that came whole from another entry. Returns whether its
+/// revision, or a later one, is in force here now.
 pub fn adopt_arrived(context: &GatewayContext, arrived: ArrivedDocument) -> bool {
     let ArrivedDocument {
-        document, log_end, ..
+        revision,
+        document,
+        log_end,
     } = arrived;
     let offered = document
         .unpack()
         .map_err(|error| error.to_string())
         .and_then(|unpacked| offer_config(context, &unpacked, document, log_end, "entry"));
     note_unreadable(context, "entry", &offered);
-    offered.is_ok()
+    context.config.lock().revision() >= revision
 }
 
 fn note_unreadable(context: &GatewayContext, source: &str, offered: &Result<(), String>) {
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -47,10 +47,13 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a connection without traffic is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// How long writing what waits may take: the bytes that one link may hold pass
-/// 10 Mbit/s in a second. A connection that takes longer is given up with what
-/// waits for it, so that a silent peer keeps no memory.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long writing one frame may take: the longest one of 8 MiB passes 10
+/// Mbit/s in 7 s. A connection that takes longer is given up with what waits for
+/// it, so that a silent peer keeps no memory.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// From how many waiting bytes on a link counts as busy: news still go beside a
+/// part of a document of 32 KiB.
+const BUSY_BYTES: usize = 48 * 1024;
 /// The size from which on a frame is written from where it lies instead of
 /// being collected with others, in bytes. The collecting buffer would keep the
 /// capacity of the largest frame for as long as the connection lives.
@@ -160,13 +163,13 @@
             "frame_bytes" => length, "queued_bytes" => self.queued_bytes());
     }
 
-    /// Returns whether bytes still wait for an address. What is always the
-    /// whole state need not be sent then: the next message replaces it.
+    /// Returns whether much still waits for an address. What is always the whole
+    /// state need not be sent then: the next message replaces it.
     pub fn is_busy(&self, address: SocketAddr) -> bool {
         let links = self.links.lock();
         links
             .get(&address)
-            .is_some_and(|link| link.waiting.bytes() > 0)
+            .is_some_and(|link| link.waiting.bytes() > BUSY_BYTES)
     }
 
     /// Returns the bytes that wait for all links.
@@ -250,11 +253,8 @@
             Ok(Some(frame)) => frame,
             Ok(None) | Err(_) => return LinkEnd::Idle,
         };
-        let written = write_waiting(&mut framed, frame, queue);
-        match tokio::time::timeout(WRITE_TIMEOUT, written).await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => return LinkEnd::Broken(error.to_string()),
-            Err(_) => return LinkEnd::Broken("the peer does not read".to_owned()),
+        if let Err(error) = write_waiting(&mut framed, frame, queue).await {
+            return LinkEnd::Broken(error.to_string());
         }
     }
 }
@@ -267,10 +267,15 @@
 ) -> std::io::Result<()> {
     let mut next = Some(first);
     while let Some(frame) = next {
-        write_frame(framed, frame).await?;
+        in_time(write_frame(framed, frame)).await?;
         next = queue.try_recv().ok();
     }
-    SinkExt::<Bytes>::flush(framed).await
+    in_time(SinkExt::<Bytes>::flush(framed)).await
+}
+
+async fn in_time(write: impl Future<Output = std::io::Result<()>>) -> std::io::Result<()> {
+    let written = tokio::time::timeout(WRITE_TIMEOUT, write).await;
+    written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
 }
 
 async fn write_frame(
--- a/lib/tests/test_gateway_config.rs
+++ b/lib/tests/test_gateway_config.rs
@@ -121,6 +121,26 @@
     assert_eq!(follower.log_end(), None);
 }
 
+#[test]
+fn what_is_adopted_is_not_the_newest_after_a_document_that_cannot_be_used() {
+    let mut follower = ConfigFollower::new();
+    let at = Timestamp::from_millis;
+    assert!(offer(&mut follower, 3, Some(8)));
+    follower.confirm(RevisionNumber(3), at(10));
+    follower.note_unusable(LogOffset(9));
+    // It is not read again, and nothing is confirmed beside it.
+    assert_eq!(follower.log_end(), Some(LogOffset(9)));
+    follower.confirm(RevisionNumber(3), at(500));
+    assert_eq!(follower.confirmed_at(), Some(at(10)));
+    // A copy of one before it changes nothing, one after it does.
+    assert!(offer(&mut follower, 4, Some(8)));
+    follower.confirm(RevisionNumber(4), at(600));
+    assert_eq!(follower.confirmed_at(), Some(at(10)));
+    assert!(offer(&mut follower, 6, Some(10)));
+    follower.confirm(RevisionNumber(6), at(700));
+    assert_eq!(follower.confirmed_at(), Some(at(700)));
+}
+
 #[test]
 fn knowledge_ages_from_the_question() {
     let mut follower = ConfigFollower::new();
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -40,6 +40,7 @@
         sent_at,
         leaving: false,
         revision: RevisionNumber(1),
+        answers_pulls: true,
         echo: None,
         fence: None,
         tells: false,
@@ -288,6 +289,10 @@
     heard(&mut book, 2, 9_000, 5);
     heard(&mut book, 3, 9_000, 3);
     heard(&mut book, 4, 1_000, 6);
+    let mut earlier = news(6, 500);
+    earlier.revision = RevisionNumber(7);
+    earlier.answers_pulls = false;
+    book.note_news(Timestamp::from_millis(9_000), &earlier);
     book.note_listed(
         Timestamp::from_millis(9_000),
         name(5),
