standin: figures of a spread that ends over its limit of memory

The row now tells how the run ended and has the peaks up to there. What was sent is not read in that case: memory would grow on while entries are asked. Ruled out: a higher limit, which the machine of the measurement may not have.

--- a/daemon/tests/test_config_spread.rs
+++ b/daemon/tests/test_config_spread.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use cloverbend_platform_standin::config_spread::SpreadEnd;
 use cloverbend_platform_standin::config_spread::SpreadPlan;
 use cloverbend_platform_standin::config_spread::measure_spread;
 use cloverbend_platform_standin::entry_process::ByteCount;
@@ -31,13 +32,14 @@
     let plan = plan(folder.path().to_owned(), MEMORY_LIMIT);
     let figures = measure_spread(plan).await.unwrap();
     let last = large_document(1 + REVISIONS, ROUTES);
+    assert_eq!(figures.end, SpreadEnd::Settled);
     assert_eq!(figures.in_force.len(), ENTRIES);
     assert_eq!(
         figures.in_force_at(ENTRIES),
         figures.in_force.last().copied()
     );
     assert_eq!(figures.document, ByteCount(last.len() as u64));
-    assert!(figures.sent > ByteCount::default());
+    assert!(figures.sent.unwrap() > ByteCount::default());
     assert!(figures.mean_peak > ByteCount::default());
     assert!(figures.highest_peak >= figures.mean_peak);
 }
@@ -47,5 +49,5 @@
     let folder = tempfile::tempdir().unwrap();
     let plan = plan(folder.path().to_owned(), ByteCount(1));
     let error = measure_spread(plan).await.unwrap_err();
-    assert!(error.to_string().contains("MB together"), "{error}");
+    assert!(error.to_string().contains("MB in all"), "{error}");
 }
