--- a/lib/src/frame_reader.rs
+++ b/lib/src/frame_reader.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use metrics::counter;
+use metrics::gauge;
 use tokio::io::AsyncReadExt;
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
@@ -37,9 +38,11 @@
 /// How long a connection on which nothing arrives is read. Its sender closes it
 /// after half of that; one that is still open later has fallen silent.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(60);
-/// How long a frame that has begun may pause before its room is needed by
-/// others.
-const PAUSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a frame may take that has begun, beside the time for its bytes.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(3);
+/// The lowest rate at which a frame may come, in bytes a second: less than half
+/// of a link of 10 Mbit/s. Slower ones would keep the room from others.
+const LOWEST_RATE: f64 = 500_000.0;
 
 /// Why nothing more is read from a connection.
 #[derive(Debug)]
@@ -104,7 +107,9 @@
         // The room is given back when the message has been decoded; what it
         // keeps of the frame belongs to whoever receives it.
         let _room = take_room(&self.room, length).await;
-        let frame = read_frame(&mut self.socket, length).await?;
+        let most = FRAME_TIMEOUT + Duration::from_secs_f64(length as f64 / LOWEST_RATE);
+        let frame = tokio::time::timeout(most, read_frame(&mut self.socket, length)).await;
+        let frame = frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         counter!("cloverbend_peer_received_bytes_total").increment(length as u64);
         let message = PeerMessage::decode(frame).map_err(FrameError::Refused)?;
         Ok(Some(message))
@@ -116,17 +121,21 @@
         return None;
     }
     // Never more than there is, and the semaphore is never closed.
-    let needed = length.div_ceil(KB).min(LARGE_FRAMES_KB) as u32;
-    room.acquire_many(needed).await.ok()
+    let needed = length.div_ceil(KB).min(LARGE_FRAMES_KB);
+    if room.available_permits() < needed {
+        counter!("cloverbend_peer_frames_held_up_total").increment(1);
+    }
+    let taken = room.acquire_many(needed as u32).await.ok();
+    let free = room.available_permits();
+    gauge!("cloverbend_peer_frame_room_bytes").set((free * KB) as f64);
+    taken
 }
 
 async fn read_frame(socket: &mut BufReader<TcpStream>, length: usize) -> io::Result<Bytes> {
     let mut frame = BytesMut::with_capacity(length);
     let mut rest = socket.take(length as u64);
     while frame.len() < length {
-        let read = tokio::time::timeout(PAUSE_TIMEOUT, rest.read_buf(&mut frame)).await;
-        let read = read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        if read == 0 {
+        if rest.read_buf(&mut frame).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
--- a/lib/src/gateway/document_transfer.rs
+++ b/lib/src/gateway/document_transfer.rs
@@ -88,7 +88,7 @@
     asked_at: Option<Timestamp>,
     partial: Option<PartialDocument>,
     failures: usize,
-    paused_until: Timestamp,
+    unusable: Option<(RevisionNumber, Timestamp)>,
 }
 
 impl DocumentTransfer {
@@ -111,16 +111,21 @@
             *self = Self::default();
             return None;
         }
-        if now < self.paused_until {
+        let sources: Vec<DocumentSource> = sources
+            .iter()
+            .filter(|source| self.is_usable(now, source.revision))
+            .copied()
+            .collect();
+        if sources.is_empty() {
             return None;
         }
         if let Some(asked_at) = self.asked_at {
             if now.since(asked_at) < ANSWER_TIMEOUT {
                 return None;
             }
-            self.give_up_source();
+            self.give_up_source(sources.len());
         }
-        let source = self.choose(sources);
+        let source = self.choose(&sources);
         self.source = Some(source.address);
         self.asked_at = Some(now);
         let (revision, from) = match &self.partial {
@@ -143,16 +148,29 @@
         *sources.iter().find(same).unwrap_or(other)
     }
 
-    fn give_up_source(&mut self) {
+    /// Leaves the entry that did not answer. What came of a document that no
+    /// entry goes on with is dropped after all were asked: others may have it in
+    /// another packed form.
+    fn give_up_source(&mut self, sources: usize) {
         self.failures += 1;
         self.source = None;
+        if self.failures.is_multiple_of(sources.max(1) + 1) {
+            self.partial = None;
+        }
+    }
+
+    fn is_usable(&self, now: Timestamp, revision: RevisionNumber) -> bool {
+        self.unusable.is_none_or(|(unusable, noted_at)| {
+            revision > unusable || now.since(noted_at) >= UNUSABLE_PAUSE
+        })
     }
 
-    /// Notes that the document that arrived cannot be used. Nobody is asked for
-    /// a while, and then another entry.
-    pub fn note_unusable(&mut self, now: Timestamp) {
-        self.give_up_source();
-        self.paused_until = now.after(UNUSABLE_PAUSE);
+    /// Notes that the document of a revision cannot be used as it arrived. It is
+    /// not asked for again for a while, and then at another entry.
+    pub fn note_unusable(&mut self, now: Timestamp, revision: RevisionNumber) {
+        self.failures += 1;
+        self.source = None;
+        self.unusable = Some((revision, now));
     }
 
     /// Returns how often another entry had to be asked since the last whole
@@ -192,9 +210,14 @@
             return None;
         }
         self.failures = 0;
+        let document = PackedDocument::from_packed(partial.bytes.freeze());
+        if document.digest() != partial.digest {
+            self.source = None;
+            return None;
+        }
         Some(ArrivedDocument {
             revision: partial.revision,
-            document: PackedDocument::from_packed(partial.bytes.freeze()),
+            document,
             log_end: partial.log_end,
         })
     }
@@ -212,6 +235,7 @@
         }
         if partial.revision == part.revision {
             self.partial = None;
+            self.asked_at = None;
             return part.from == 0;
         }
         part.revision > partial.revision && part.from == 0
--- a/lib/src/gateway/packed_document.rs
+++ b/lib/src/gateway/packed_document.rs
@@ -1,8 +1,8 @@
 //! A configuration's document in the form in which entries keep it and pass it
 //! on: compressed, with a digest that is the same at all of them.
 //!
-//! Routes are much alike: a document of 4,200 routes shrinks from 0.84 MB to
-//! 65 KB, which 10 Mbit/s carry in 50 ms.
+//! Routes are much alike: a document of 2,852 routes shrinks from 571 KB to
+//! 44 KB, which 10 Mbit/s carry in 35 ms.
 
 use std::fmt;
 use std::io::Read;
@@ -14,9 +14,9 @@
 use flate2::write::DeflateEncoder;
 use twox_hash::XxHash64;
 
-/// The longest document, in bytes: about 30,000 routes. While it is read, an
-/// entry holds it twice and its decoded form, some 25 MB in all, which the
-/// smallest VM (160 MB) bears.
+/// The longest document, in bytes: about 30,000 routes. An entry that reads one
+/// of 7.9 MB from the store has 51 MB at its peak (`cloverbend-spread`, four
+/// revisions), a third of the memory of the smallest VM.
 pub const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why a document is not read.
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -37,6 +37,9 @@
 const HUB_HEARD_WITHIN: Duration = Duration::from_millis(2_200);
 /// A hub that answers nothing for so long is passed over.
 const SUSPECT_AFTER: Duration = Duration::from_millis(2_000);
+/// How long an entry that was sent the list of backend servers has to say that
+/// it has it. Its answer comes with its next news, a quarter of a second later.
+const LIST_PAUSE: Duration = Duration::from_millis(600);
 /// An entry from which nothing came for so long is forgotten. Until then its
 /// part of every limit is left to it, in case it is only cut off.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -70,6 +73,10 @@
     wants_digest: bool,
     view: Option<(Timestamp, HubView)>,
     unanswered_since: Option<Timestamp>,
+    /// Whether a digest was left out since the link was busy.
+    owes_digest: bool,
+    /// The digest of the list of backend servers that was sent last, and when.
+    list_sent: Option<(u64, Timestamp)>,
 }
 
 impl PeerState {
@@ -92,6 +99,8 @@
             wants_digest: false,
             view: None,
             unanswered_since: None,
+            owes_digest: false,
+            list_sent: None,
         }
     }
 
@@ -293,11 +302,12 @@
             // all entries agree on the same ones once they are back.
             let probe = slow && first.contains(name) && !is_hub;
             let tells = is_hub || probe;
-            let digest = peer.tells(now) && (peer.wants_digest || slow);
+            let digest = peer.tells(now) && (peer.wants_digest || peer.owes_digest || slow);
             if !tells && !digest {
                 continue;
             }
             let reopen = peer.is_suspect(now) && slow;
+            peer.owes_digest &= !digest;
             if tells {
                 peer.unanswered_since.get_or_insert(now);
             }
@@ -313,6 +323,31 @@
         due
     }
 
+    /// Notes that a message was not sent since its link is busy: its digest is
+    /// due in the next round, and its receiver was asked nothing.
+    pub fn note_skipped(&mut self, now: Timestamp, message: &DueMessage) {
+        let Some(peer) = self.peers.get_mut(&message.name) else {
+            return;
+        };
+        peer.owes_digest |= message.digest;
+        peer.unanswered_since.take_if(|since| *since == now);
+    }
+
+    /// Returns whether an entry is to be sent the list of backend servers with
+    /// that digest now. It is not sent again before the entry can have answered.
+    pub fn offers_list(&mut self, now: Timestamp, name: &EntryName, hash: u64) -> bool {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return false;
+        };
+        let sent_lately = peer
+            .list_sent
+            .is_some_and(|(sent, at)| sent == hash && now.since(at) < LIST_PAUSE);
+        if !sent_lately {
+            peer.list_sent = Some((hash, now));
+        }
+        !sent_lately
+    }
+
     /// Returns the hub that answers this entry each round. Entries choose
     /// different ones, so that no hub's link carries all answers.
     fn primary(&self, hubs: &[EntryName]) -> Option<EntryName> {
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -69,6 +69,7 @@
         // take yet are replaced by the next ones.
         if context.links.is_busy(message.address) {
             counter!("cloverbend_peer_news_skipped_total").increment(1);
+            context.peers.lock().note_skipped(now, &message);
             continue;
         }
         let mut news = common.clone();
@@ -159,18 +160,21 @@
     drop(peers);
     let totals = context.limits.lock().totals_without(incarnation);
     let differs = their_hash != news.backends_hash;
+    let mut peers = context.peers.lock();
+    let offered = differs && peers.offers_list(now, &message.name, news.backends_hash);
+    drop(peers);
     news.digest = Some(HubDigest {
         admitted: totals,
         hubs,
-        backends: offered_backends(context, differs),
+        backends: offered_backends(context, offered),
     });
 }
 
-/// Returns the list of backend servers for an entry whose list differs. One
-/// with missing records is not passed on: they may be back.
-fn offered_backends(context: &GatewayContext, differs: bool) -> Option<Vec<BackendRecord>> {
+/// Returns the list of backend servers if it is offered. One with missing
+/// records is not passed on: they may be back.
+fn offered_backends(context: &GatewayContext, offered: bool) -> Option<Vec<BackendRecord>> {
     let backends = context.backends.lock();
-    let offered = differs && !backends.has_missing();
+    let offered = offered && !backends.has_missing();
     offered.then(|| backends.records())
 }
 
@@ -219,8 +223,9 @@
     let now = context.now();
     if let Some(arrived) = arrived {
         counter!("cloverbend_config_documents_received_total").increment(1);
+        let revision = arrived.revision;
         if !adopt_arrived(context, arrived) {
-            context.transfer.lock().note_unusable(now);
+            context.transfer.lock().note_unusable(now, revision);
         }
     }
     pull_document(context, now);
--- a/lib/src/link_queue.rs
+++ b/lib/src/link_queue.rs
@@ -19,6 +19,12 @@
 /// of the smallest VM (160 MB).
 pub const ENTRY_BYTES: usize = 16 * 1024 * 1024;
 
+/// What of these is kept for short frames, so that news and heartbeats pass
+/// while long ones fill the rest.
+const SHORT_FRAMES_RESERVE: usize = 2 * 1024 * 1024;
+/// The length up to which a frame is short, in bytes.
+const SHORT_FRAME: usize = 4 * 1024;
+
 /// Why a frame was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueueRefusal {
@@ -93,7 +99,12 @@
         if !link.take(length, LINK_BYTES, true) {
             return Err(QueueRefusal::LinkFull);
         }
-        if !entry.take(length, ENTRY_BYTES, false) {
+        let reserve = if length > SHORT_FRAME {
+            SHORT_FRAMES_RESERVE
+        } else {
+            0
+        };
+        if !entry.take(length, ENTRY_BYTES - reserve, false) {
             link.give_back(length);
             return Err(QueueRefusal::EntryFull);
         }
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -177,9 +177,13 @@
         self.waiting.bytes()
     }
 
-    /// Returns the number of links.
+    /// Returns the number of links that have not ended.
     pub fn link_count(&self) -> usize {
-        self.links.lock().len()
+        let links = self.links.lock();
+        links
+            .values()
+            .filter(|link| !link.frames.is_closed())
+            .count()
     }
 
     /// Gives a link up whose peer does not answer; the next message opens
--- a/lib/tests/test_document_transfer.rs
+++ b/lib/tests/test_document_transfer.rs
@@ -114,6 +114,42 @@
     assert_eq!(transfer.failures(), 1);
 }
 
+/// Entries of different versions may pack a document differently.
+#[rstest]
+#[case::shorter(2 * PART_BYTES)]
+#[case::longer(9 * PART_BYTES)]
+fn a_document_that_is_packed_otherwise_elsewhere_is_begun_anew(#[case] length: usize) {
+    let mut here = DocumentShelf::new();
+    here.put(Timestamp(0), kept(4, 5 * PART_BYTES));
+    let mut there = DocumentShelf::new();
+    let packed = kept(9, length).document;
+    there.put(
+        Timestamp(0),
+        KeptDocument {
+            document: packed,
+            ..kept(4, 1)
+        },
+    );
+    let mut transfer = DocumentTransfer::new();
+    let at = Timestamp::from_millis;
+    for step in 0..3 {
+        let (_, pull) = transfer
+            .next_pull(at(step), address(0), &[source(1, 4)])
+            .unwrap();
+        let part = here.answer(at(step), &pull).unwrap();
+        assert_eq!(transfer.take_part(OWN, &part), None);
+    }
+    // The first one is gone; the other is all there is.
+    let arrived = (0..100).find_map(|step| {
+        let now = at(10 + step * 100);
+        let (_, pull) = transfer.next_pull(now, address(0), &[source(2, 4)])?;
+        let part = there.answer(now, &pull)?;
+        transfer.take_part(OWN, &part)
+    });
+    let arrived = arrived.expect("not whole after ten seconds");
+    assert_eq!(arrived.document.unpack().unwrap(), noise(9, length));
+}
+
 #[test]
 fn nothing_is_held_once_nobody_is_ahead() {
     let mut shelf = DocumentShelf::new();
@@ -145,11 +181,22 @@
         bytes,
         log_end: None,
     };
+    // Its digest shows that bytes were lost or changed.
+    assert_eq!(transfer.clone().take_part(OWN, &part), None);
+    let digest = PackedDocument::from_packed(part.bytes.clone()).digest();
+    let part = DocumentPart { digest, ..part };
     let arrived = transfer.take_part(OWN, &part).unwrap();
     let read = arrived.document.unpack();
     assert!(matches!(read, Err(DocumentError::Damaged(_))), "{read:?}");
-    transfer.note_unusable(at(10));
+    transfer.note_unusable(at(10), RevisionNumber(4));
     assert_eq!(transfer.next_pull(at(1_900), address(0), &sources), None);
+    let newer = [source(3, 5)];
+    assert!(
+        transfer
+            .clone()
+            .next_pull(at(20), address(0), &newer)
+            .is_some()
+    );
     let (other, _) = transfer.next_pull(at(2_100), address(0), &sources).unwrap();
     assert_ne!(other, first);
 }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -4,6 +4,7 @@
 use cloverbend::gateway::backend_record::BackendId;
 use cloverbend::gateway::backend_record::BackendRecord;
 use cloverbend::gateway::event_splitter::EventSplitter;
+use cloverbend::gateway::peer_book::DueMessage;
 use cloverbend::gateway::peer_book::HUB_COUNT;
 use cloverbend::gateway::peer_book::HeardLife;
 use cloverbend::gateway::peer_book::PeerBook;
@@ -277,6 +278,49 @@
     assert_eq!(life, HeardLife::New { replaced });
 }
 
+/// Returns a hub's book with one entry that tells it its news, and what is due
+/// to that entry in a round.
+fn due_of(book: &mut PeerBook, at: u64, round: u32) -> Option<DueMessage> {
+    let due = book.due(Timestamp::from_millis(at), round);
+    due.into_iter().find(|message| message.name == name(1))
+}
+
+#[test]
+fn a_digest_that_a_busy_link_left_out_is_due_in_the_next_round() {
+    let mut book = PeerBook::new(name(0), STRENGTH);
+    let mut told = news(1, 500);
+    told.tells = true;
+    book.note_news(Timestamp::from_millis(1_000), &told);
+    // The fourth round has a digest, the ones after it have none.
+    let skipped = due_of(&mut book, 1_000, 4).unwrap();
+    assert!(skipped.digest);
+    book.note_skipped(Timestamp::from_millis(1_000), &skipped);
+    let digests = [5, 6].map(|round| due_of(&mut book, 1_000, round).is_some_and(|due| due.digest));
+    assert_eq!(digests, [true, false]);
+}
+
+#[test]
+fn a_hub_that_was_asked_nothing_does_not_become_suspect() {
+    let mut book = PeerBook::new(name(0), STRENGTH);
+    book.note_news(Timestamp::from_millis(1_000), &news(1, 500));
+    for round in 5..25 {
+        let at = 1_000 + u64::from(round) * 250;
+        let due = due_of(&mut book, at, round).unwrap();
+        assert!(due.tells && !due.reopen);
+        book.note_skipped(Timestamp::from_millis(at), &due);
+    }
+}
+
+#[test]
+fn a_list_is_not_offered_again_before_its_receiver_can_have_answered() {
+    let mut book = PeerBook::new(name(0), STRENGTH);
+    book.note_news(Timestamp::from_millis(1_000), &news(1, 500));
+    let mut offers = |at, hash| book.offers_list(Timestamp::from_millis(at), &name(1), hash);
+    let offered = [(1_000, 7), (1_250, 7), (1_300, 8), (1_700, 8), (1_900, 8)];
+    let offered = offered.map(|(at, hash)| offers(at, hash));
+    assert_eq!(offered, [true, false, true, false, true]);
+}
+
 #[test]
 fn only_entries_that_were_heard_lately_with_a_newer_revision_are_asked_for_it() {
     let mut book = PeerBook::new(name(0), STRENGTH);
--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -192,3 +192,27 @@
     assert_eq!(large.unwrap(), Some(200_000));
     stop.cancel();
 }
+
+/// Peers that send a long frame a byte at a time lose their room to others.
+#[tokio::test]
+async fn a_frame_that_comes_too_slowly_does_not_keep_its_room() {
+    let (address, mut lengths, stop) = listening().await;
+    for _ in 0..9 {
+        let mut socket = TcpStream::connect(address).await.unwrap();
+        tokio::spawn(async move {
+            socket.write_all(&1_000_000_u32.to_be_bytes()).await?;
+            loop {
+                socket.write_all(&[0]).await?;
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
+            #[expect(unreachable_code)]
+            std::io::Result::Ok(())
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let sender = PeerSender::new(stop.clone(), discard_logger());
+    sender.send(address, message(60_000));
+    let arrived = tokio::time::timeout(Duration::from_secs(15), lengths.recv()).await;
+    assert_eq!(arrived.expect("no room after 15 s"), Some(60_000));
+    stop.cancel();
+}
