--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -130,8 +130,8 @@
 pub enum BackendChange {
     /// A backend server is new.
     Joined(BackendRecord),
-    /// It takes no new work any more, or takes it again.
-    Leaving(BackendId, bool),
+    /// It takes no new work any more.
+    Leaving(BackendId),
     /// Its record is missing; it may be back.
     Missing(BackendId),
     /// It is gone.
@@ -236,7 +236,8 @@
         }
     }
 
-    /// Takes over a record.
+    /// Takes over a record. A server that leaves does not come back under its
+    /// identifier, so a record that says otherwise is older than what is known.
     pub fn put(&mut self, record: BackendRecord) -> Option<BackendChange> {
         let id = record.id.clone();
         let Some(backend) = self.backends.get_mut(&id) else {
@@ -245,9 +246,18 @@
             return Some(change);
         };
         backend.missing_since = None;
-        let changed = backend.record.leaving != record.leaving;
+        let left_before = backend.record.leaving;
         backend.record = record;
-        changed.then_some(BackendChange::Leaving(id, backend.record.leaving))
+        backend.record.leaving |= left_before;
+        let leaves_now = backend.record.leaving && !left_before;
+        leaves_now.then_some(BackendChange::Leaving(id))
+    }
+
+    /// Notes that a server leaves, as another entry told.
+    pub fn note_leaving(&mut self, id: &BackendId) -> Option<BackendChange> {
+        let backend = self.backends.get_mut(id)?;
+        let leaves_now = !std::mem::replace(&mut backend.record.leaving, true);
+        leaves_now.then(|| BackendChange::Leaving(id.clone()))
     }
 
     /// Notes that a record is not in the store.
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -251,7 +251,7 @@
         backends_at: Option<Timestamp>,
     ) -> Option<ConfigEcho> {
         let peer = self.peers.get(name)?;
-        let age = |at| peer.heard_at.since(at).as_micros() as u64;
+        let age = |at: Timestamp| peer.heard_at.0 as i64 - at.0 as i64;
         Some(ConfigEcho {
             incarnation: peer.incarnation?,
             sent_at: peer.their_time,
@@ -266,20 +266,26 @@
     }
 
     /// Returns the entries that were heard lately with a higher revision than
-    /// `own`, and answer who asks for it: the newest first, and among equals others for each entry that
-    /// asks, so that none has to answer all.
+    /// `own`, and answer who asks for it: those that may have ended meanwhile
+    /// last, the newest revisions first, and among equals others for each entry
+    /// that asks, so that none has to answer all.
     pub fn ahead(&self, now: Timestamp, own: RevisionNumber) -> Vec<DocumentSource> {
         let is_ahead = |peer: &PeerState| {
-            peer.revision > own && peer.answers_pulls && now.since(peer.heard_at) < HUB_HEARD_WITHIN
+            let heard = now.since(peer.heard_at) < HUB_HEARD_WITHIN;
+            peer.revision > own && peer.answers_pulls && heard
         };
         let ahead = self.peers.iter().filter(|(_, peer)| is_ahead(peer));
         let mut ranked: Vec<_> = ahead
-            .map(|(name, peer)| (Reverse(peer.revision), self.pair_hash(name), peer.address))
+            .map(|(name, peer)| {
+                let silent = now.since(peer.heard_at) >= HEARD_WITHIN;
+                let rank = (silent, Reverse(peer.revision), self.pair_hash(name));
+                (rank, peer.address)
+            })
             .collect();
         ranked.sort_unstable();
         ranked
             .into_iter()
-            .map(|(Reverse(revision), _, address)| DocumentSource { address, revision })
+            .map(|((_, Reverse(revision), _), address)| DocumentSource { address, revision })
             .collect()
     }
 
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -25,10 +25,10 @@
     /// The time in that message, by the clock of its sender, in microseconds.
     pub sent_at: u64,
     /// How old the knowledge of the configuration was then, in microseconds;
-    /// 0 if it was confirmed only later. None if there is none.
-    pub age: Option<u64>,
+    /// below zero if it was confirmed only later. None if there is none.
+    pub age: Option<i64>,
     /// The same for the list of backend servers.
-    pub backends_age: Option<u64>,
+    pub backends_age: Option<i64>,
 }
 
 /// The load that an entry puts on a backend server.
@@ -89,6 +89,8 @@
     pub hubs: Vec<(EntryName, SocketAddr, VmStrength)>,
     /// The backend servers, if the receiver's list differs.
     pub backends: Option<Vec<BackendRecord>>,
+    /// Those that leave, while the list cannot be passed on.
+    pub leaving: Vec<BackendId>,
 }
 
 /// What one entry tells another several times a second. It is always the
@@ -142,10 +144,10 @@
     incarnation: u64,
     #[prost(uint64, tag = "2")]
     sent_at: u64,
-    #[prost(uint64, optional, tag = "3")]
-    age: Option<u64>,
-    #[prost(uint64, optional, tag = "4")]
-    backends_age: Option<u64>,
+    #[prost(int64, optional, tag = "3")]
+    age: Option<i64>,
+    #[prost(int64, optional, tag = "4")]
+    backends_age: Option<i64>,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -212,6 +214,8 @@
     hubs: Vec<HubFrame>,
     #[prost(message, optional, tag = "3")]
     backends: Option<BackendListFrame>,
+    #[prost(string, repeated, tag = "4")]
+    leaving: Vec<String>,
 }
 
 /// The frame of [`GatewayNews`].
@@ -337,6 +341,7 @@
         admitted: write_admitted(digest.admitted),
         hubs: digest.hubs.into_iter().map(hub).collect(),
         backends: digest.backends.map(list),
+        leaving: digest.leaving.into_iter().map(|id| id.0).collect(),
     }
 }
 
@@ -351,6 +356,7 @@
         admitted: read_admitted(frame.admitted)?,
         hubs: frame.hubs.into_iter().map(hub).collect::<Result<_, _>>()?,
         backends: frame.backends.map(list).transpose()?,
+        leaving: frame.leaving.into_iter().map(BackendId).collect(),
     })
 }
 
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -26,6 +26,7 @@
 use crate::gateway::peer_news::WindowCount;
 use crate::gateway::store_task::adopt_arrived;
 use crate::gateway::store_task::adopt_backends;
+use crate::gateway::store_task::note_leaving;
 use crate::quantity::Timestamp;
 use crate::wire::PeerMessage;
 
@@ -167,6 +168,7 @@
         admitted: totals,
         hubs,
         backends: offered_backends(context, offered),
+        leaving: told_leaving(context, differs),
     });
 }
 
@@ -231,6 +233,17 @@
     pull_document(context, now);
 }
 
+/// Returns the servers that leave while the list cannot be passed on. That a
+/// server leaves is final, so it needs no order among lists.
+fn told_leaving(context: &GatewayContext, differs: bool) -> Vec<BackendId> {
+    let backends = context.backends.lock();
+    if !differs || !backends.has_missing() {
+        return Vec::new();
+    }
+    let leaving = backends.iter().filter(|backend| !backend.takes_work());
+    leaving.map(|backend| backend.record.id.clone()).collect()
+}
+
 fn own_uses(context: &GatewayContext) -> Vec<BackendUse> {
     let backends = context.backends.lock();
     backends
@@ -309,9 +322,10 @@
 }
 
 /// Returns when something was known, by the own clock: `age` before the message
-/// that this entry sent at `sent_at`.
-fn known_at(sent_at: u64, age: u64) -> Timestamp {
-    Timestamp(sent_at.saturating_sub(age))
+/// that this entry sent at `sent_at`, or after it if that is below zero. The
+/// message was on its way meanwhile, so this is the earliest possible moment.
+fn known_at(sent_at: u64, age: i64) -> Timestamp {
+    Timestamp(sent_at.saturating_add_signed(age.saturating_neg()))
 }
 
 /// Takes over how old another entry's knowledge is, counted from the moment at
@@ -363,6 +377,7 @@
     if let (Some(records), Some(known)) = (&digest.backends, known) {
         adopt_backends(context, records, known);
     }
+    note_leaving(context, &digest.leaving);
 }
 
 fn note_uses(context: &GatewayContext, now: Timestamp) {
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -86,6 +86,12 @@
         self.pause = (self.pause * 2).min(LONGEST_FAILURE_PAUSE);
     }
 
+    /// Returns how long a call may wait for news: not at all after a failure, so
+    /// that the first answer proves at once what the newest is.
+    fn patience(&self, usual: Duration) -> Duration {
+        if self.is_up { usual } else { Duration::ZERO }
+    }
+
     /// Notes the outcome of a call; returns whether it ended an outage.
     fn note<T>(&mut self, context: &GatewayContext, result: &Result<T, StoreError>) -> bool {
         let up = match result {
@@ -140,7 +146,7 @@
         let next = context.config.lock().log_end();
         let result = match next {
             None => store.newest(topic).await,
-            Some(from) => store.read(topic, from, CONFIG_WAIT).await,
+            Some(from) => store.read(topic, from, watch.patience(CONFIG_WAIT)).await,
         };
         watch.note(&context, &result);
         match result {
@@ -288,6 +294,19 @@
     }
 }
 
+/// Takes over that servers leave, as another entry told.
+pub fn note_leaving(context: &GatewayContext, leaving: &[BackendId]) {
+    let mut backends = context.backends.lock();
+    let changes: Vec<BackendChange> = leaving
+        .iter()
+        .filter_map(|id| backends.note_leaving(id))
+        .collect();
+    drop(backends);
+    for change in changes {
+        note_backend_change(context, &change);
+    }
+}
+
 /// Returns the last record of each key. Earlier ones must not be applied: this
 /// entry may have learnt from others what came after them.
 fn newest_by_key(slice: &LogSlice) -> BTreeMap<&str, &LogRecord> {
@@ -334,8 +353,8 @@
                 "service" => %record.service, "zone" => %record.zone,
                 "address" => %record.address, "reclaimable" => record.reclaimable);
         }
-        BackendChange::Leaving(id, leaving) => {
-            info!(context.log, "backend server leaving"; "backend" => %id, "leaving" => leaving);
+        BackendChange::Leaving(id) => {
+            info!(context.log, "backend server leaving"; "backend" => %id);
         }
         BackendChange::Missing(id) => {
             info!(context.log, "backend server missing"; "backend" => %id);
