An entry has one question for the configuration open at a time

Cause: every 500 ms an entry that was behind asked for the whole document, whatever was on its way to it, and all such entries asked the same one. On a slow link documents piled up behind each other, and a document was parsed before its number was looked at.

Ruled out: the parts of the gateway's transfer. A document here goes in one message; questions for parts would change the messages between entries. Ruled out as well: asking earlier when the entry that was asked is no longer seen. A link that a document fills makes entries suspect each other.

Change: ConfigAsker decides, without clocks or sockets of its own, whom to ask and when. Equal sources are ordered by a hash of both names, which PeerBook uses too. A starting entry no longer asks one that starts too and is not ahead: its answer could not help. A document that is no newer is not parsed, but may still let a starting entry serve.

--- a/lib/src/config_task.rs
+++ b/lib/src/config_task.rs
@@ -11,15 +11,20 @@
 use slog::info;
 use slog::warn;
 
+use crate::config_pull::ConfigAsker;
+use crate::config_pull::ConfigNeed;
+use crate::config_pull::ConfigSource;
 use crate::entry_context::EntryContext;
 use crate::id::LogOffset;
 use crate::id::RevisionNumber;
 use crate::log_client::CONFIG_STREAM;
 use crate::log_client::LogPage;
 use crate::membership::MemberHealth;
+use crate::membership::MemberRecord;
 use crate::membership::MemberState;
 use crate::revision::ConfigRecord;
 use crate::revision::ConfigRevision;
+use crate::revision::PublicationId;
 use crate::revision::RecordOutcome;
 use crate::wire::ConfigTransfer;
 use crate::wire::PeerMessage;
@@ -28,8 +33,9 @@
 const READ_WAIT: Duration = Duration::from_millis(500);
 /// How long to wait after a failed read.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
-/// How often another entry is asked for a newer revision.
-const PULL_PERIOD: Duration = Duration::from_millis(500);
+/// The pause between looks at whether another entry is to be asked for a newer
+/// revision: as long as a read of the log waits.
+const PULL_LOOK: Duration = Duration::from_millis(500);
 /// The age at which the revision in force is restated. The log must keep
 /// records for at least four times as long.
 const RESTATE_AFTER: Duration = Duration::from_secs(900);
@@ -176,28 +182,38 @@
 /// Asks other entries for newer revisions until the entry stops. This is how
 /// revisions spread while the log is down, and how an entry starts then.
 pub async fn pull_from_entries(context: Arc<EntryContext>) {
+    let reply_to = context.settings.peer_address;
+    let mut asker = ConfigAsker::new(context.settings.name.clone());
     loop {
-        tokio::time::sleep(PULL_PERIOD).await;
-        let own = context.tables.config.read().number();
-        let reply_to = context.settings.peer_address;
-        let ahead = {
-            let members = context.tables.members.lock();
-            let starting = members.own().state == MemberState::Starting;
-            members
-                .others()
-                .filter(|record| record.health == MemberHealth::Alive)
-                .filter(|record| record.revision > own || starting)
-                .max_by_key(|record| record.revision)
-                .map(|record| record.peer_address)
-        };
-        if let Some(address) = ahead {
-            context
-                .peers
-                .send(address, PeerMessage::ConfigPull { reply_to });
+        tokio::time::sleep(PULL_LOOK).await;
+        let (need, sources) = config_sources(&context);
+        if let Some(address) = asker.next_question(context.now(), need, sources) {
+            let question = PeerMessage::ConfigPull { reply_to };
+            context.peers.send(address, question);
         }
     }
 }
 
+/// Returns what this entry lacks, and who can help: entries that are ahead, and
+/// for one that starts also those that know that they are current.
+fn config_sources(context: &EntryContext) -> (ConfigNeed, Vec<ConfigSource>) {
+    let revision = context.tables.config.read().number();
+    let members = context.tables.members.lock();
+    let starting = members.own().state == MemberState::Starting;
+    let is_current = |record: &MemberRecord| starting && record.state != MemberState::Starting;
+    let sources = members
+        .others()
+        .filter(|record| record.health == MemberHealth::Alive)
+        .filter(|record| record.revision > revision || is_current(record))
+        .map(|record| ConfigSource {
+            name: record.name.clone(),
+            revision: record.revision,
+            address: record.peer_address,
+        })
+        .collect();
+    (ConfigNeed { revision, starting }, sources)
+}
+
 impl EntryContext {
     /// Returns the revision in force as it is sent to another entry.
     pub fn config_transfer(&self) -> Option<ConfigTransfer> {
@@ -219,17 +235,8 @@
         if transfer.number == RevisionNumber(0) {
             return;
         }
-        let document = match serde_json::from_str(&transfer.document) {
-            Ok(document) => document,
-            Err(error) => {
-                warn!(self.log, "an entry sent a bad configuration"; "error" => %error);
-                return;
-            }
-        };
-        let publication = crate::revision::PublicationId(transfer.publication);
-        let outcome = {
-            let mut follower = self.tables.config.write();
-            follower.adopt(transfer.number, publication, document)
+        let Some(outcome) = self.adopt_transfer(&transfer) else {
+            return;
         };
         let next = self.tables.config.read().next_offset();
         report_outcome(self, next, &outcome);
@@ -244,4 +251,22 @@
             serve(self, "entry");
         }
     }
+
+    /// Adopts what another entry sent if it is newer; nothing is told of a
+    /// document that cannot be read. One that is no newer is not even parsed.
+    fn adopt_transfer(&self, transfer: &ConfigTransfer) -> Option<RecordOutcome> {
+        if transfer.number <= self.tables.config.read().number() {
+            return Some(RecordOutcome::Ignored);
+        }
+        let document = match serde_json::from_str(&transfer.document) {
+            Ok(document) => document,
+            Err(error) => {
+                warn!(self.log, "an entry sent a bad configuration"; "error" => %error);
+                return None;
+            }
+        };
+        let publication = PublicationId(transfer.publication.clone());
+        let mut follower = self.tables.config.write();
+        Some(follower.adopt(transfer.number, publication, document))
+    }
 }
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -278,7 +278,7 @@
         let mut ranked: Vec<_> = ahead
             .map(|(name, peer)| {
                 let silent = now.since(peer.heard_at) >= HEARD_WITHIN;
-                let rank = (silent, Reverse(peer.revision), self.pair_hash(name));
+                let rank = (silent, Reverse(peer.revision), self.own.pair_hash(name));
                 (rank, peer.address)
             })
             .collect();
@@ -289,11 +289,6 @@
             .collect()
     }
 
-    fn pair_hash(&self, other: &EntryName) -> u64 {
-        let own = XxHash64::oneshot(0, self.own.as_str().as_bytes());
-        XxHash64::oneshot(own, other.as_str().as_bytes())
-    }
-
     /// Returns the messages that are due in a round, and notes that they are
     /// sent.
     pub fn due(&mut self, now: Timestamp, round: u32) -> Vec<DueMessage> {
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use twox_hash::XxHash64;
 
 /// The longest accepted name, in bytes.
 pub const MAX_NAME_LENGTH: usize = 64;
@@ -135,6 +136,16 @@
     /// The name of an entry VM, unique among entries.
     EntryName
 );
+
+impl EntryName {
+    /// Returns a number for this entry together with another one. Entries that
+    /// order the same others by it get different orders.
+    pub fn pair_hash(&self, other: &Self) -> u64 {
+        let own = XxHash64::oneshot(0, self.as_str().as_bytes());
+        XxHash64::oneshot(own, other.as_str().as_bytes())
+    }
+}
+
 name_type!(
     /// The name of an availability zone.
     ZoneName
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod chat_api;
 pub mod chat_runner;
 pub mod chat_stream;
+pub mod config_pull;
 pub mod config_task;
 pub mod configuration;
 pub mod engine_client;
