--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -27,6 +27,13 @@
 
 /// How long something may take before a test fails.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// How long something may take that is due already.
+const PROMPT: Duration = Duration::from_secs(2);
+/// Longer than a frame may take to be written, in the time of the runtime, and
+/// shorter than a link without traffic is kept.
+const HUNG_WRITE: Duration = Duration::from_secs(11);
+/// Longer than a connection is read on which nothing arrives.
+const SILENCE: Duration = Duration::from_secs(61);
 
 fn message(length: usize) -> PeerMessage {
     PeerMessage::DocumentPart(DocumentPart {
@@ -52,6 +59,28 @@
     address
 }
 
+/// Accepts connections, never reads from them, and tells of each.
+async fn counting_silent_peer() -> (SocketAddr, UnboundedReceiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (accepted, connections) = unbounded_channel();
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((socket, _)) = listener.accept().await {
+            open.push(socket);
+            let _ = accepted.send(());
+        }
+    });
+    (address, connections)
+}
+
+/// Lets the time of the runtime pass without waiting for it.
+async fn pass_time(time: Duration) {
+    tokio::time::pause();
+    tokio::time::advance(time).await;
+    tokio::time::resume();
+}
+
 /// Receives frames, and tells the lengths of what arrives.
 async fn listening() -> (SocketAddr, UnboundedReceiver<usize>, CancellationToken) {
     let stop = CancellationToken::new();
@@ -137,6 +166,37 @@
     assert!(!sender.is_busy(address));
 }
 
+/// Nobody gives the link up here: the sender itself sees that its write hangs.
+#[tokio::test]
+async fn a_write_that_hangs_ends_its_connection() {
+    let sender = PeerSender::new(CancellationToken::new(), discard_logger());
+    let (address, mut connections) = counting_silent_peer().await;
+    // More than the buffers of a connection take.
+    while sender.queued_bytes() < LINK_BYTES / 2 {
+        sender.send(address, message(100_000));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(connections.recv().await, Some(()));
+    assert!(connections.try_recv().is_err());
+    pass_time(HUNG_WRITE).await;
+    let next = tokio::time::timeout(PROMPT, connections.recv()).await;
+    assert_eq!(next.expect("the connection hangs on"), Some(()));
+}
+
+#[tokio::test]
+async fn a_connection_that_falls_silent_is_not_read_for_ever() {
+    let (address, mut lengths, stop) = listening().await;
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let frame = message(10).encode();
+    socket.write_u32(frame.len() as u32).await.unwrap();
+    socket.write_all(&frame).await.unwrap();
+    assert_eq!(lengths.recv().await, Some(10));
+    pass_time(SILENCE).await;
+    let closed = tokio::time::timeout(PROMPT, socket.read(&mut [0])).await;
+    assert_eq!(closed.expect("it is still read").unwrap(), 0);
+    stop.cancel();
+}
+
 #[tokio::test]
 async fn frames_of_all_sizes_arrive_in_order() {
     let (address, mut lengths, stop) = listening().await;
