--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -9,12 +9,13 @@
 use rstest::rstest;
 
 #[rstest]
-#[case::short(1)]
+#[case::short(1, 0)]
 // A key was given back while a request waited at a paused entry; the check was
 // wrong.
-#[case::key_given_back(31_008)]
+#[case::key_given_back(31_008, 0)]
+#[case::large_configuration(2, 2_000)]
 #[tokio::test]
-async fn no_promise_breaks_under_faults(#[case] seed: u64) {
+async fn no_promise_breaks_under_faults(#[case] seed: u64, #[case] routes: usize) {
     let folder = tempfile::tempdir().unwrap();
     let plan = SoakPlan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_cloverbendd")),
@@ -22,6 +23,7 @@
         seed,
         entries: 3,
         time: Duration::from_secs(8),
+        routes,
     };
     let report = run_soak(plan).await.unwrap();
     assert_eq!(report.broken, [], "faults: {:#?}", report.faults);
