--- a/lib/src/config_pull.rs
+++ b/lib/src/config_pull.rs
@@ -23,6 +23,9 @@
     pub revision: RevisionNumber,
     /// Whether it has yet to learn that its revision is the one in force.
     pub starting: bool,
+    /// The answers that have come so far. One that did not help leaves the same
+    /// need, but no question open.
+    pub answers: u64,
 }
 
 /// An entry that can answer.
--- a/lib/src/config_task.rs
+++ b/lib/src/config_task.rs
@@ -2,6 +2,7 @@
 //! from other entries, and restates the current one before it expires.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -211,7 +212,12 @@
             address: record.peer_address,
         })
         .collect();
-    (ConfigNeed { revision, starting }, sources)
+    let need = ConfigNeed {
+        revision,
+        starting,
+        answers: context.config_answers.load(Ordering::Relaxed),
+    };
+    (need, sources)
 }
 
 impl EntryContext {
@@ -232,6 +238,7 @@
     /// is down, this entry starts to serve once no entry that it can see has
     /// a newer revision than the one it was sent.
     pub fn receive_config(self: &Arc<Self>, transfer: ConfigTransfer) {
+        self.config_answers.fetch_add(1, Ordering::Relaxed);
         if transfer.number == RevisionNumber(0) {
             return;
         }
--- a/lib/src/entry_context.rs
+++ b/lib/src/entry_context.rs
@@ -1,6 +1,7 @@
 //! What the parts of one entry daemon share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -89,6 +90,8 @@
     pub stop: CancellationToken,
     /// Told when the pair, or one mirrored here, may have to change.
     pub pair_check: Notify,
+    /// How many configurations other entries have sent.
+    pub config_answers: AtomicU64,
     started: Instant,
 }
 
@@ -136,6 +139,7 @@
             log,
             stop,
             pair_check: Notify::new(),
+            config_answers: AtomicU64::new(0),
             started: Instant::now(),
             settings,
         })
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -48,8 +48,8 @@
 /// How long a connection without traffic is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long writing one frame may take: the longest one of 8 MiB passes 10
-/// Mbit/s in 7 s. A connection that takes longer is given up with what waits for
-/// it, so that a silent peer keeps no memory.
+/// Mbit/s in 7 s. A connection that takes longer is given up; what still waits
+/// goes on with the next one, or is dropped if that does not open.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// From how many waiting bytes on a link counts as busy: news still go beside a
 /// part of a document of 32 KiB.
--- a/lib/tests/test_config_pull.rs
+++ b/lib/tests/test_config_pull.rs
@@ -51,6 +51,7 @@
     ConfigNeed {
         revision: RevisionNumber(revision),
         starting,
+        answers: 0,
     }
 }
 
@@ -86,6 +87,7 @@
 #[case::nothing(need(3, true), false)]
 #[case::a_newer_revision(need(4, true), true)]
 #[case::it_serves(need(3, false), true)]
+#[case::an_answer_did_not_help(ConfigNeed { answers: 1, ..need(3, true) }, true)]
 fn a_question_ends_when_what_is_lacking_changes(#[case] later: ConfigNeed, #[case] asks: bool) {
     let mut asker = asker(1);
     let sources = vec![source(1, 5)];
