--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -4,16 +4,18 @@
 //! parts are learnt from the requests that this entry sends.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::hash::Hasher;
 use std::time::Duration;
 
-use twox_hash::XxHash64;
-
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_record::LoadReport;
+use crate::gateway::list_history::ListChanges;
+use crate::gateway::list_history::ListHistory;
+use crate::gateway::list_history::ListOffer;
+use crate::gateway::list_history::record_digest;
 use crate::gateway::reading_speed::ReadingSpeed;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -142,6 +144,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BackendSet {
     backends: BTreeMap<BackendId, Backend>,
+    digest: u64,
+    history: ListHistory,
     speeds: BTreeMap<ServiceName, ReadingSpeed>,
     holds: BTreeMap<ServiceName, Duration>,
     store_back_at: Option<Timestamp>,
@@ -193,12 +197,44 @@
 
     /// Returns a digest of the list: equal lists have equal digests.
     pub fn list_hash(&self) -> u64 {
-        let mut hasher = XxHash64::with_seed(0);
-        for (id, backend) in &self.backends {
-            hasher.write(id.0.as_bytes());
-            hasher.write_u8(u8::from(backend.record.leaving));
+        self.digest
+    }
+
+    /// Notes that a server is listed otherwise than before; `None` if it is not.
+    fn note_listing(&mut self, id: &BackendId, before: Option<bool>, after: Option<bool>) {
+        if before == after {
+            return;
+        }
+        self.history.note(self.digest, id);
+        for leaving in [before, after].into_iter().flatten() {
+            self.digest ^= record_digest(id, leaving);
         }
-        hasher.finish()
+    }
+
+    /// Returns what an entry is told whose list has the digest `known`, if it
+    /// takes differences. A list with missing records is not passed on: they
+    /// may be back.
+    pub fn offer(&self, known: Option<u64>) -> ListOffer {
+        if self.has_missing() {
+            return ListOffer::Nothing;
+        }
+        match known.and_then(|digest| self.changes_since(digest)) {
+            Some(changes) => ListOffer::Changes(changes),
+            None => ListOffer::Whole(self.records()),
+        }
+    }
+
+    /// Returns how the list differs from the one with a digest, if that is
+    /// remembered.
+    fn changes_since(&self, digest: u64) -> Option<ListChanges> {
+        let mut changes = ListChanges::default();
+        for id in self.history.changed_since(digest)? {
+            match self.backends.get(id) {
+                Some(backend) => changes.records.push(backend.record.clone()),
+                None => changes.gone.push(id.clone()),
+            }
+        }
+        Some(changes)
     }
 
     /// Returns all records.
@@ -242,22 +278,25 @@
         let id = record.id.clone();
         let Some(backend) = self.backends.get_mut(&id) else {
             let change = BackendChange::Joined(record.clone());
+            self.note_listing(&id, None, Some(record.leaving));
             self.backends.insert(id, Backend::new(record));
             return Some(change);
         };
         backend.missing_since = None;
         let left_before = backend.record.leaving;
+        let leaving = record.leaving || left_before;
         backend.record = record;
-        backend.record.leaving |= left_before;
-        let leaves_now = backend.record.leaving && !left_before;
-        leaves_now.then_some(BackendChange::Leaving(id))
+        backend.record.leaving = leaving;
+        self.note_listing(&id, Some(left_before), Some(leaving));
+        (leaving && !left_before).then_some(BackendChange::Leaving(id))
     }
 
     /// Notes that a server leaves, as another entry told.
     pub fn note_leaving(&mut self, id: &BackendId) -> Option<BackendChange> {
         let backend = self.backends.get_mut(id)?;
-        let leaves_now = !std::mem::replace(&mut backend.record.leaving, true);
-        leaves_now.then(|| BackendChange::Leaving(id.clone()))
+        let left_before = std::mem::replace(&mut backend.record.leaving, true);
+        self.note_listing(id, Some(left_before), Some(true));
+        (!left_before).then(|| BackendChange::Leaving(id.clone()))
     }
 
     /// Notes that a record is not in the store.
@@ -271,13 +310,19 @@
             backend.missing_since.get_or_insert(now);
             return first.then(|| BackendChange::Missing(id.clone()));
         }
-        self.backends.remove(id);
+        self.remove(id);
         Some(BackendChange::Gone(id.clone()))
     }
 
+    fn remove(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.remove(id) {
+            self.note_listing(id, Some(backend.record.leaving), None);
+        }
+    }
+
     /// Takes over a whole list; what it does not have is absent.
     pub fn replace(&mut self, now: Timestamp, records: Vec<BackendRecord>) -> Vec<BackendChange> {
-        let listed: Vec<BackendId> = records.iter().map(|record| record.id.clone()).collect();
+        let listed: BTreeSet<BackendId> = records.iter().map(|record| record.id.clone()).collect();
         let mut changes: Vec<BackendChange> =
             records.into_iter().filter_map(|r| self.put(r)).collect();
         let absent: Vec<BackendId> = self
@@ -304,6 +349,50 @@
         self.replace(now, records)
     }
 
+    /// Takes over how the list of another entry, which was the newest at
+    /// `known_at` and has the digest `target`, differs from an earlier one.
+    /// Nothing changes if the own list was confirmed later, or would not become
+    /// that list: then it was not the earlier one.
+    pub fn apply_changes(
+        &mut self,
+        now: Timestamp,
+        known_at: Timestamp,
+        target: u64,
+        changes: ListChanges,
+    ) -> Vec<BackendChange> {
+        let is_older = self.confirmed_at.is_none_or(|own| own < known_at);
+        if !is_older || self.digest_after(&changes) != target {
+            return Vec::new();
+        }
+        let records = changes.records.into_iter();
+        let mut made: Vec<BackendChange> = records.filter_map(|r| self.put(r)).collect();
+        let gone = changes.gone.iter();
+        made.extend(gone.filter_map(|id| self.note_absent(now, id)));
+        made
+    }
+
+    /// Returns the digest that the list would have after changes.
+    fn digest_after(&self, changes: &ListChanges) -> u64 {
+        let listed = |id: &BackendId| {
+            let backend = self.backends.get(id)?;
+            Some(backend.record.leaving)
+        };
+        let mut digest = self.digest;
+        for record in &changes.records {
+            let before = listed(&record.id);
+            let leaving = record.leaving || before == Some(true);
+            for state in [before, Some(leaving)].into_iter().flatten() {
+                digest ^= record_digest(&record.id, state);
+            }
+        }
+        for id in &changes.gone {
+            if let Some(leaving) = listed(id) {
+                digest ^= record_digest(id, leaving);
+            }
+        }
+        digest
+    }
+
     /// Removes those that are still missing when the grace has passed.
     pub fn expire_missing(&mut self, now: Timestamp) -> Vec<BackendChange> {
         let over = self
@@ -319,7 +408,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.backends.remove(id);
+            self.remove(id);
         }
         gone.into_iter().map(BackendChange::Gone).collect()
     }
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -25,6 +25,7 @@
 use crate::gateway::edge::LogStore;
 use crate::gateway::edge::PlatformFormat;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::heard_changes::HeardChanges;
 use crate::gateway::held_bytes::ByteBudget;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::log_budget::LogBudget;
@@ -83,6 +84,8 @@
     pub links: PeerSender,
     /// The budget of log lines about requests.
     pub log_budget: Mutex<LogBudget>,
+    /// Changes of the list of backend servers that others told.
+    pub heard_changes: Mutex<HeardChanges>,
     /// Wakes the exchange of news.
     pub news_due: Notify,
     /// Ends all tasks.
@@ -128,6 +131,7 @@
             pool: BackendPool::new(),
             links: PeerSender::new(stop.clone(), log.clone()),
             log_budget: Mutex::new(LogBudget::new()),
+            heard_changes: Mutex::new(HeardChanges::default()),
             news_due: Notify::new(),
             stop,
             leaving: AtomicBool::new(false),
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -255,6 +255,11 @@
             counter!("cloverbend_log_lines_dropped_total").increment(dropped);
             info!(context.log, "log lines dropped"; "lines" => dropped);
         }
+        let heard = context.heard_changes.lock().take();
+        if let Some(heard) = heard {
+            info!(context.log, "backend servers heard of"; "joined" => heard.joined,
+                "leaving" => heard.leaving, "gone" => heard.gone);
+        }
         note_gauges(&context, &mut sizes);
         metrics_export::run_upkeep();
     }
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -122,6 +122,13 @@
         Some("2000"),
         "how long a leaving backend server may get new work",
     ),
+    setting(
+        "bounds",
+        "config_apply_ms",
+        "milliseconds",
+        Some("2000"),
+        "how long a new configuration may take to be in force everywhere",
+    ),
     setting(
         "bounds",
         "grace_s",
@@ -210,6 +217,8 @@
     pub fail_closed: bool,
     /// How long a leaving backend server may get new work.
     pub drain: Duration,
+    /// How long a new configuration may take to be in force everywhere.
+    pub config_apply: Duration,
     /// The time from SIGTERM to the end of the process.
     pub grace: Duration,
     /// How long a holder that lost the lease takes no other.
@@ -304,6 +313,7 @@
     let key_age = reader.defaulted("bounds", "key_age_ms");
     let fail_closed = reader.defaulted("bounds", "fail_closed");
     let drain = reader.defaulted("bounds", "drain_ms");
+    let config_apply = reader.defaulted("bounds", "config_apply_ms");
     let grace = reader.defaulted("bounds", "grace_s");
     let lease = reader.defaulted("bounds", "lease_ms");
     let ratio = reader.defaulted("bounds", "resend_ratio");
@@ -317,6 +327,7 @@
         key_age: Duration::from_millis(key_age?),
         fail_closed: fail_closed?,
         drain: Duration::from_millis(drain?),
+        config_apply: Duration::from_millis(config_apply?),
         grace: Duration::from_secs(grace?),
         lease: Duration::from_millis(lease?),
         resend: SendBudgetRule {
--- /dev/null
+++ b/lib/src/gateway/list_history.rs
@@ -0,0 +1,89 @@
+//! The last changes of the list of backend servers, so that an entry which knows
+//! an earlier state is told the difference and not the whole list.
+//!
+//! Pure. States are named by the digest of the list. Digests do not depend on
+//! the order of changes, so two entries that know the same servers name the
+//! same state, whoever told them.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::hash::Hasher;
+
+use twox_hash::XxHash64;
+
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendRecord;
+
+/// The changes that are remembered: those of a minute in which ten servers come
+/// or go each second. Whoever is further behind is told the whole list.
+const MAX_CHANGES: usize = 600;
+
+/// What an entry is told that knows an earlier state of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListChanges {
+    /// The records of servers that are new or changed.
+    pub records: Vec<BackendRecord>,
+    /// The servers that are no longer listed.
+    pub gone: Vec<BackendId>,
+}
+
+impl ListChanges {
+    /// Returns the number of servers that it tells of.
+    pub fn len(&self) -> usize {
+        self.records.len() + self.gone.len()
+    }
+
+    /// Returns whether it tells nothing.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// What an entry is told of the list of backend servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListOffer {
+    /// Nothing: the own list proves nothing.
+    Nothing,
+    /// The whole list.
+    Whole(Vec<BackendRecord>),
+    /// How it differs from the list that the entry has. With 200 servers of
+    /// which some come or go each second this is a hundredth of the whole.
+    Changes(ListChanges),
+}
+
+/// Returns what a server adds to the digest of the list.
+pub fn record_digest(id: &BackendId, leaving: bool) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    hasher.write(id.0.as_bytes());
+    hasher.write_u8(u8::from(leaving));
+    hasher.finish()
+}
+
+/// The last changes of a list.
+#[derive(Clone, Debug, Default)]
+pub struct ListHistory {
+    /// The digest before each change, and the server that changed.
+    changes: VecDeque<(u64, BackendId)>,
+}
+
+impl ListHistory {
+    /// Notes that a server of the list with the digest `before` changes.
+    pub fn note(&mut self, before: u64, id: &BackendId) {
+        self.changes.push_back((before, id.clone()));
+        if self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Returns the servers that changed since the list had a digest; none if
+    /// that is forgotten or never was.
+    pub fn changed_since(&self, digest: u64) -> Option<BTreeSet<&BackendId>> {
+        // The last time that the list was in that state counts.
+        let first = self
+            .changes
+            .iter()
+            .rposition(|(before, _)| *before == digest)?;
+        let changed = self.changes.range(first..).map(|(_, id)| id);
+        Some(changed.collect())
+    }
+}
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -63,6 +63,8 @@
     /// The digest of its list of backend servers.
     pub backends_hash: u64,
     answers_pulls: bool,
+    /// Whether it takes differences of the list of backend servers.
+    pub takes_changes: bool,
     was_heard: bool,
     their_time: u64,
     leaving: bool,
@@ -89,6 +91,7 @@
             revision: RevisionNumber(0),
             backends_hash: 0,
             answers_pulls: false,
+            takes_changes: false,
             was_heard: false,
             their_time: 0,
             leaving: false,
@@ -164,6 +167,7 @@
     own: EntryName,
     own_strength: VmStrength,
     peers: BTreeMap<EntryName, PeerState>,
+    is_listed: bool,
 }
 
 /// Hubs come in this order: the strongest first, then by hash.
@@ -181,6 +185,7 @@
             own,
             own_strength,
             peers: BTreeMap::new(),
+            is_listed: false,
         }
     }
 
@@ -203,6 +208,16 @@
         }
     }
 
+    /// Notes that the store's list of entries was read.
+    pub fn note_list_read(&mut self) {
+        self.is_listed = true;
+    }
+
+    /// Returns whether the store's list of entries was read.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Notes a message. One that is older than the last one of the same life
     /// changes nothing.
     pub fn note_news(&mut self, now: Timestamp, news: &GatewayNews) -> HeardLife {
@@ -227,6 +242,7 @@
         peer.their_time = news.sent_at;
         peer.revision = news.revision;
         peer.answers_pulls = news.answers_pulls;
+        peer.takes_changes = news.takes_changes;
         peer.backends_hash = news.backends_hash;
         peer.leaving = news.leaving;
         peer.fence = news.fence;
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -8,6 +8,7 @@
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::list_history::ListChanges;
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::AccountName;
 use crate::id::EntryName;
@@ -87,8 +88,11 @@
     pub admitted: Vec<AdmittedUnits>,
     /// The hubs that the sender uses itself.
     pub hubs: Vec<(EntryName, SocketAddr, VmStrength)>,
-    /// The backend servers, if the receiver's list differs.
+    /// The backend servers, if the receiver's list differs and it is not known
+    /// how.
     pub backends: Option<Vec<BackendRecord>>,
+    /// How the list differs from the one that the receiver told to have.
+    pub changes: Option<ListChanges>,
     /// Those that leave, while the list cannot be passed on.
     pub leaving: Vec<BackendId>,
 }
@@ -114,6 +118,9 @@
     /// Whether the sender answers questions for parts of the configuration's
     /// document. Entries of earlier versions close the connection instead.
     pub answers_pulls: bool,
+    /// Whether the sender takes differences of the list of backend servers.
+    /// Entries of earlier versions pass over them.
+    pub takes_changes: bool,
     /// The age of the sender's knowledge.
     pub echo: Option<ConfigEcho>,
     /// The fence of the lease, if the sender holds it.
@@ -206,6 +213,14 @@
     backends: Vec<BackendFrame>,
 }
 
+#[derive(Clone, PartialEq, Eq, Message)]
+struct ListChangesFrame {
+    #[prost(message, repeated, tag = "1")]
+    records: Vec<BackendFrame>,
+    #[prost(string, repeated, tag = "2")]
+    gone: Vec<String>,
+}
+
 #[derive(Clone, PartialEq, Eq, Message)]
 struct DigestFrame {
     #[prost(message, repeated, tag = "1")]
@@ -216,6 +231,8 @@
     backends: Option<BackendListFrame>,
     #[prost(string, repeated, tag = "4")]
     leaving: Vec<String>,
+    #[prost(message, optional, tag = "5")]
+    changes: Option<ListChangesFrame>,
 }
 
 /// The frame of [`GatewayNews`].
@@ -259,6 +276,8 @@
     strength: u32,
     #[prost(bool, tag = "20")]
     answers_pulls: bool,
+    #[prost(bool, tag = "21")]
+    takes_changes: bool,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -328,6 +347,21 @@
     })
 }
 
+fn write_changes(changes: ListChanges) -> ListChangesFrame {
+    ListChangesFrame {
+        records: changes.records.into_iter().map(write_backend).collect(),
+        gone: changes.gone.into_iter().map(|id| id.0).collect(),
+    }
+}
+
+fn read_changes(frame: ListChangesFrame) -> Result<ListChanges, WireError> {
+    let records = frame.records.into_iter().map(read_backend);
+    Ok(ListChanges {
+        records: records.collect::<Result<_, _>>()?,
+        gone: frame.gone.into_iter().map(BackendId).collect(),
+    })
+}
+
 fn write_digest(digest: HubDigest) -> DigestFrame {
     let hub = |(name, address, strength): (EntryName, SocketAddr, VmStrength)| HubFrame {
         name: name.into(),
@@ -342,6 +376,7 @@
         hubs: digest.hubs.into_iter().map(hub).collect(),
         backends: digest.backends.map(list),
         leaving: digest.leaving.into_iter().map(|id| id.0).collect(),
+        changes: digest.changes.map(write_changes),
     }
 }
 
@@ -357,6 +392,7 @@
         hubs: frame.hubs.into_iter().map(hub).collect::<Result<_, _>>()?,
         backends: frame.backends.map(list).transpose()?,
         leaving: frame.leaving.into_iter().map(BackendId).collect(),
+        changes: frame.changes.map(read_changes).transpose()?,
     })
 }
 
@@ -371,6 +407,7 @@
             leaving: news.leaving,
             revision: news.revision.0,
             answers_pulls: news.answers_pulls,
+            takes_changes: news.takes_changes,
             echo: news.echo.map(|echo| EchoFrame {
                 incarnation: echo.incarnation.0,
                 sent_at: echo.sent_at,
@@ -409,6 +446,7 @@
             leaving: frame.leaving,
             revision: RevisionNumber(frame.revision),
             answers_pulls: frame.answers_pulls,
+            takes_changes: frame.takes_changes,
             echo: frame.echo.map(|echo| ConfigEcho {
                 incarnation: Incarnation(echo.incarnation),
                 sent_at: echo.sent_at,
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -12,10 +12,10 @@
 use crate::gateway::account_limits::NEWS_PAUSE;
 use crate::gateway::account_limits::ShareView;
 use crate::gateway::backend_record::BackendId;
-use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::document_parts::DocumentPart;
 use crate::gateway::document_parts::DocumentPull;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::list_history::ListOffer;
 use crate::gateway::peer_book::DueMessage;
 use crate::gateway::peer_book::HeardLife;
 use crate::gateway::peer_book::add_uses;
@@ -28,6 +28,7 @@
 use crate::gateway::peer_news::WindowCount;
 use crate::gateway::store_task::adopt_arrived;
 use crate::gateway::store_task::adopt_backends;
+use crate::gateway::store_task::adopt_changes;
 use crate::gateway::store_task::note_leaving;
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::EntryName;
@@ -103,6 +104,7 @@
         leaving: context.is_leaving(),
         revision,
         answers_pulls: true,
+        takes_changes: true,
         echo: None,
         fence,
         tells: true,
@@ -190,6 +192,7 @@
     let receiver = peers.get(&message.name);
     let incarnation = receiver.and_then(|peer| peer.incarnation);
     let their_hash = receiver.map_or(0, |peer| peer.backends_hash);
+    let takes_changes = receiver.is_some_and(|peer| peer.takes_changes);
     news.view = Some(HubView {
         entries: knowledge.share.entries,
         heard: knowledge.share.heard,
@@ -199,22 +202,22 @@
     let differs = their_hash != news.backends_hash;
     let offered = differs && peers.offers_list(now, &message.name, news.backends_hash);
     drop(peers);
+    let known = takes_changes.then_some(their_hash);
+    let offer = offered.then(|| context.backends.lock().offer(known));
+    let (backends, changes) = match offer {
+        None | Some(ListOffer::Nothing) => (None, None),
+        Some(ListOffer::Whole(records)) => (Some(records), None),
+        Some(ListOffer::Changes(changes)) => (None, Some(changes)),
+    };
     news.digest = Some(HubDigest {
         admitted: context.limits.lock().totals_without(incarnation),
         hubs: knowledge.hubs.clone(),
-        backends: offered_backends(context, offered),
+        backends,
+        changes,
         leaving: told_leaving(context, differs),
     });
 }
 
-/// Returns the list of backend servers if it is offered. One with missing
-/// records is not passed on: they may be back.
-fn offered_backends(context: &GatewayContext, offered: bool) -> Option<Vec<BackendRecord>> {
-    let backends = context.backends.lock();
-    let offered = offered && !backends.has_missing();
-    offered.then(|| backends.records())
-}
-
 /// Asks an entry that is ahead for the next part of the configuration, if this
 /// entry is behind and no answer is open.
 fn pull_document(context: &GatewayContext, now: Timestamp) {
@@ -413,6 +416,9 @@
     if let (Some(records), Some(known)) = (&digest.backends, known) {
         adopt_backends(context, records, known);
     }
+    if let (Some(changes), Some(known)) = (&digest.changes, known) {
+        adopt_changes(context, changes, news.backends_hash, known);
+    }
     note_leaving(context, &digest.leaving);
 }
 
--- /dev/null
+++ b/lib/src/gateway/store_rhythm.rs
@@ -0,0 +1,82 @@
+//! How often an entry reads the store, and which entries do.
+//!
+//! Pure. Each call to the store costs, and hundreds of entries that all ask are
+//! refused by it. So one entry reads, the first hub, and the others hear from
+//! it. The next hubs take its place once their knowledge is older than its
+//! reads and the way of its news explain, and all others read for themselves
+//! while there still is time to keep what operators are promised.
+
+use std::time::Duration;
+
+use crate::gateway::peer_book::HUB_COUNT;
+
+/// The share of its bound for which a read of the configuration waits for news.
+/// A change ends the wait at once. An empty answer proves that there was none,
+/// so that knowledge is at least this old in places.
+const WAIT_SHARE: f64 = 0.2;
+/// The share of its bound between reads of the backend servers. Two ways of
+/// news, a quarter of a second each, and a read that fails fit in beside it.
+const PAUSE_SHARE: f64 = 0.3;
+/// The shares of a bound from which on entries read for themselves: the first
+/// hub always, the next ones one after the other, and the last one everybody,
+/// with a quarter of the bound left for it.
+const OWN_READ_SHARES: [f64; HUB_COUNT + 1] = [0.0, 0.55, 0.65, 0.75];
+/// How long entries that start for the first time, all together, wait for a
+/// hub's word before they read the store themselves. Callers come later.
+const FIRST_WORD: Duration = Duration::from_millis(3_000);
+
+/// The rhythm of reads that keeps one bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreRhythm {
+    bound: Duration,
+}
+
+impl StoreRhythm {
+    /// Returns the rhythm by which a change is known everywhere within `bound`.
+    pub fn of_bound(bound: Duration) -> Self {
+        Self { bound }
+    }
+
+    /// Returns how long a read waits for news.
+    pub fn wait(self) -> Duration {
+        self.bound.mul_f64(WAIT_SHARE)
+    }
+
+    /// Returns the pause between reads that do not wait.
+    pub fn pause(self) -> Duration {
+        self.bound.mul_f64(PAUSE_SHARE)
+    }
+
+    /// Returns the age of knowledge from which on the entry of a rank among
+    /// the hubs reads for itself.
+    pub fn own_read_age(self, rank: usize) -> Duration {
+        let share = OWN_READ_SHARES[rank.min(HUB_COUNT)];
+        self.bound.mul_f64(share)
+    }
+}
+
+/// What an entry knows when it decides whether to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderState {
+    /// How many entries that may be hubs come before it.
+    pub rank: usize,
+    /// The age of its knowledge, if it has any.
+    pub age: Option<Duration>,
+    /// Whether all entries start for the first time.
+    pub first_start: bool,
+    /// Whether it has read which other entries there are.
+    pub knows_others: bool,
+    /// How long it has run.
+    pub uptime: Duration,
+}
+
+impl ReaderState {
+    /// Returns whether to read the store now.
+    pub fn reads(self, rhythm: StoreRhythm) -> bool {
+        let Some(age) = self.age else {
+            let is_reader = self.knows_others && self.rank < HUB_COUNT;
+            return !self.first_start || is_reader || self.uptime >= FIRST_WORD;
+        };
+        age >= rhythm.own_read_age(self.rank)
+    }
+}
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -22,25 +22,17 @@
 use crate::gateway::edge::LogTopic;
 use crate::gateway::edge::StoreError;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::list_history::ListChanges;
 use crate::gateway::packed_document::PackedDocument;
+use crate::gateway::store_rhythm::ReaderState;
+use crate::gateway::store_rhythm::StoreRhythm;
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::EntryName;
 use crate::id::LogOffset;
 use crate::quantity::Timestamp;
 
-/// How long a read of the configuration waits for news. Its answer, also an
-/// empty one, proves that the configuration is the newest.
-const CONFIG_WAIT: Duration = Duration::from_millis(350);
-/// The age of knowledge from which on an entry reads for itself that is not
-/// among the first hubs, whose answers usually keep it younger.
-const OWN_READ_AGE: Duration = Duration::from_millis(1_500);
-/// How many of the first hubs always read.
-const READING_HUBS: usize = 2;
 /// The pause between looks at the age of knowledge.
 const AGE_CHECK: Duration = Duration::from_millis(100);
-/// The pause between reads of the backend servers. A server that leaves may
-/// get new work for two seconds after it said so.
-const BACKENDS_PAUSE: Duration = Duration::from_millis(600);
 /// The pause after a failed call to the store, also before it is doubled.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// The longest such pause of an entry that hears the store's news from others.
@@ -115,38 +107,50 @@
     }
 }
 
-/// Returns whether this entry reads the store however young its knowledge is:
-/// the first hubs do, and the holder of the lease, which has to know whether
-/// the store answers it.
+/// Returns whether others depend on this entry's reads: the first hub's, and
+/// those of the holder of the lease, which has to know whether the store
+/// answers it.
 fn always_reads(context: &GatewayContext) -> bool {
     let rank = context.peers.lock().rank(context.now());
-    rank < READING_HUBS || context.duties.lock().fence().is_some()
+    rank == 0 || context.duties.lock().fence().is_some()
 }
 
 /// Waits while other entries keep the knowledge young enough.
-async fn wait_own_read(context: &GatewayContext, known_at: impl Fn() -> Option<Timestamp>) {
-    loop {
-        let now = context.now();
-        let old = known_at().is_none_or(|at| now.since(at) >= OWN_READ_AGE);
-        if old || always_reads(context) {
-            return;
-        }
+async fn wait_own_read(
+    context: &GatewayContext,
+    rhythm: StoreRhythm,
+    known_at: impl Fn() -> Option<Timestamp>,
+) {
+    while !reader_state(context, known_at()).reads(rhythm) {
         tokio::time::sleep(AGE_CHECK).await;
     }
 }
 
+fn reader_state(context: &GatewayContext, known_at: Option<Timestamp>) -> ReaderState {
+    let now = context.now();
+    let peers = context.peers.lock();
+    ReaderState {
+        rank: peers.rank(now),
+        age: known_at.map(|at| now.since(at)),
+        first_start: context.settings.first_start,
+        knows_others: peers.is_listed(),
+        uptime: now.since(Timestamp(0)),
+    }
+}
+
 /// Follows the configuration until the entry stops.
 pub async fn follow_config(context: Arc<GatewayContext>) {
     let mut watch = DependencyWatch::new("store: configuration");
+    let rhythm = StoreRhythm::of_bound(context.settings.bounds.config_apply);
     loop {
-        wait_own_read(&context, || context.config.lock().confirmed_at()).await;
+        wait_own_read(&context, rhythm, || context.config.lock().confirmed_at()).await;
         let asked_at = context.now();
         let store = &context.edges.store;
         let topic = LogTopic::Configuration;
         let next = context.config.lock().log_end();
         let result = match next {
             None => store.newest(topic).await,
-            Some(from) => store.read(topic, from, watch.patience(CONFIG_WAIT)).await,
+            Some(from) => store.read(topic, from, watch.patience(rhythm.wait())).await,
         };
         watch.note(&context, &result);
         match result {
@@ -252,9 +256,10 @@
 /// Follows the backend servers until the entry stops.
 pub async fn follow_backends(context: Arc<GatewayContext>) {
     let mut watch = DependencyWatch::new("store: backend servers");
+    let rhythm = StoreRhythm::of_bound(context.settings.bounds.drain);
     let mut next: Option<LogOffset> = None;
     loop {
-        wait_own_read(&context, || context.backends.lock().confirmed_at()).await;
+        wait_own_read(&context, rhythm, || context.backends.lock().confirmed_at()).await;
         let asked_at = context.now();
         let store = &context.edges.store;
         let topic = LogTopic::Backends;
@@ -273,7 +278,7 @@
                 next = Some(slice.end);
                 apply_backends(&context, &slice, whole);
                 context.backends.lock().confirm(asked_at);
-                tokio::time::sleep(BACKENDS_PAUSE).await;
+                tokio::time::sleep(rhythm.pause()).await;
             }
             Err(StoreError::Forgotten(_)) => next = None,
             Err(_) => watch.wait_after_failure(&context).await,
@@ -289,9 +294,22 @@
     let mut backends = context.backends.lock();
     let changes = backends.replace_older(now, known_at, records.to_vec());
     drop(backends);
-    for change in changes {
-        note_backend_change(context, &change);
-    }
+    note_heard_changes(context, &changes);
+}
+
+/// Takes over how the list of another entry differs from the own one. That list
+/// was the newest at `known_at` and has the digest `target`.
+pub fn adopt_changes(
+    context: &GatewayContext,
+    changes: &ListChanges,
+    target: u64,
+    known_at: Timestamp,
+) {
+    let now = context.now();
+    let mut backends = context.backends.lock();
+    let made = backends.apply_changes(now, known_at, target, changes.clone());
+    drop(backends);
+    note_heard_changes(context, &made);
 }
 
 /// Takes over that servers leave, as another entry told.
@@ -302,9 +320,7 @@
         .filter_map(|id| backends.note_leaving(id))
         .collect();
     drop(backends);
-    for change in changes {
-        note_backend_change(context, &change);
-    }
+    note_heard_changes(context, &changes);
 }
 
 /// Returns the last record of each key. Earlier ones must not be applied: this
@@ -345,6 +361,24 @@
     }
 }
 
+/// Notes changes that another entry told. Hundreds of entries learn of each, so
+/// only those that read it in the store write a line about it, and the others
+/// one a second with the numbers.
+fn note_heard_changes(context: &GatewayContext, changes: &[BackendChange]) {
+    counter!("cloverbend_backend_changes_total").increment(changes.len() as u64);
+    let mut heard = context.heard_changes.lock();
+    for change in changes {
+        heard.note(change);
+    }
+    drop(heard);
+    for change in changes {
+        if let BackendChange::Gone(id) = change {
+            context.pool.forget(id);
+        }
+    }
+}
+
+/// Notes a change that this entry read in the store.
 fn note_backend_change(context: &GatewayContext, change: &BackendChange) {
     counter!("cloverbend_backend_changes_total").increment(1);
     match change {
@@ -378,6 +412,11 @@
 
 /// Lists this entry, then reads who else is listed: at once, again when all
 /// that started together are listed, and whenever no other entry is heard.
+///
+/// The topic is read as a log, which is one call for any number of entries
+/// while their records are recent and for those that came since. Its newest
+/// records by key come in pages: with 295 entries that start together, 12 calls
+/// of each of them.
 pub async fn join_entries(context: Arc<GatewayContext>) {
     let listing = EntryListing {
         address: context.settings.peer_address,
@@ -402,13 +441,29 @@
         tokio::time::sleep(LISTING_PAUSE).await;
     }
     let mut pause = RELIST_PAUSE;
+    let mut next = Some(LogOffset(0));
     loop {
-        let listed = store.newest(LogTopic::Entries).await;
+        let listed = match next {
+            None => store.newest(LogTopic::Entries).await,
+            Some(from) => store.read(LogTopic::Entries, from, Duration::ZERO).await,
+        };
         watch.note(&context, &listed);
-        let Ok(slice) = listed else {
-            tokio::time::sleep(LISTING_PAUSE).await;
-            continue;
+        let slice = match listed {
+            Ok(slice) if passes_over(&slice, next) => {
+                next = None;
+                continue;
+            }
+            Ok(slice) => slice,
+            Err(StoreError::Forgotten(_)) => {
+                next = None;
+                continue;
+            }
+            Err(_) => {
+                tokio::time::sleep(LISTING_PAUSE).await;
+                continue;
+            }
         };
+        next = Some(slice.end);
         note_listed(&context, &slice);
         tokio::time::sleep(pause).await;
         // The second read finds those that started together with this entry.
@@ -446,4 +501,5 @@
             _ => warn!(context.log, "entry's listing refused"; "key" => record.key.as_deref()),
         }
     }
+    peers.note_list_read();
 }
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -11,6 +11,8 @@
 use cloverbend::gateway::call_head::PromptPart;
 use cloverbend::gateway::engine_choice::ChoiceQuery;
 use cloverbend::gateway::engine_choice::choose_backend;
+use cloverbend::gateway::list_history::ListChanges;
+use cloverbend::gateway::list_history::ListOffer;
 use cloverbend::gateway::send_budget::SendBudget;
 use cloverbend::gateway::send_budget::SendBudgetRule;
 use cloverbend::id::ServiceName;
@@ -116,6 +118,81 @@
     assert!(!set.get(&id("b")).unwrap().takes_work());
 }
 
+/// Returns the differences that `set` offers to an entry with that digest.
+fn changes_for(set: &BackendSet, digest: u64) -> ListChanges {
+    match set.offer(Some(digest)) {
+        ListOffer::Changes(changes) => changes,
+        other => panic!("no differences but {other:?}"),
+    }
+}
+
+#[test]
+fn an_entry_that_is_behind_is_told_the_difference() {
+    let mut hub = set_of(&["a", "b", "c"]);
+    let mut leaf = hub.clone();
+    hub.put(record("d", false));
+    hub.note_leaving(&id("a"));
+    hub.note_absent(at(10_000), &id("b"));
+    let changes = changes_for(&hub, leaf.list_hash());
+    assert_eq!(changes.records, [record("a", true), record("d", false)]);
+    assert_eq!(changes.gone, [id("b")]);
+    leaf.apply_changes(at(10_050), at(10_000), hub.list_hash(), changes);
+    assert_eq!(leaf.records(), hub.records());
+    assert_eq!(leaf.list_hash(), hub.list_hash());
+}
+
+#[test]
+fn differences_that_overlap_are_taken_over_once() {
+    let mut hub = set_of(&["a"]);
+    let mut leaf = hub.clone();
+    let known = leaf.list_hash();
+    hub.put(record("b", false));
+    let first = (changes_for(&hub, known), hub.list_hash());
+    hub.put(record("c", false));
+    // The leaf's word that it has the first had not come yet.
+    let second = (changes_for(&hub, known), hub.list_hash());
+    for (changes, target) in [first, second] {
+        leaf.apply_changes(at(10_050), at(10_000), target, changes);
+    }
+    assert_eq!(leaf.records(), hub.records());
+}
+
+#[test]
+fn a_difference_to_another_list_changes_nothing() {
+    let mut hub = set_of(&["a"]);
+    let known = hub.list_hash();
+    hub.put(record("b", false));
+    let changes = changes_for(&hub, known);
+    let mut other = set_of(&["x"]);
+    assert_eq!(
+        other.apply_changes(at(10_050), at(10_000), hub.list_hash(), changes),
+        []
+    );
+    assert_eq!(other.records(), [record("x", false)]);
+}
+
+#[test]
+fn a_difference_from_before_the_own_proof_changes_nothing() {
+    let mut hub = set_of(&["a"]);
+    let mut leaf = hub.clone();
+    let known = hub.list_hash();
+    hub.put(record("b", false));
+    let changes = changes_for(&hub, known);
+    leaf.confirm(at(10_000));
+    assert_eq!(
+        leaf.apply_changes(at(10_050), at(9_950), hub.list_hash(), changes),
+        []
+    );
+}
+
+#[test]
+fn whoever_has_lost_track_is_told_the_whole_list() {
+    let hub = set_of(&["a", "b"]);
+    let whole = ListOffer::Whole(hub.records());
+    assert_eq!(hub.offer(Some(77)), whole);
+    assert_eq!(hub.offer(None), whole);
+}
+
 #[test]
 fn equal_lists_have_equal_digests() {
     let mut one = set_of(&["a", "b"]);
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -4,6 +4,7 @@
 use cloverbend::gateway::backend_record::BackendId;
 use cloverbend::gateway::backend_record::BackendRecord;
 use cloverbend::gateway::event_splitter::EventSplitter;
+use cloverbend::gateway::list_history::ListChanges;
 use cloverbend::gateway::peer_book::DueMessage;
 use cloverbend::gateway::peer_book::HUB_COUNT;
 use cloverbend::gateway::peer_book::HeardLife;
@@ -42,6 +43,7 @@
         leaving: false,
         revision: RevisionNumber(1),
         answers_pulls: true,
+        takes_changes: true,
         echo: None,
         fence: None,
         tells: false,
@@ -414,6 +416,10 @@
             leaving: true,
             reclaimable: true,
         }]),
+        changes: Some(ListChanges {
+            records: Vec::new(),
+            gone: vec![BackendId("d".to_owned())],
+        }),
         leaving: vec![BackendId("c".to_owned())],
     });
     full
--- /dev/null
+++ b/lib/tests/test_store_rhythm.rs
@@ -0,0 +1,80 @@
+//! Which entries read the store, and how often.
+
+use std::time::Duration;
+
+use cloverbend::gateway::store_rhythm::ReaderState;
+use cloverbend::gateway::store_rhythm::StoreRhythm;
+use rstest::rstest;
+
+const BOUND: Duration = Duration::from_millis(2_000);
+
+fn state(rank: usize, age_ms: Option<u64>) -> ReaderState {
+    ReaderState {
+        rank,
+        age: age_ms.map(Duration::from_millis),
+        first_start: false,
+        knows_others: true,
+        uptime: Duration::from_secs(20),
+    }
+}
+
+/// The first hub reads always; each next one once the ones before seem to fail.
+#[rstest]
+#[case::first_hub(0, 0, true)]
+#[case::second_hub_trusts_the_first(1, 1_050, false)]
+#[case::second_hub_takes_its_place(1, 1_100, true)]
+#[case::third_hub_waits_for_the_second(2, 1_250, false)]
+#[case::third_hub(2, 1_300, true)]
+#[case::others_wait_longest(3, 1_450, false)]
+#[case::others(3, 1_500, true)]
+#[case::the_last_of_hundreds(290, 1_500, true)]
+fn entries_read_one_after_the_other(#[case] rank: usize, #[case] age: u64, #[case] reads: bool) {
+    let rhythm = StoreRhythm::of_bound(BOUND);
+    assert_eq!(state(rank, Some(age)).reads(rhythm), reads);
+}
+
+#[test]
+fn an_entry_that_starts_again_reads_at_once() {
+    let rhythm = StoreRhythm::of_bound(BOUND);
+    let restarted = ReaderState {
+        uptime: Duration::ZERO,
+        knows_others: false,
+        ..state(0, None)
+    };
+    assert!(restarted.reads(rhythm));
+}
+
+/// At the first start of all, entries hear from hubs; whoever hears nothing
+/// reads before callers come.
+#[rstest]
+#[case::nobody_is_known_yet(0, false, 20, false)]
+#[case::a_hub(2, true, 20, true)]
+#[case::no_hub(3, true, 2_900, false)]
+#[case::no_hub_and_no_word(3, true, 3_000, true)]
+#[case::the_list_cannot_be_read(0, false, 3_000, true)]
+fn entries_that_start_together_wait_for_a_hub(
+    #[case] rank: usize,
+    #[case] knows_others: bool,
+    #[case] uptime_ms: u64,
+    #[case] reads: bool,
+) {
+    let rhythm = StoreRhythm::of_bound(BOUND);
+    let starting = ReaderState {
+        first_start: true,
+        knows_others,
+        uptime: Duration::from_millis(uptime_ms),
+        ..state(rank, None)
+    };
+    assert_eq!(starting.reads(rhythm), reads);
+}
+
+/// What is left of a bound once the last entries read for themselves: as much
+/// as a read that waits, so that one that is lost can be repeated.
+#[test]
+fn a_quarter_of_the_bound_is_left_for_own_reads() {
+    let rhythm = StoreRhythm::of_bound(BOUND);
+    let left = BOUND - rhythm.own_read_age(usize::MAX);
+    assert!(left >= BOUND / 4);
+    assert!(left >= rhythm.wait());
+    assert!(rhythm.pause() + Duration::from_millis(500) <= rhythm.own_read_age(1));
+}
