--- a/lib/src/gateway/account_limits.rs
+++ b/lib/src/gateway/account_limits.rs
@@ -16,6 +16,8 @@
 
 use twox_hash::XxHash64;
 
+use crate::gateway::account_use::AccountUse;
+use crate::gateway::account_use::TELLING_TIME;
 use crate::gateway::site_config::AccountRule;
 use crate::id::AccountName;
 use crate::id::Incarnation;
@@ -61,19 +63,12 @@
 /// buckets between news. Of it, and of what the bucket holds, every entry may
 /// give out its part, and one request however large.
 const UNHEARD_SLACK: f64 = 0.3;
-/// How long it takes until what one entry admits is known at all others: a pause
-/// between its news, and one between those of a hub.
-const TELLING_TIME: Duration = Duration::from_millis(500);
-/// The time over which an account's use is averaged: long enough to even out
-/// single large requests, short enough to follow callers who begin to press.
-const USE_TIME: Duration = Duration::from_secs(1);
-/// The time over which an entry's part of an account's use is averaged: some
-/// requests of each caller's connection.
-const PART_TIME: Duration = Duration::from_secs(4);
-/// The use, in seconds of an account's rate, that is taken to be spread evenly
-/// over all entries beside what was seen. It keeps a small part for callers
-/// that come by entries which have seen none.
-const EVEN_USE: f64 = 0.5;
+/// A bucket is ample if it holds so many times what all entries admit until they
+/// hear of each other.
+const AMPLE_TIMES: f64 = 2.0;
+/// The part of an ample bucket that any entry may give out between news: some
+/// requests of a caller who comes with several at once.
+const AMPLE_PART: f64 = 0.1;
 /// The least share of requests that is admitted while a bucket holds enough,
 /// which bounds the time after which a caller is asked to come back.
 const LEAST_SHARE: f64 = 0.05;
@@ -117,86 +112,6 @@
     pub units: u64,
 }
 
-/// Units of which the older ones fade.
-#[derive(Clone, Copy, Debug)]
-struct FadingUnits {
-    units: f64,
-    at: Timestamp,
-    time: Duration,
-}
-
-impl FadingUnits {
-    fn new(now: Timestamp, time: Duration) -> Self {
-        Self {
-            units: 0.0,
-            at: now,
-            time,
-        }
-    }
-
-    fn note(&mut self, now: Timestamp, units: f64) {
-        self.units = self.at(now) + units;
-        self.at = self.at.max(now);
-    }
-
-    fn at(&self, now: Timestamp) -> f64 {
-        self.units * (-now.since(self.at).div_duration_f64(self.time)).exp()
-    }
-}
-
-/// What was admitted of an account lately, as far as this entry knows.
-#[derive(Clone, Copy, Debug)]
-struct AccountUse {
-    known_since: Timestamp,
-    all: FadingUnits,
-    own_part: FadingUnits,
-    all_parts: FadingUnits,
-}
-
-impl AccountUse {
-    fn new(now: Timestamp) -> Self {
-        Self {
-            known_since: now,
-            all: FadingUnits::new(now, USE_TIME),
-            own_part: FadingUnits::new(now, PART_TIME),
-            all_parts: FadingUnits::new(now, PART_TIME),
-        }
-    }
-
-    fn note_others(&mut self, now: Timestamp, units: f64) {
-        self.all.note(now, units);
-        self.all_parts.note(now, units);
-    }
-
-    fn note_own(&mut self, now: Timestamp, units: f64) {
-        self.note_others(now, units);
-        self.own_part.note(now, units);
-    }
-
-    /// Returns how much is admitted until what an entry admits now is known at
-    /// all others; none while too little was heard to tell.
-    fn until_told(&self, now: Timestamp) -> Option<f64> {
-        let known = now.since(self.known_since);
-        let seen = 1.0 - (-known.div_duration_f64(USE_TIME)).exp();
-        let is_known = known >= TELLING_TIME;
-        is_known.then(|| self.all.at(now) / seen * TELLING_TIME.div_duration_f64(USE_TIME))
-    }
-
-    /// Returns how much more was admitted than a rate earned meanwhile.
-    fn excess(&self, now: Timestamp, rate: f64) -> f64 {
-        let known = now.since(self.known_since);
-        let seen = 1.0 - (-known.div_duration_f64(PART_TIME)).exp();
-        let earned = rate * PART_TIME.as_secs_f64() * seen;
-        (self.all_parts.at(now) - earned).max(0.0)
-    }
-
-    /// Returns this entry's part of the use, one of `entries` entries.
-    fn part(&self, now: Timestamp, rate: f64, entries: f64) -> f64 {
-        let even = rate * EVEN_USE;
-        (self.own_part.at(now) + even / entries) / (self.all_parts.at(now) + even)
-    }
-}
-
 #[derive(Clone, Debug)]
 struct AccountBucket {
     /// Units that were admitted since the last news.
@@ -220,6 +135,58 @@
 }
 
 impl AccountBucket {
+    /// Opens a bucket from which others took `excess` more than was earned.
+    fn open(now: Timestamp, capacity: f64, excess: f64, starts_full: bool) -> Self {
+        let (level, started_part) = if starts_full {
+            (capacity, 1.0)
+        } else {
+            (0.0, 0.0)
+        };
+        Self {
+            unheard: 0.0,
+            allowance: None,
+            heard_at: now,
+            level: level - excess,
+            capacity,
+            fill: 0.0,
+            filled_at: now,
+            admitted: 0,
+            started_part,
+            own_part: 0.0,
+            draws: 0,
+        }
+    }
+
+    /// Fills the bucket at this entry's part of the limit. `whole` is what the
+    /// bucket holds if all entries are heard.
+    fn set_part(&mut self, now: Timestamp, rule: &AccountRule, whole: f64, part: f64) {
+        if part > self.started_part {
+            self.level += whole * START_LEVEL * (part - self.started_part);
+            self.started_part = part;
+        }
+        self.fill = rule.rate * part;
+        self.capacity = whole * part;
+        self.refill(now);
+    }
+
+    /// Returns when to come back if the bucket holds too little for a request.
+    /// Large ones need no fuller bucket than others, else they would hardly ever
+    /// be admitted; what they overdraw is paid back first.
+    fn check_level(&self, units: u64) -> Result<(), Duration> {
+        let needed = (units as f64).min(self.capacity * LARGE_REQUEST);
+        if self.level >= needed {
+            return Ok(());
+        }
+        let missing = (needed - self.level) / self.fill.max(f64::MIN_POSITIVE);
+        Err(Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX))
+    }
+
+    fn note_admitted(&mut self, units: u64) {
+        self.unheard += units as f64;
+        self.level -= units as f64;
+        self.admitted += units;
+    }
+
     /// Adds what the rate earned since the last time.
     fn refill(&mut self, now: Timestamp) {
         let earned = now.since(self.filled_at).as_secs_f64() * self.fill;
@@ -240,8 +207,21 @@
     }
 
     /// Returns when to come back if this entry's part of the level, which grows
-    /// by `fill` a second since the last news, has no room for a request.
-    fn take_allowance(&self, passed: Duration, fill: f64, units: u64) -> Result<(), Duration> {
+    /// since the last news, has no room for a request.
+    fn take_allowance(
+        &self,
+        now: Timestamp,
+        rate: f64,
+        news: &NewsView,
+        units: u64,
+    ) -> Result<(), Duration> {
+        let passed = now.since(news.heard_at);
+        let part = if news.is_fresh {
+            self.own_part
+        } else {
+            1.0 / news.entries
+        };
+        let fill = rate * part;
         let allowed = self.allowance.unwrap_or(0.0) + fill * passed.as_secs_f64();
         let missing = self.unheard + units as f64 - allowed;
         if self.unheard <= 0.0 || missing <= 0.0 {
@@ -253,11 +233,13 @@
     }
 
     /// Admits every request as long as all entries together leave something of
-    /// the bucket until they hear of each other, and the share of them that is
-    /// left otherwise. Without this, hundreds of entries that admit one request
+    /// the bucket, and of what it earns, until they hear of each other, and the
+    /// share of them that is left otherwise. Without this, hundreds of entries that admit one request
     /// each between news exceed a limit by far.
     fn thin_out(&mut self, own: Incarnation, until_told: f64) -> Result<(), Duration> {
-        let share = (self.level.max(0.0) / until_told.max(1.0)).max(LEAST_SHARE);
+        let earned = self.fill * TELLING_TIME.as_secs_f64();
+        let left = self.level.max(0.0) + earned;
+        let share = (left / until_told.max(1.0)).max(LEAST_SHARE);
         if share >= 1.0 {
             return Ok(());
         }
@@ -270,6 +252,17 @@
     }
 }
 
+/// What an entry has heard of the others when it decides about a request.
+#[derive(Clone, Copy, Debug)]
+struct NewsView {
+    /// When the last news came.
+    heard_at: Timestamp,
+    /// Whether they are recent enough to go by.
+    is_fresh: bool,
+    /// How many entries share the limits.
+    entries: f64,
+}
+
 /// What one entry told that it admitted.
 #[derive(Clone, Copy, Debug)]
 struct ToldUnits {
@@ -328,74 +321,40 @@
         if rule.rate <= 0.0 {
             return Ok(());
         }
-        let starts_full = self.starts_full;
         let part = self.part(now, view);
+        let news = NewsView {
+            heard_at: self.heard_at,
+            is_fresh: view.heard > 1 && now.since(self.heard_at) < NEWS_OVERDUE,
+            entries: view.entries.max(1) as f64,
+        };
         let whole = self.slack.capacity(rule);
-        let capacity = whole * part;
-        let heard_at = self.heard_at;
-        let news_are_fresh = view.heard > 1 && now.since(heard_at) < NEWS_OVERDUE;
+        let slack = self.slack.total(rule) * UNHEARD_SLACK;
         let recent = self
             .uses
             .entry(rule.name.clone())
             .or_insert_with(|| AccountUse::new(now));
-        // Others may have emptied the bucket before its first request here.
-        let excess = recent
-            .excess(now, rule.rate)
-            .min(MAX_DEBT_BUCKETS * capacity);
-        let bucket = self
-            .buckets
-            .entry(rule.name.clone())
-            .or_insert_with(|| AccountBucket {
-                level: if starts_full {
-                    capacity - excess
-                } else {
-                    -excess
-                },
-                capacity,
-                fill: 0.0,
-                filled_at: now,
-                admitted: 0,
-                unheard: 0.0,
-                allowance: None,
-                heard_at,
-                started_part: if starts_full { 1.0 } else { 0.0 },
-                own_part: 0.0,
-                draws: 0,
-            });
-        if part > bucket.started_part {
-            bucket.level += whole * START_LEVEL * (part - bucket.started_part);
-            bucket.started_part = part;
-        }
-        let fill = rule.rate * part;
-        bucket.fill = fill;
-        bucket.capacity = capacity;
-        bucket.refill(now);
-        // Large requests need no fuller bucket than others, else they would
-        // hardly ever be admitted; what they overdraw is paid back first.
-        let needed = (units as f64).min(capacity * LARGE_REQUEST);
-        if bucket.level < needed {
-            let missing = (needed - bucket.level) / fill.max(f64::MIN_POSITIVE);
-            return Err(Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX));
-        }
+        let bucket = self.buckets.entry(rule.name.clone()).or_insert_with(|| {
+            // Others may have emptied the bucket before its first request here.
+            let most = MAX_DEBT_BUCKETS * whole * part;
+            let excess = recent.excess(now, rule.rate).min(most);
+            AccountBucket::open(now, whole * part, excess, self.starts_full)
+        });
+        bucket.set_part(now, rule, whole, part);
+        bucket.check_level(units)?;
         // What is admitted before others hear of it is bounded too.
-        let entries = view.entries.max(1) as f64;
-        let slack = self.slack.total(rule) * UNHEARD_SLACK;
-        let own_part = recent.part(now, rule.rate, (part * entries).max(1.0));
-        bucket.renew_allowance(heard_at, own_part, slack);
-        let passed = now.since(heard_at);
-        let fill = if news_are_fresh {
-            rule.rate * bucket.own_part
-        } else {
-            rule.rate / entries
+        let until_told = recent.until_told(now).filter(|_| news.is_fresh);
+        let own_part = recent.part(now, rule.rate, (part * news.entries).max(1.0));
+        let own_part = match until_told {
+            Some(used) if bucket.level >= used * AMPLE_TIMES => own_part.max(AMPLE_PART),
+            _ => own_part,
         };
-        bucket.take_allowance(passed, fill, units)?;
-        if let Some(until_told) = recent.until_told(now).filter(|_| news_are_fresh) {
+        bucket.renew_allowance(news.heard_at, own_part, slack);
+        bucket.take_allowance(now, rule.rate, &news, units)?;
+        if let Some(until_told) = until_told {
             bucket.thin_out(self.own, until_told)?;
         }
         recent.note_own(now, units as f64);
-        bucket.unheard += units as f64;
-        bucket.level -= units as f64;
-        bucket.admitted += units;
+        bucket.note_admitted(units);
         Ok(())
     }
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 //! None is held across an await.
 
 pub mod account_limits;
+pub mod account_use;
 pub mod answer_body;
 pub mod answer_passage;
 pub mod answer_relay;
