--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -13,6 +13,9 @@
 // A key was given back while a request waited at a paused entry; the check was
 // wrong.
 #[case::key_given_back(31_008, 0)]
+// An entry that started again counted what others knew before as known since
+// its start, and told it on as fresh.
+#[case::known_before_the_start(81_001, 0)]
 #[case::large_configuration(2, 2_000)]
 #[tokio::test]
 async fn no_promise_breaks_under_faults(#[case] seed: u64, #[case] routes: usize) {
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -362,21 +362,24 @@
 /// Returns when something was known, by the own clock: `age` before the message
 /// that this entry sent at `sent_at`, or after it if that is below zero. The
 /// message was on its way meanwhile, so this is the earliest possible moment.
-fn known_at(sent_at: u64, age: i64) -> Timestamp {
-    Timestamp(sent_at.saturating_add_signed(age.saturating_neg()))
+/// None if it was before this entry started: counted from the start it would
+/// seem fresh, here and at all that this entry tells.
+fn known_at(sent_at: u64, age: i64) -> Option<Timestamp> {
+    let at = sent_at.checked_add_signed(age.saturating_neg());
+    at.map(Timestamp)
 }
 
 /// Takes over how old another entry's knowledge is, counted from the moment at
 /// which this entry sent the message that it answers.
 fn confirm(context: &GatewayContext, news: &GatewayNews, echo: ConfigEcho) {
-    if let Some(age) = echo.age {
-        let at = known_at(echo.sent_at, age);
+    let known = |age: Option<i64>| known_at(echo.sent_at, age?);
+    if let Some(at) = known(echo.age) {
         context.config.lock().confirm(news.revision, at);
     }
-    if let Some(age) = echo.backends_age {
+    if let Some(at) = known(echo.backends_age) {
         let mut backends = context.backends.lock();
         if backends.list_hash() == news.backends_hash {
-            backends.confirm(known_at(echo.sent_at, age));
+            backends.confirm(at);
         }
     }
 }
@@ -412,7 +415,10 @@
     drop(peers);
     let own = context.incarnation;
     let echo = news.echo.filter(|echo| echo.incarnation == own);
-    let known = echo.and_then(|echo| Some(known_at(echo.sent_at, echo.backends_age?)));
+    // A list from before the own start is better than none, but proves nothing.
+    let at_start = Timestamp(0);
+    let since = |age, sent_at| known_at(sent_at, age).unwrap_or(at_start);
+    let known = echo.and_then(|echo| Some(since(echo.backends_age?, echo.sent_at)));
     if let (Some(records), Some(known)) = (&digest.backends, known) {
         adopt_backends(context, records, known);
     }
