--- a/lib/src/gateway/store_rhythm.rs
+++ b/lib/src/gateway/store_rhythm.rs
@@ -60,6 +60,9 @@
 pub struct ReaderState {
     /// How many entries that may be hubs come before it.
     pub rank: usize,
+    /// Whether it holds the lease. Its holder has to know whether the store
+    /// answers it, and gives the lease up otherwise.
+    pub holds_lease: bool,
     /// The age of its knowledge, if it has any.
     pub age: Option<Duration>,
     /// Whether all entries start for the first time.
@@ -77,6 +80,6 @@
             let is_reader = self.knows_others && self.rank < HUB_COUNT;
             return !self.first_start || is_reader || self.uptime >= FIRST_WORD;
         };
-        age >= rhythm.own_read_age(self.rank)
+        self.holds_lease || age >= rhythm.own_read_age(self.rank)
     }
 }
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -131,6 +131,7 @@
     let peers = context.peers.lock();
     ReaderState {
         rank: peers.rank(now),
+        holds_lease: context.duties.lock().fence().is_some(),
         age: known_at.map(|at| now.since(at)),
         first_start: context.settings.first_start,
         knows_others: peers.is_listed(),
--- a/lib/tests/test_gateway_size.rs
+++ b/lib/tests/test_gateway_size.rs
@@ -147,6 +147,7 @@
         let rhythm = StoreRhythm::of_bound(BOUND);
         let state = ReaderState {
             rank: entry.book.rank(now),
+            holds_lease: false,
             age: entry.list.confirmed_at().map(|at| now.since(at)),
             first_start: true,
             knows_others: true,
--- a/lib/tests/test_store_rhythm.rs
+++ b/lib/tests/test_store_rhythm.rs
@@ -11,6 +11,7 @@
 fn state(rank: usize, age_ms: Option<u64>) -> ReaderState {
     ReaderState {
         rank,
+        holds_lease: false,
         age: age_ms.map(Duration::from_millis),
         first_start: false,
         knows_others: true,
@@ -33,6 +34,18 @@
     assert_eq!(state(rank, Some(age)).reads(rhythm), reads);
 }
 
+/// The holder gives the lease up when the store is silent for two seconds, so it
+/// must not wait for its turn among the hubs.
+#[test]
+fn the_holder_of_the_lease_always_reads() {
+    let rhythm = StoreRhythm::of_bound(BOUND * 2);
+    let holder = ReaderState {
+        holds_lease: true,
+        ..state(2, Some(100))
+    };
+    assert!(holder.reads(rhythm));
+}
+
 #[test]
 fn an_entry_that_starts_again_reads_at_once() {
     let rhythm = StoreRhythm::of_bound(BOUND);
