backend_set: a life is the name and its start; records of other writers name no server

Cause: a replica may start again under its name (its record tells the start). The list of servers covered a name and whether it leaves only, so that a later life was not told on, and load, kept parts, failures and connections of the earlier one were believed of it. A record without a state counted as ready, and one that came as a difference and could not be read left the record before in use.

Change: BackendId is the name and the start. All notes about requests name a life; the digest of the list covers all that is told of a server, and differences, loads and leaving name lives. The last 1,024 ended lives are remembered, so that no late record brings one back. Requests that wait at an earlier life end when a later one is known (life_watch): what may be repeated goes elsewhere, the rest is 502. A record in which a field is missing, of another type or unknown names no server, whatever stood there before; a line names the field, a counter counts.

--- a/lib/src/gateway/answer_passage.rs
+++ b/lib/src/gateway/answer_passage.rs
@@ -25,6 +25,7 @@
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::call_admission::onward_headers;
+use crate::gateway::call_dispatch::STARTED_AGAIN;
 use crate::gateway::call_dispatch::SentCall;
 use crate::gateway::call_log::log_end;
 use crate::gateway::call_log::log_send;
@@ -86,8 +87,18 @@
         }
         let until = tokio::time::Instant::from_std(self.call.until);
         loop {
-            let body = self.sent.as_mut()?.exchange.response.body_mut();
-            match tokio::time::timeout_at(until, body.frame()).await {
+            let sent = self.sent.as_mut()?;
+            let life_end = sent.guard.life_end.clone();
+            let body = sent.exchange.response.body_mut();
+            let frame = tokio::select! {
+                biased;
+                frame = tokio::time::timeout_at(until, body.frame()) => frame,
+                () = life_end.cancelled() => {
+                    let sent = self.sent.take()?;
+                    return Some(self.break_off(&sent, STARTED_AGAIN));
+                }
+            };
+            match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         return Some(self.pass(data));
--- a/lib/src/gateway/answer_relay.rs
+++ b/lib/src/gateway/answer_relay.rs
@@ -23,6 +23,7 @@
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::call_admission::onward_headers;
+use crate::gateway::call_dispatch::STARTED_AGAIN;
 use crate::gateway::call_dispatch::SendGuard;
 use crate::gateway::call_dispatch::SendPlan;
 use crate::gateway::call_dispatch::SentCall;
@@ -129,7 +130,16 @@
                 return self.resume_or_break().await;
             };
             let wait = self.pauses.silent_at().map_or(until, |at| at.min(until));
-            match tokio::time::timeout_at(wait, answer.body.frame()).await {
+            let life_end = answer.guard.life_end.clone();
+            let frame = tokio::select! {
+                biased;
+                frame = tokio::time::timeout_at(wait, answer.body.frame()) => frame,
+                () = life_end.cancelled() => {
+                    self.drop_answer(STARTED_AGAIN);
+                    continue;
+                }
+            };
+            match frame {
                 Err(_) if wait < until => self.note_silence(),
                 Err(_) => return Some(self.break_off("timed_out")),
                 Ok(Some(Ok(frame))) => {
--- a/lib/src/gateway/backend_pool.rs
+++ b/lib/src/gateway/backend_pool.rs
@@ -171,6 +171,11 @@
         self.idle.lock().remove(id);
     }
 
+    /// Closes the idle connections to earlier lives of a backend server.
+    pub fn forget_before(&self, id: &BackendId) {
+        self.idle.lock().retain(|other, _| !id.replaces(other));
+    }
+
     /// Closes idle connections whose time is over.
     pub fn sweep(&self) {
         let now = Instant::now();
--- a/lib/src/gateway/backend_record.rs
+++ b/lib/src/gateway/backend_record.rs
@@ -6,18 +6,68 @@
 use crate::id::ServiceName;
 use crate::id::ZoneName;
 
-/// One life of a backend server.
+/// The name under which a backend server keeps its record. One that starts
+/// again may have the name that it had.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct BackendId(pub String);
+pub struct BackendName(pub String);
 
-impl fmt::Display for BackendId {
+impl fmt::Display for BackendName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
     }
 }
 
+/// When a life of a backend server began, in milliseconds since 1970 by its own
+/// clock. It is compared only with other lives under the same name, never with
+/// the clock of an entry. 0 for servers that do not tell it, which have a new
+/// name for each life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LifeStart(pub u64);
+
+impl LifeStart {
+    /// Returns whether the server tells when it started.
+    pub fn is_told(self) -> bool {
+        self != Self::default()
+    }
+}
+
+/// One life of a backend server. What is known of a life says nothing about the
+/// next one under the same name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BackendId {
+    /// The name, which outlives the life.
+    pub name: BackendName,
+    /// When this life began.
+    pub start: LifeStart,
+}
+
+impl BackendId {
+    /// Returns the only life of a server that does not tell when it started.
+    pub fn untimed(name: impl Into<String>) -> Self {
+        Self {
+            name: BackendName(name.into()),
+            start: LifeStart::default(),
+        }
+    }
+
+    /// Returns whether this is a later life of the server that had `other`.
+    pub fn replaces(&self, other: &Self) -> bool {
+        self.name == other.name && self.start > other.start
+    }
+}
+
+impl fmt::Display for BackendId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.name.0)?;
+        if self.start.is_told() {
+            write!(f, "@{}", self.start.0)?;
+        }
+        Ok(())
+    }
+}
+
 /// What a backend server tells of itself in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct BackendRecord {
     /// This life of the server.
     pub id: BackendId,
--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -6,11 +6,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendName;
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::backend_record::LifeStart;
 use crate::gateway::backend_record::LoadReport;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::list_history::ListHistory;
@@ -34,6 +37,9 @@
 const FAILURES_TO_EXCLUDE: u32 = 2;
 /// The weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
+/// How many ended lives are remembered: those of a few minutes in which several
+/// servers end each second. Records that come late are some seconds old.
+const MAX_ENDED: usize = 1_024;
 /// The most prompt parts remembered for a backend server.
 const MAX_PARTS: usize = 512;
 /// How long a request is believed to occupy a backend server before any has
@@ -130,7 +136,7 @@
 /// What changed in the set.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BackendChange {
-    /// A backend server is new.
+    /// A backend server is new, or has started again.
     Joined(BackendRecord),
     /// It takes no new work any more.
     Leaving(BackendId),
@@ -140,10 +146,48 @@
     Gone(BackendId),
 }
 
+/// The last lives of servers that are no longer listed, so that an old record
+/// which comes late does not bring an earlier one back.
+#[derive(Clone, Debug, Default)]
+struct EndedLives {
+    starts: HashMap<BackendName, LifeStart>,
+    /// The names in the order of their ends.
+    order: VecDeque<BackendName>,
+}
+
+impl EndedLives {
+    fn note(&mut self, id: &BackendId) {
+        // A server that does not tell its start has no second life.
+        if !id.start.is_told() {
+            return;
+        }
+        if self.starts.insert(id.name.clone(), id.start).is_none() {
+            self.order.push_back(id.name.clone());
+        }
+        if self.order.len() > MAX_ENDED {
+            let oldest = self.order.pop_front();
+            oldest.map(|name| self.starts.remove(&name));
+        }
+    }
+
+    fn knows(&self, name: &BackendName) -> bool {
+        self.starts.contains_key(name)
+    }
+
+    /// Returns whether a later life of the server has ended already. The same
+    /// life may be back: its record lapses while the store is away.
+    fn is_replaced(&self, id: &BackendId) -> bool {
+        let ended = self.starts.get(&id.name);
+        ended.is_some_and(|last| *last > id.start)
+    }
+}
+
 /// All backend servers that are known.
 #[derive(Clone, Debug, Default)]
 pub struct BackendSet {
-    backends: BTreeMap<BackendId, Backend>,
+    backends: BTreeMap<BackendName, Backend>,
+    /// The last lives of servers that are no longer listed.
+    ended: EndedLives,
     digest: u64,
     history: ListHistory,
     speeds: BTreeMap<ServiceName, ReadingSpeed>,
@@ -169,9 +213,17 @@
         self.backends.values().filter(of)
     }
 
-    /// Finds a backend server.
+    /// Finds a backend server, unless it has started again since.
     pub fn get(&self, id: &BackendId) -> Option<&Backend> {
-        self.backends.get(id)
+        let backend = self.backends.get(&id.name)?;
+        (backend.record.id == *id).then_some(backend)
+    }
+
+    /// Finds what is believed of a life, to be changed. What an earlier life
+    /// did changes nothing of a later one.
+    fn get_mut(&mut self, id: &BackendId) -> Option<&mut Backend> {
+        let backend = self.backends.get_mut(&id.name)?;
+        (backend.record.id == *id).then_some(backend)
     }
 
     /// Returns how fast the replicas of a service read prompts.
@@ -182,7 +234,7 @@
     /// Notes when the first event of an answer came from a replica that had
     /// `unread` prompt tokens to read and, as far as known, none before them.
     pub fn note_first_event(&mut self, id: &BackendId, unread: u64, took: Duration) {
-        let Some(backend) = self.backends.get(id) else {
+        let Some(backend) = self.get(id) else {
             return;
         };
         let service = backend.record.service.clone();
@@ -200,17 +252,24 @@
         self.digest
     }
 
-    /// Notes that a server is listed otherwise than before; `None` if it is not.
-    fn note_listing(&mut self, id: &BackendId, before: Option<bool>, after: Option<bool>) {
+    /// Notes that a server is listed otherwise than before. Both are what it
+    /// adds to the digest; `None` if it is not listed.
+    fn note_listing(&mut self, name: &BackendName, before: Option<u64>, after: Option<u64>) {
         if before == after {
             return;
         }
-        self.history.note(self.digest, id);
-        for leaving in [before, after].into_iter().flatten() {
-            self.digest ^= record_digest(id, leaving);
+        self.history.note(self.digest, name);
+        for part in [before, after].into_iter().flatten() {
+            self.digest ^= part;
         }
     }
 
+    /// Returns what a server adds to the digest of the list, if it is listed.
+    fn listing(&self, name: &BackendName) -> Option<u64> {
+        let backend = self.backends.get(name)?;
+        Some(record_digest(&backend.record))
+    }
+
     /// Returns what an entry is told whose list has the digest `known`, if it
     /// takes differences. A list with missing records is not passed on: they
     /// may be back.
@@ -228,10 +287,10 @@
     /// remembered.
     fn changes_since(&self, digest: u64) -> Option<ListChanges> {
         let mut changes = ListChanges::default();
-        for id in self.history.changed_since(digest)? {
-            match self.backends.get(id) {
+        for name in self.history.changed_since(digest)? {
+            match self.backends.get(name) {
                 Some(backend) => changes.records.push(backend.record.clone()),
-                None => changes.gone.push(id.clone()),
+                None => changes.gone.push(name.clone()),
             }
         }
         Some(changes)
@@ -272,66 +331,114 @@
         }
     }
 
-    /// Takes over a record. A server that leaves does not come back under its
-    /// identifier, so a record that says otherwise is older than what is known.
+    /// Returns how a record would be listed beside what is known; `None` if it
+    /// tells of an earlier life and changes nothing. A life that leaves does
+    /// not take work again, so a record that says otherwise is older.
+    fn merged(&self, record: &BackendRecord) -> Option<BackendRecord> {
+        let Some(known) = self.backends.get(&record.id.name) else {
+            return (!self.ended.is_replaced(&record.id)).then(|| record.clone());
+        };
+        let known = &known.record;
+        if known.id.replaces(&record.id) {
+            return None;
+        }
+        let mut merged = record.clone();
+        merged.leaving |= known.leaving && known.id == record.id;
+        Some(merged)
+    }
+
+    /// Returns whether a record lacks the start that its server told before, as
+    /// only another writer's does.
+    pub fn lacks_start(&self, record: &BackendRecord) -> bool {
+        let name = &record.id.name;
+        let known = self.backends.get(name);
+        let told = known.is_some_and(|backend| backend.record.id.start.is_told());
+        !record.id.start.is_told() && (told || self.ended.knows(name))
+    }
+
+    /// Takes over a record. One of a later life ends all that was believed of
+    /// the one before; one of an earlier life, which comes late from the store
+    /// or from another entry, changes nothing but that the name is there.
     pub fn put(&mut self, record: BackendRecord) -> Option<BackendChange> {
-        let id = record.id.clone();
-        let Some(backend) = self.backends.get_mut(&id) else {
-            let change = BackendChange::Joined(record.clone());
-            self.note_listing(&id, None, Some(record.leaving));
-            self.backends.insert(id, Backend::new(record));
-            return Some(change);
+        let name = record.id.name.clone();
+        let before = self.listing(&name);
+        let merged = self.merged(&record);
+        if let Some(backend) = self.backends.get_mut(&name) {
+            backend.missing_since = None;
+        }
+        let merged = merged?;
+        let after = Some(record_digest(&merged));
+        let change = match self.backends.get_mut(&name) {
+            Some(backend) if backend.record.id == merged.id => {
+                let leaves = merged.leaving && !backend.record.leaving;
+                let id = merged.id.clone();
+                backend.record = merged;
+                leaves.then_some(BackendChange::Leaving(id))
+            }
+            _ => {
+                let joined = BackendChange::Joined(merged.clone());
+                self.backends.insert(name.clone(), Backend::new(merged));
+                Some(joined)
+            }
         };
-        backend.missing_since = None;
-        let left_before = backend.record.leaving;
-        let leaving = record.leaving || left_before;
-        backend.record = record;
-        backend.record.leaving = leaving;
-        self.note_listing(&id, Some(left_before), Some(leaving));
-        (leaving && !left_before).then_some(BackendChange::Leaving(id))
+        self.note_listing(&name, before, after);
+        change
     }
 
     /// Notes that a server leaves, as another entry told.
     pub fn note_leaving(&mut self, id: &BackendId) -> Option<BackendChange> {
-        let backend = self.backends.get_mut(id)?;
+        let before = self.listing(&id.name);
+        let backend = self.get_mut(id)?;
         let left_before = std::mem::replace(&mut backend.record.leaving, true);
-        self.note_listing(id, Some(left_before), Some(true));
+        let after = self.listing(&id.name);
+        self.note_listing(&id.name, before, after);
         (!left_before).then(|| BackendChange::Leaving(id.clone()))
     }
 
     /// Notes that a record is not in the store.
-    pub fn note_absent(&mut self, now: Timestamp, id: &BackendId) -> Option<BackendChange> {
-        let backend = self.backends.get_mut(id)?;
+    pub fn note_absent(&mut self, now: Timestamp, name: &BackendName) -> Option<BackendChange> {
+        let backend = self.backends.get_mut(name)?;
         let in_grace = self
             .store_back_at
             .is_some_and(|back| now.since(back) < MISSING_GRACE);
         if in_grace && !backend.record.leaving {
             let first = backend.missing_since.is_none();
             backend.missing_since.get_or_insert(now);
-            return first.then(|| BackendChange::Missing(id.clone()));
+            return first.then(|| BackendChange::Missing(backend.record.id.clone()));
         }
-        self.remove(id);
-        Some(BackendChange::Gone(id.clone()))
+        self.remove(name)
     }
 
-    fn remove(&mut self, id: &BackendId) {
-        if let Some(backend) = self.backends.remove(id) {
-            self.note_listing(id, Some(backend.record.leaving), None);
-        }
+    /// Notes that a record in the store cannot be used. It names no server,
+    /// also where a good one stood before, and no grace holds: the record is
+    /// there, and what it says is not that of a server.
+    pub fn note_unusable(&mut self, name: &BackendName) -> Option<BackendChange> {
+        self.remove(name)
+    }
+
+    fn remove(&mut self, name: &BackendName) -> Option<BackendChange> {
+        let before = self.listing(name);
+        let id = self.backends.remove(name)?.record.id;
+        self.ended.note(&id);
+        self.note_listing(name, before, None);
+        Some(BackendChange::Gone(id))
     }
 
     /// Takes over a whole list; what it does not have is absent.
     pub fn replace(&mut self, now: Timestamp, records: Vec<BackendRecord>) -> Vec<BackendChange> {
-        let listed: BTreeSet<BackendId> = records.iter().map(|record| record.id.clone()).collect();
+        let listed: BTreeSet<BackendName> = records
+            .iter()
+            .map(|record| record.id.name.clone())
+            .collect();
         let mut changes: Vec<BackendChange> =
             records.into_iter().filter_map(|r| self.put(r)).collect();
-        let absent: Vec<BackendId> = self
+        let absent: Vec<BackendName> = self
             .backends
             .keys()
-            .filter(|id| !listed.contains(id))
+            .filter(|name| !listed.contains(name))
             .cloned()
             .collect();
-        changes.extend(absent.iter().filter_map(|id| self.note_absent(now, id)));
+        changes.extend(absent.iter().filter_map(|name| self.note_absent(now, name)));
         changes
     }
 
@@ -367,28 +474,22 @@
         let records = changes.records.into_iter();
         let mut made: Vec<BackendChange> = records.filter_map(|r| self.put(r)).collect();
         let gone = changes.gone.iter();
-        made.extend(gone.filter_map(|id| self.note_absent(now, id)));
+        made.extend(gone.filter_map(|name| self.note_absent(now, name)));
         made
     }
 
     /// Returns the digest that the list would have after changes.
     fn digest_after(&self, changes: &ListChanges) -> u64 {
-        let listed = |id: &BackendId| {
-            let backend = self.backends.get(id)?;
-            Some(backend.record.leaving)
-        };
         let mut digest = self.digest;
         for record in &changes.records {
-            let before = listed(&record.id);
-            let leaving = record.leaving || before == Some(true);
-            for state in [before, Some(leaving)].into_iter().flatten() {
-                digest ^= record_digest(&record.id, state);
-            }
+            let Some(merged) = self.merged(record) else {
+                continue;
+            };
+            digest ^= self.listing(&record.id.name).unwrap_or(0);
+            digest ^= record_digest(&merged);
         }
-        for id in &changes.gone {
-            if let Some(leaving) = listed(id) {
-                digest ^= record_digest(id, leaving);
-            }
+        for name in &changes.gone {
+            digest ^= self.listing(name).unwrap_or(0);
         }
         digest
     }
@@ -401,21 +502,18 @@
         if !over {
             return Vec::new();
         }
-        let gone: Vec<BackendId> = self
+        let gone: Vec<BackendName> = self
             .backends
             .iter()
             .filter(|(_, backend)| backend.is_missing())
-            .map(|(id, _)| id.clone())
+            .map(|(name, _)| name.clone())
             .collect();
-        for id in &gone {
-            self.remove(id);
-        }
-        gone.into_iter().map(BackendChange::Gone).collect()
+        gone.iter().filter_map(|name| self.remove(name)).collect()
     }
 
     /// Notes that a request goes to a backend server.
     pub fn note_sent(&mut self, now: Timestamp, id: &BackendId, unread: u64, parts: &[u64]) {
-        let Some(backend) = self.backends.get_mut(id) else {
+        let Some(backend) = self.get_mut(id) else {
             return;
         };
         backend.in_flight += 1;
@@ -427,14 +525,14 @@
 
     /// Notes that a request's prompt was read.
     pub fn note_read(&mut self, id: &BackendId, unread: u64) {
-        if let Some(backend) = self.backends.get_mut(id) {
+        if let Some(backend) = self.get_mut(id) {
             backend.unread_tokens = backend.unread_tokens.saturating_sub(unread);
         }
     }
 
     /// Notes that a request that was `held` so long is no longer there.
     pub fn note_left(&mut self, id: &BackendId, held: Duration) {
-        let Some(backend) = self.backends.get_mut(id) else {
+        let Some(backend) = self.get_mut(id) else {
             return;
         };
         backend.in_flight = backend.in_flight.saturating_sub(1);
@@ -445,14 +543,14 @@
 
     /// Notes the load that a backend server told.
     pub fn note_load(&mut self, now: Timestamp, id: &BackendId, load: LoadReport) {
-        if let Some(backend) = self.backends.get_mut(id) {
+        if let Some(backend) = self.get_mut(id) {
             backend.load = Some((now, load));
         }
     }
 
     /// Notes what other entries have at a backend server.
     pub fn note_others(&mut self, id: &BackendId, in_flight: u32, unread: u64) {
-        if let Some(backend) = self.backends.get_mut(id) {
+        if let Some(backend) = self.get_mut(id) {
             backend.others_in_flight = in_flight;
             backend.others_unread = unread;
         }
@@ -466,7 +564,7 @@
         id: &BackendId,
         outcome: BackendOutcome,
     ) -> Option<Duration> {
-        let backend = self.backends.get_mut(id)?;
+        let backend = self.get_mut(id)?;
         let failed = matches!(outcome, BackendOutcome::Failed | BackendOutcome::Broken);
         if outcome != BackendOutcome::Full {
             let newest = f64::from(u8::from(failed));
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -11,6 +11,7 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
+use tokio_util::sync::CancellationToken;
 
 use crate::gateway::backend_pool::Exchange;
 use crate::gateway::backend_pool::ExchangeError;
@@ -41,6 +42,9 @@
 /// replica: as long again as the try elsewhere would take.
 const EXPECTED_TIMES: u32 = 2;
 
+/// The word for a request whose backend server is known to have started again.
+pub const STARTED_AGAIN: &str = "server_started_again";
+
 /// An answer of which the head has come, and the backend server that sent it.
 pub struct SentCall {
     /// The answer on its connection.
@@ -61,6 +65,8 @@
     ahead: u64,
     sent_at: Timestamp,
     is_read: bool,
+    /// Cancelled when the server is known to have started again.
+    pub life_end: CancellationToken,
 }
 
 impl SendGuard {
@@ -86,6 +92,8 @@
             backends.note_read(&self.backend, self.unread);
         }
         backends.note_left(&self.backend, held);
+        drop(backends);
+        self.context.lives.leave(&self.backend);
     }
 }
 
@@ -224,7 +232,11 @@
     let exchange = context.pool.exchange(backend, chosen.address, request);
     let mut exchange = std::pin::pin!(exchange);
     if let Some(patience) = first_try_patience(call, plan, chosen) {
-        let early = tokio::time::timeout(patience, &mut exchange).await;
+        let early = tokio::select! {
+            biased;
+            early = tokio::time::timeout(patience, &mut exchange) => early,
+            () = chosen.guard.life_end.cancelled() => return SendResult::Lost(STARTED_AGAIN),
+        };
         if let Ok(result) = early {
             return judge_exchange(context, call, backend, result);
         }
@@ -233,9 +245,13 @@
             return SendResult::GivenUp;
         }
     }
-    match tokio::time::timeout(call.left(), exchange).await {
-        Ok(result) => judge_exchange(context, call, backend, result),
-        Err(_) => SendResult::Lost("no_answer"),
+    tokio::select! {
+        biased;
+        result = tokio::time::timeout(call.left(), exchange) => match result {
+            Ok(result) => judge_exchange(context, call, backend, result),
+            Err(_) => SendResult::Lost("no_answer"),
+        },
+        () = chosen.guard.life_end.cancelled() => SendResult::Lost(STARTED_AGAIN),
     }
 }
 
@@ -334,6 +350,7 @@
     drop(backends);
     context.work.lock().note(now, &call.service, choice.unread);
     let guard = SendGuard {
+        life_end: context.lives.enter(&choice.id),
         context: Arc::clone(context),
         backend: choice.id,
         unread: choice.unread,
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -167,7 +167,12 @@
 ) -> Result<AnswerBody, CallRefusal> {
     let until = tokio::time::Instant::from_std(call.until);
     let body = collect_body(&context.held, sent.exchange.response.body_mut());
-    match tokio::time::timeout_at(until, body).await {
+    let collected = tokio::select! {
+        biased;
+        collected = tokio::time::timeout_at(until, body) => collected,
+        () = sent.guard.life_end.cancelled() => return Err(CallRefusal::Lost),
+    };
+    match collected {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(_)) => {
             note_outcome(context, &sent.guard.backend, BackendOutcome::Broken);
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -121,7 +121,7 @@
         .map(|backend| &backend.record.id)
         .max_by_key(|id| {
             let mut hasher = XxHash64::with_seed(part);
-            hasher.write(id.0.as_bytes());
+            write_id(&mut hasher, id);
             hasher.finish()
         })
 }
@@ -155,10 +155,20 @@
     (reading - NOTICED_DELAY).max(0.0) * filling * DELAY_WEIGHT
 }
 
+/// Adds a life to a hash. A server that has started again keeps nothing, so its
+/// parts find homes anew.
+fn write_id(hasher: &mut XxHash64, id: &BackendId) {
+    hasher.write(id.name.0.as_bytes());
+    if id.start.is_told() {
+        hasher.write(&id.start.0.to_le_bytes());
+    }
+}
+
 /// Returns a number from 0 to 1 that differs for each request and server.
 fn draw(request: u64, id: &BackendId) -> f64 {
-    let number = XxHash64::oneshot(request, id.0.as_bytes());
-    number as f64 / u64::MAX as f64
+    let mut hasher = XxHash64::with_seed(request);
+    write_id(&mut hasher, id);
+    hasher.finish() as f64 / u64::MAX as f64
 }
 
 /// Returns how full a backend server is; 1 if all its slots are taken.
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -27,6 +27,7 @@
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::heard_changes::HeardChanges;
 use crate::gateway::held_bytes::ByteBudget;
+use crate::gateway::life_watch::LifeWatch;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::log_budget::LogBudget;
 use crate::gateway::peer_book::PeerBook;
@@ -78,6 +79,8 @@
     pub duties: Mutex<DutyLease>,
     /// The bytes of bodies and whole answers that are held.
     pub held: Arc<ByteBudget>,
+    /// The lives of backend servers that have requests of this entry.
+    pub lives: LifeWatch,
     /// Connections to backend servers.
     pub pool: BackendPool,
     /// Connections to other entries.
@@ -129,6 +132,7 @@
             peers: Mutex::new(PeerBook::new(settings.name.clone(), settings.strength)),
             duties: Mutex::new(DutyLease::new(now, incarnation)),
             held: Arc::new(ByteBudget::of_memory(settings.memory_mb)),
+            lives: LifeWatch::new(),
             pool: BackendPool::new(),
             links: PeerSender::new(stop.clone(), log.clone()),
             log_budget: Mutex::new(LogBudget::new()),
--- a/lib/src/gateway/list_history.rs
+++ b/lib/src/gateway/list_history.rs
@@ -7,11 +7,12 @@
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::hash::Hash;
 use std::hash::Hasher;
 
 use twox_hash::XxHash64;
 
-use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendName;
 use crate::gateway::backend_record::BackendRecord;
 
 /// The changes that are remembered: those of a minute in which ten servers come
@@ -24,7 +25,7 @@
     /// The records of servers that are new or changed.
     pub records: Vec<BackendRecord>,
     /// The servers that are no longer listed.
-    pub gone: Vec<BackendId>,
+    pub gone: Vec<BackendName>,
 }
 
 impl ListChanges {
@@ -51,11 +52,11 @@
     Changes(ListChanges),
 }
 
-/// Returns what a server adds to the digest of the list.
-pub fn record_digest(id: &BackendId, leaving: bool) -> u64 {
+/// Returns what a server adds to the digest of the list: all that entries tell
+/// each other of it, so that a server which starts again under its name is told.
+pub fn record_digest(record: &BackendRecord) -> u64 {
     let mut hasher = XxHash64::with_seed(0);
-    hasher.write(id.0.as_bytes());
-    hasher.write_u8(u8::from(leaving));
+    record.hash(&mut hasher);
     hasher.finish()
 }
 
@@ -63,13 +64,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct ListHistory {
     /// The digest before each change, and the server that changed.
-    changes: VecDeque<(u64, BackendId)>,
+    changes: VecDeque<(u64, BackendName)>,
 }
 
 impl ListHistory {
     /// Notes that a server of the list with the digest `before` changes.
-    pub fn note(&mut self, before: u64, id: &BackendId) {
-        self.changes.push_back((before, id.clone()));
+    pub fn note(&mut self, before: u64, name: &BackendName) {
+        self.changes.push_back((before, name.clone()));
         if self.changes.len() > MAX_CHANGES {
             self.changes.pop_front();
         }
@@ -77,13 +78,13 @@
 
     /// Returns the servers that changed since the list had a digest; none if
     /// that is forgotten or never was.
-    pub fn changed_since(&self, digest: u64) -> Option<BTreeSet<&BackendId>> {
+    pub fn changed_since(&self, digest: u64) -> Option<BTreeSet<&BackendName>> {
         // The last time that the list was in that state counts.
         let first = self
             .changes
             .iter()
             .rposition(|(before, _)| *before == digest)?;
-        let changed = self.changes.range(first..).map(|(_, id)| id);
+        let changed = self.changes.range(first..).map(|(_, name)| name);
         Some(changed.collect())
     }
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 pub mod gateway_settings;
 pub mod heard_changes;
 pub mod held_bytes;
+pub mod life_watch;
 pub mod list_history;
 pub mod log_budget;
 pub mod packed_document;
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -14,6 +14,7 @@
 use twox_hash::XxHash64;
 
 use crate::gateway::account_limits::ShareView;
+use crate::gateway::backend_record::BackendId;
 use crate::gateway::document_transfer::DocumentSource;
 use crate::gateway::peer_news::BackendUse;
 use crate::gateway::peer_news::ConfigEcho;
@@ -470,7 +471,7 @@
 
     /// Sums the load that other entries put on each backend server: what they
     /// told here, or what the hub that hears the most told.
-    pub fn uses(&self, now: Timestamp) -> BTreeMap<String, BackendUse> {
+    pub fn uses(&self, now: Timestamp) -> BTreeMap<BackendId, BackendUse> {
         let told = self.direct_view(now).heard;
         let views = self.peers.values().filter_map(|peer| peer.fresh_view(now));
         match views.max_by_key(|view| view.heard) {
@@ -480,7 +481,7 @@
     }
 
     /// Sums the load that other entries told here, to be passed on.
-    pub fn direct_uses(&self, now: Timestamp) -> BTreeMap<String, BackendUse> {
+    pub fn direct_uses(&self, now: Timestamp) -> BTreeMap<BackendId, BackendUse> {
         let telling = self.peers.values().filter(|peer| peer.tells(now));
         sum_uses(telling.flat_map(|peer| &peer.uses))
     }
@@ -506,7 +507,7 @@
         .collect()
 }
 
-fn sum_uses<'a>(uses: impl IntoIterator<Item = &'a BackendUse>) -> BTreeMap<String, BackendUse> {
+fn sum_uses<'a>(uses: impl IntoIterator<Item = &'a BackendUse>) -> BTreeMap<BackendId, BackendUse> {
     let mut sums = BTreeMap::new();
     add_uses(&mut sums, uses);
     sums
@@ -514,17 +515,17 @@
 
 /// Adds loads to the sums of backend servers.
 pub fn add_uses<'a>(
-    sums: &mut BTreeMap<String, BackendUse>,
+    sums: &mut BTreeMap<BackendId, BackendUse>,
     uses: impl IntoIterator<Item = &'a BackendUse>,
 ) {
     for one in uses {
-        match sums.get_mut(&one.backend) {
+        match sums.get_mut(&one.id()) {
             Some(sum) => {
                 sum.in_flight += one.in_flight;
                 sum.unread += one.unread;
             }
             None => {
-                sums.insert(one.backend.clone(), one.clone());
+                sums.insert(one.id(), one.clone());
             }
         }
     }
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -7,7 +7,9 @@
 
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendName;
 use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::backend_record::LifeStart;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::AccountName;
@@ -35,7 +37,7 @@
 /// The load that an entry puts on a backend server.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct BackendUse {
-    /// The backend server.
+    /// The backend server's name.
     #[prost(string, tag = "1")]
     pub backend: String,
     /// Requests that it has from the entry.
@@ -44,6 +46,17 @@
     /// Prompt tokens of those that have not begun to answer.
     #[prost(uint64, tag = "3")]
     pub unread: u64,
+    /// The start of its life, in milliseconds since 1970 by its own clock; 0 if
+    /// it does not tell.
+    #[prost(uint64, tag = "4")]
+    pub start: u64,
+}
+
+impl BackendUse {
+    /// Returns the life that has the requests.
+    pub fn id(&self) -> BackendId {
+        read_id(self.backend.clone(), self.start)
+    }
 }
 
 /// The work that an entry sends to a service.
@@ -205,6 +218,17 @@
     leaving: bool,
     #[prost(bool, tag = "7")]
     reclaimable: bool,
+    #[prost(uint64, tag = "8")]
+    start: u64,
+}
+
+/// One life of a backend server.
+#[derive(Clone, PartialEq, Eq, Message)]
+struct LifeFrame {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(uint64, tag = "2")]
+    start: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -229,8 +253,8 @@
     hubs: Vec<HubFrame>,
     #[prost(message, optional, tag = "3")]
     backends: Option<BackendListFrame>,
-    #[prost(string, repeated, tag = "4")]
-    leaving: Vec<String>,
+    #[prost(message, repeated, tag = "6")]
+    leaving: Vec<LifeFrame>,
     #[prost(message, optional, tag = "5")]
     changes: Option<ListChangesFrame>,
 }
@@ -323,21 +347,29 @@
     text.parse().map_err(|_| WireError::Invalid(field))
 }
 
+fn read_id(name: String, start: u64) -> BackendId {
+    BackendId {
+        name: BackendName(name),
+        start: LifeStart(start),
+    }
+}
+
 fn write_backend(record: BackendRecord) -> BackendFrame {
     BackendFrame {
-        id: record.id.0,
+        id: record.id.name.0,
         service: record.service.into(),
         address: record.address.to_string(),
         zone: record.zone.into(),
         slots: record.slots,
         leaving: record.leaving,
         reclaimable: record.reclaimable,
+        start: record.id.start.0,
     }
 }
 
 fn read_backend(frame: BackendFrame) -> Result<BackendRecord, WireError> {
     Ok(BackendRecord {
-        id: BackendId(frame.id),
+        id: read_id(frame.id, frame.start),
         service: read_field("service", &frame.service)?,
         address: read_field("address", &frame.address)?,
         zone: read_field("zone", &frame.zone)?,
@@ -350,7 +382,7 @@
 fn write_changes(changes: ListChanges) -> ListChangesFrame {
     ListChangesFrame {
         records: changes.records.into_iter().map(write_backend).collect(),
-        gone: changes.gone.into_iter().map(|id| id.0).collect(),
+        gone: changes.gone.into_iter().map(|name| name.0).collect(),
     }
 }
 
@@ -358,7 +390,7 @@
     let records = frame.records.into_iter().map(read_backend);
     Ok(ListChanges {
         records: records.collect::<Result<_, _>>()?,
-        gone: frame.gone.into_iter().map(BackendId).collect(),
+        gone: frame.gone.into_iter().map(BackendName).collect(),
     })
 }
 
@@ -368,6 +400,10 @@
         address: address.to_string(),
         strength: strength.0,
     };
+    let life = |id: BackendId| LifeFrame {
+        name: id.name.0,
+        start: id.start.0,
+    };
     let list = |records: Vec<BackendRecord>| BackendListFrame {
         backends: records.into_iter().map(write_backend).collect(),
     };
@@ -375,7 +411,7 @@
         admitted: write_admitted(digest.admitted),
         hubs: digest.hubs.into_iter().map(hub).collect(),
         backends: digest.backends.map(list),
-        leaving: digest.leaving.into_iter().map(|id| id.0).collect(),
+        leaving: digest.leaving.into_iter().map(life).collect(),
         changes: digest.changes.map(write_changes),
     }
 }
@@ -386,12 +422,13 @@
         let address = read_field("address", &hub.address)?;
         Ok((name, address, VmStrength(hub.strength)))
     };
+    let life = |frame: LifeFrame| read_id(frame.name, frame.start);
     let list = |list: BackendListFrame| list.backends.into_iter().map(read_backend).collect();
     Ok(HubDigest {
         admitted: read_admitted(frame.admitted)?,
         hubs: frame.hubs.into_iter().map(hub).collect::<Result<_, _>>()?,
         backends: frame.backends.map(list).transpose()?,
-        leaving: frame.leaving.into_iter().map(BackendId).collect(),
+        leaving: frame.leaving.into_iter().map(life).collect(),
         changes: frame.changes.map(read_changes).transpose()?,
     })
 }
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -143,7 +143,7 @@
     share: ShareView,
     fence: Option<FenceToken>,
     hubs: Vec<(EntryName, SocketAddr, VmStrength)>,
-    uses: BTreeMap<String, BackendUse>,
+    uses: BTreeMap<BackendId, BackendUse>,
 }
 
 impl HubKnowledge {
@@ -161,21 +161,19 @@
 
     /// Returns the load that all entries but one put on backend servers.
     fn uses_without(&self, left_out: &[BackendUse]) -> Vec<BackendUse> {
-        let theirs: BTreeMap<&str, &BackendUse> = left_out
-            .iter()
-            .map(|one| (one.backend.as_str(), one))
-            .collect();
-        let rest = |sum: &BackendUse| {
-            let theirs = theirs.get(sum.backend.as_str());
+        let theirs: BTreeMap<BackendId, &BackendUse> =
+            left_out.iter().map(|one| (one.id(), one)).collect();
+        let rest = |(id, sum): (&BackendId, &BackendUse)| {
+            let theirs = theirs.get(id);
             let in_flight = theirs.map_or(0, |theirs| theirs.in_flight);
             let unread = theirs.map_or(0, |theirs| theirs.unread);
             BackendUse {
-                backend: sum.backend.clone(),
                 in_flight: sum.in_flight.saturating_sub(in_flight),
                 unread: sum.unread.saturating_sub(unread),
+                ..sum.clone()
             }
         };
-        let rests = self.uses.values().map(rest);
+        let rests = self.uses.iter().map(rest);
         rests.filter(|one| one.in_flight > 0).collect()
     }
 }
@@ -288,7 +286,8 @@
         .iter()
         .filter(|backend| backend.in_flight > 0)
         .map(|backend| BackendUse {
-            backend: backend.record.id.0.clone(),
+            backend: backend.record.id.name.0.clone(),
+            start: backend.record.id.start.0,
             in_flight: backend.in_flight,
             unread: backend.unread_tokens,
         })
@@ -433,7 +432,7 @@
     let mut backends = context.backends.lock();
     let ids: Vec<BackendId> = backends.iter().map(|b| b.record.id.clone()).collect();
     for id in ids {
-        let sum = sums.get(&id.0);
+        let sum = sums.get(&id);
         let (in_flight, unread) = sum.map_or((0, 0), |sum| (sum.in_flight, sum.unread));
         backends.note_others(&id, in_flight, unread);
     }
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -14,15 +14,19 @@
 use slog::warn;
 
 use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendName;
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_set::BackendChange;
+use crate::gateway::backend_set::BackendSet;
 use crate::gateway::document_transfer::ArrivedDocument;
+use crate::gateway::edge::FormatError;
 use crate::gateway::edge::LogRecord;
 use crate::gateway::edge::LogSlice;
 use crate::gateway::edge::LogTopic;
 use crate::gateway::edge::StoreError;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::list_history::ListChanges;
+use crate::gateway::log_budget::LineClass;
 use crate::gateway::packed_document::PackedDocument;
 use crate::gateway::store_rhythm::ReaderState;
 use crate::gateway::store_rhythm::StoreRhythm;
@@ -339,16 +343,18 @@
     let mut changes = Vec::new();
     let mut backends = context.backends.lock();
     for (key, record) in newest_by_key(slice) {
+        let name = BackendName(key.to_owned());
         if record.value.is_empty() {
-            changes.extend(backends.note_absent(now, &BackendId(key.to_owned())));
+            changes.extend(backends.note_absent(now, &name));
             continue;
         }
-        match context.edges.format.decode_backend(key, &record.value) {
+        let decoded = context.edges.format.decode_backend(key, &record.value);
+        match decoded.and_then(|decoded| check_start(&backends, decoded)) {
             Ok(decoded) if whole => records.push(decoded),
             Ok(decoded) => changes.extend(backends.put(decoded)),
             Err(error) => {
-                warn!(context.log, "backend server's record refused"; "backend" => key,
-                    "error" => %error);
+                changes.extend(backends.note_unusable(&name));
+                note_refused_record(context, &name, &error);
             }
         }
     }
@@ -362,6 +368,44 @@
     }
 }
 
+/// Refuses a record without the start that its server told before.
+fn check_start(backends: &BackendSet, record: BackendRecord) -> Result<BackendRecord, FormatError> {
+    if backends.lacks_start(&record) {
+        return Err(FormatError {
+            subject: "backend server's record",
+            cause: "the start of its life is missing".to_owned(),
+        });
+    }
+    Ok(record)
+}
+
+/// Notes a record that names no server to use. Lines are bounded: whoever can
+/// write one can write thousands.
+fn note_refused_record(context: &GatewayContext, name: &BackendName, error: &FormatError) {
+    counter!("cloverbend_backend_records_refused_total").increment(1);
+    if context.logs(&name.0, LineClass::Failure) {
+        warn!(context.log, "backend server's record refused"; "backend" => %name,
+            "error" => %error);
+    }
+}
+
+/// Lets go of what this entry has of a server's earlier lives: connections, and
+/// requests that will never be answered.
+fn follow_change(context: &GatewayContext, change: &BackendChange) {
+    match change {
+        BackendChange::Joined(record) => {
+            context.pool.forget_before(&record.id);
+            let ended = context.lives.end_before(&record.id);
+            if ended > 0 {
+                info!(context.log, "backend server started again"; "backend" => %record.id,
+                    "requests_lost" => ended);
+            }
+        }
+        BackendChange::Gone(id) => context.pool.forget(id),
+        BackendChange::Leaving(_) | BackendChange::Missing(_) => {}
+    }
+}
+
 /// Notes changes that another entry told. Hundreds of entries learn of each, so
 /// only those that read it in the store write a line about it, and the others
 /// one a second with the numbers.
@@ -373,15 +417,14 @@
     }
     drop(heard);
     for change in changes {
-        if let BackendChange::Gone(id) = change {
-            context.pool.forget(id);
-        }
+        follow_change(context, change);
     }
 }
 
 /// Notes a change that this entry read in the store.
 fn note_backend_change(context: &GatewayContext, change: &BackendChange) {
     counter!("cloverbend_backend_changes_total").increment(1);
+    follow_change(context, change);
     match change {
         BackendChange::Joined(record) => {
             info!(context.log, "backend server joined"; "backend" => %record.id,
@@ -395,7 +438,6 @@
             info!(context.log, "backend server missing"; "backend" => %id);
         }
         BackendChange::Gone(id) => {
-            context.pool.forget(id);
             info!(context.log, "backend server gone"; "backend" => %id);
         }
     }
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -22,7 +22,7 @@
 
 fn record(id: &str, leaving: bool) -> BackendRecord {
     BackendRecord {
-        id: BackendId(id.to_owned()),
+        id: BackendId::untimed(id),
         service: "pool".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "zone-a".parse().unwrap(),
@@ -33,7 +33,7 @@
 }
 
 fn id(text: &str) -> BackendId {
-    BackendId(text.to_owned())
+    BackendId::untimed(text)
 }
 
 fn set_of(ids: &[&str]) -> BackendSet {
@@ -51,15 +51,15 @@
 #[test]
 fn a_missing_record_means_gone_only_when_the_store_was_there() {
     let mut set = set_of(&["a", "b"]);
-    let gone = set.note_absent(at(10_000), &id("a"));
+    let gone = set.note_absent(at(10_000), &id("a").name);
     assert_eq!(gone, Some(BackendChange::Gone(id("a"))));
     set.note_store_back(at(20_000));
-    let missing = set.note_absent(at(20_500), &id("b"));
+    let missing = set.note_absent(at(20_500), &id("b").name);
     assert_eq!(missing, Some(BackendChange::Missing(id("b"))));
     assert_eq!(set.expire_missing(at(21_000)), []);
     set.put(record("b", false));
     assert_eq!(set.expire_missing(at(23_000)), []);
-    set.note_absent(at(22_000), &id("b"));
+    set.note_absent(at(22_000), &id("b").name);
     let gone = set.expire_missing(at(23_000));
     assert_eq!(gone, [BackendChange::Gone(id("b"))]);
 }
@@ -69,7 +69,7 @@
     let mut set = set_of(&["a"]);
     set.confirm(at(19_500));
     set.note_store_back(at(20_000));
-    let gone = set.note_absent(at(20_100), &id("a"));
+    let gone = set.note_absent(at(20_100), &id("a").name);
     assert_eq!(gone, Some(BackendChange::Gone(id("a"))));
 }
 
@@ -77,7 +77,7 @@
 fn a_list_with_missing_servers_proves_nothing() {
     let mut set = set_of(&["a", "b"]);
     set.note_store_back(at(1_000));
-    set.note_absent(at(1_100), &id("a"));
+    set.note_absent(at(1_100), &id("a").name);
     set.confirm(at(1_200));
     assert_eq!(set.confirmed_at(), None);
     set.put(record("a", false));
@@ -132,10 +132,10 @@
     let mut leaf = hub.clone();
     hub.put(record("d", false));
     hub.note_leaving(&id("a"));
-    hub.note_absent(at(10_000), &id("b"));
+    hub.note_absent(at(10_000), &id("b").name);
     let changes = changes_for(&hub, leaf.list_hash());
     assert_eq!(changes.records, [record("a", true), record("d", false)]);
-    assert_eq!(changes.gone, [id("b")]);
+    assert_eq!(changes.gone, [id("b").name]);
     leaf.apply_changes(at(10_050), at(10_000), hub.list_hash(), changes);
     assert_eq!(leaf.records(), hub.records());
     assert_eq!(leaf.list_hash(), hub.list_hash());
@@ -239,7 +239,7 @@
             parts,
             tried,
         };
-        choose_backend(set, now, &query).map(|choice| choice.id.0)
+        choose_backend(set, now, &query).map(|choice| choice.id.name.0)
     }
 }
 
@@ -356,8 +356,8 @@
     assert_ne!(chooser.choose(&set, at(2), &[]).unwrap(), first);
     // With all others gone it is used all the same.
     let others: Vec<BackendId> = set.iter().map(|b| b.record.id.clone()).collect();
-    for other in others.iter().filter(|other| other.0 != first) {
-        set.note_absent(at(3), other);
+    for other in others.iter().filter(|other| other.name.0 != first) {
+        set.note_absent(at(3), &other.name);
     }
     assert_eq!(chooser.choose(&set, at(4), &[]).unwrap(), first);
 }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -2,7 +2,9 @@
 
 use cloverbend::gateway::account_limits::AdmittedUnits;
 use cloverbend::gateway::backend_record::BackendId;
+use cloverbend::gateway::backend_record::BackendName;
 use cloverbend::gateway::backend_record::BackendRecord;
+use cloverbend::gateway::backend_record::LifeStart;
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::list_history::ListChanges;
 use cloverbend::gateway::peer_book::DueMessage;
@@ -365,6 +367,13 @@
     assert!(first.values().all(|asked| *asked >= 60), "{first:?}");
 }
 
+fn life(name: &str) -> BackendId {
+    BackendId {
+        name: BackendName(name.to_owned()),
+        start: LifeStart(1_700_000_000_000),
+    }
+}
+
 fn full_news() -> GatewayNews {
     let mut full = news(3, 77);
     full.leaving = true;
@@ -392,6 +401,7 @@
         backend: "b".to_owned(),
         in_flight: 2,
         unread: 300,
+        start: 12,
     };
     full.uses = vec![load.clone()];
     full.work = vec![ServiceWork {
@@ -408,7 +418,7 @@
         admitted: vec![units],
         hubs: vec![(name(4), "127.0.0.1:9".parse().unwrap(), VmStrength(7))],
         backends: Some(vec![BackendRecord {
-            id: BackendId("b".to_owned()),
+            id: life("b"),
             service: "pool".parse().unwrap(),
             address: "127.0.0.1:8".parse().unwrap(),
             zone: "zone-a".parse().unwrap(),
@@ -418,9 +428,9 @@
         }]),
         changes: Some(ListChanges {
             records: Vec::new(),
-            gone: vec![BackendId("d".to_owned())],
+            gone: vec![BackendName("d".to_owned())],
         }),
-        leaving: vec![BackendId("c".to_owned())],
+        leaving: vec![life("c")],
     });
     full
 }
--- a/lib/tests/test_gateway_size.rs
+++ b/lib/tests/test_gateway_size.rs
@@ -44,7 +44,7 @@
 
 fn server(number: usize) -> BackendRecord {
     BackendRecord {
-        id: BackendId(format!("i-{number:08}")),
+        id: BackendId::untimed(format!("i-{number:08}")),
         service: "pool".parse().unwrap(),
         address: address(number % 60_000),
         zone: format!("zone-{}", number % ZONES).parse().unwrap(),
@@ -109,7 +109,7 @@
     /// Replaces the server that is listed longest.
     fn replace_server(&mut self) {
         let oldest = self.listed.iter().next().unwrap().record.id.clone();
-        self.listed.note_absent(self.now, &oldest);
+        self.listed.note_absent(self.now, &oldest.name);
         self.listed.put(server(self.next_server));
         self.next_server += 1;
     }
@@ -119,7 +119,7 @@
         let in_zone = self.listed.iter().filter(|b| b.record.zone == zone);
         let lost: Vec<BackendId> = in_zone.map(|b| b.record.id.clone()).collect();
         for id in lost {
-            self.listed.note_absent(self.now, &id);
+            self.listed.note_absent(self.now, &id.name);
         }
     }
 
