call_shedding: what would be late or wait too long at full replicas is refused at once

Load pattern: half of the replicas are gone within a second. Sent all the same, every request waits, all kinds are late together, and what is late takes the place of what could be in time.

Ways: by full replicas only (as it was); by expected time against a share of the own target by urgency; by expected time and by the wait for a slot, as a share of the shortest target among the service's streams, less for each step of urgency (kept). Nobody is refused while a slot is free.

Tests: test_shedding (the model), test_crowded (refused ones never reach a replica, answered at once).

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -43,6 +43,8 @@
     pub route: RouteRule,
     /// The service that it goes to.
     pub service: ServiceName,
+    /// The shortest target latency among the routes of that service.
+    pub shortest_target: Duration,
     /// Its account.
     pub account: Option<AccountRule>,
     /// Units that were taken from the account's limit.
@@ -98,6 +100,8 @@
 ) -> Result<AdmittedCall, CallRefusal> {
     let AllowedCall {
         route,
+        service,
+        shortest_target,
         account,
         body_limit,
     } = allow_call(context, &head, &parts)?;
@@ -112,14 +116,12 @@
     if context.is_refusing() {
         return Err(CallRefusal::Leaving);
     }
-    let number = XxHash64::oneshot(0, head.id.0.as_bytes());
-    let service = route.target(number).cloned();
-    let service = service.ok_or(CallRefusal::NoBackend)?;
     let units = take_units(context, account.as_ref(), &head)?;
     Ok(AdmittedCall {
         head,
         route,
         service,
+        shortest_target,
         account,
         units,
         until,
@@ -142,6 +144,8 @@
 /// What the configuration says about a request.
 struct AllowedCall {
     route: RouteRule,
+    service: ServiceName,
+    shortest_target: Duration,
     account: Option<AccountRule>,
     /// The longest body, in bytes.
     body_limit: usize,
@@ -156,7 +160,12 @@
 ) -> Result<AllowedCall, CallRefusal> {
     let config = current_config(context)?;
     let (route, account) = authorize(context, &config, head, parts)?;
+    let number = XxHash64::oneshot(0, head.id.0.as_bytes());
+    let service = route.target(number).cloned();
+    let service = service.ok_or(CallRefusal::NoBackend)?;
     Ok(AllowedCall {
+        shortest_target: config.shortest_target(&service, &route),
+        service,
         route,
         account,
         body_limit: config.limits.body_bytes,
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 use tokio_util::sync::CancellationToken;
+use twox_hash::XxHash64;
 
 use crate::gateway::backend_pool::Exchange;
 use crate::gateway::backend_pool::ExchangeError;
@@ -22,8 +23,11 @@
 use crate::gateway::call_log::log_sent;
 use crate::gateway::call_log::note_outcome;
 use crate::gateway::call_refusal::CallRefusal;
+use crate::gateway::call_shedding::CrowdQuery;
+use crate::gateway::call_shedding::shed;
 use crate::gateway::edge::AnswerHead;
 use crate::gateway::edge::SendTerms;
+use crate::gateway::engine_choice::BackendChoice;
 use crate::gateway::engine_choice::ChoiceQuery;
 use crate::gateway::engine_choice::choose_backend;
 use crate::gateway::gateway_context::GatewayContext;
@@ -163,8 +167,10 @@
         if call.left() <= LEAST_LEFT {
             break;
         }
-        let Some(chosen) = choose(context, call, plan) else {
-            break;
+        let chosen = match choose(context, call, plan) {
+            Choice::Server(chosen) => chosen,
+            Choice::Crowded(after) => return Err(CallRefusal::Crowded(after)),
+            Choice::NoServer => break,
         };
         let backend = chosen.guard.backend.clone();
         plan.tried.push(backend.clone());
@@ -328,11 +334,17 @@
     first_event: Duration,
 }
 
-fn choose(
-    context: &Arc<GatewayContext>,
-    call: &AdmittedCall,
-    plan: &SendPlan,
-) -> Option<ChosenBackend> {
+/// What is done with a request next.
+enum Choice {
+    /// It is sent.
+    Server(Box<ChosenBackend>),
+    /// It is turned away, and may come back after a while.
+    Crowded(Duration),
+    /// There is no server to send it to.
+    NoServer,
+}
+
+fn choose(context: &Arc<GatewayContext>, call: &AdmittedCall, plan: &SendPlan) -> Choice {
     let query = ChoiceQuery {
         service: &call.service,
         zone: &context.settings.zone,
@@ -341,19 +353,26 @@
     };
     let now = context.now();
     let mut backends = context.backends.lock();
-    let choice = choose_backend(&backends, now, &query)?;
-    let backend = backends.get(&choice.id)?;
+    let Some(choice) = choose_backend(&backends, now, &query) else {
+        return Choice::NoServer;
+    };
+    let Some(backend) = backends.get(&choice.id) else {
+        return Choice::NoServer;
+    };
     let address = backend.record.address;
     let had_room = backend.occupancy(now) < backend.record.slots;
     let ahead = backend.unread_tokens + backend.others_unread;
     let speed = backends.reading_speed(&call.service);
     let first_event = speed.first_event(ahead + choice.unread);
-    let parts: Vec<u64> = call.head.parts.iter().map(|part| part.id).collect();
-    backends.note_sent(now, &choice.id, choice.unread, &parts);
-    drop(backends);
     if plan.tried.is_empty() {
         context.work.lock().note(now, &call.service, choice.unread);
+        if let Some(after) = shed(&crowd_query(call, &choice)) {
+            return Choice::Crowded(after);
+        }
     }
+    let parts: Vec<u64> = call.head.parts.iter().map(|part| part.id).collect();
+    backends.note_sent(now, &choice.id, choice.unread, &parts);
+    drop(backends);
     let guard = SendGuard {
         life_end: context.lives.enter(&choice.id),
         context: Arc::clone(context),
@@ -364,12 +383,24 @@
         sent_at: now,
         is_read: false,
     };
-    Some(ChosenBackend {
+    Choice::Server(Box::new(ChosenBackend {
         guard,
         address,
         unread: choice.unread,
         first_event,
-    })
+    }))
+}
+
+fn crowd_query(call: &AdmittedCall, choice: &BackendChoice) -> CrowdQuery {
+    let number = XxHash64::oneshot(2, call.head.id.0.as_bytes());
+    CrowdQuery {
+        expected: choice.first_event,
+        slot_wait: choice.slot_wait,
+        target: call.route.target_latency.min(call.left()),
+        shortest_target: call.shortest_target,
+        urgency: call.priority(),
+        draw: number as f64 / u64::MAX as f64,
+    }
 }
 
 /// Returns how long to wait for the head of an answer before another backend
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -34,6 +34,8 @@
     OverLimit(Duration),
     /// There is no backend server to send it to.
     NoBackend,
+    /// The backend servers are full, and it would be late.
+    Crowded(Duration),
     /// The backend servers refused it.
     AllFull,
     /// This entry is stopping.
@@ -64,6 +66,7 @@
             Self::NoKey => "no_key",
             Self::OverLimit(_) => "over_limit",
             Self::NoBackend => "no_backend",
+            Self::Crowded(_) => "crowded",
             Self::AllFull => "all_full",
             Self::Leaving => "leaving",
             Self::TooLate => "too_late",
@@ -83,6 +86,7 @@
             Self::NoRoom
             | Self::NoConfig
             | Self::NoBackend
+            | Self::Crowded(_)
             | Self::AllFull
             | Self::Leaving
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -95,6 +99,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::OverLimit(after) => Some((*after).clamp(COME_BACK, LONGEST_COME_BACK)),
+            Self::Crowded(after) => Some((*after).clamp(COME_BACK, LONGEST_COME_BACK)),
             Self::NoRoom | Self::NoConfig | Self::NoBackend | Self::AllFull => {
                 Some(COME_BACK + COME_BACK.mul_f64(rand::rng().random()))
             }
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -70,6 +70,10 @@
     pub cost: f64,
     /// Prompt tokens that it probably has to read.
     pub unread: u64,
+    /// How long it probably waits for a slot.
+    pub slot_wait: Duration,
+    /// When its first event is expected after the send.
+    pub first_event: Duration,
     /// The number of candidates.
     pub candidates: usize,
 }
@@ -100,11 +104,17 @@
         // Among equals the emptiest: replicas generate faster the fewer
         // requests they run.
         .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))
-        .map(|(cost, _, unread, backend)| BackendChoice {
-            id: backend.record.id.clone(),
-            cost,
-            unread,
-            candidates: count,
+        .map(|(cost, _, unread, backend)| {
+            let slot_wait = slot_wait(backend, now, times.hold);
+            let before = backend.unread_tokens + backend.others_unread;
+            BackendChoice {
+                id: backend.record.id.clone(),
+                cost,
+                unread,
+                slot_wait,
+                first_event: slot_wait + times.speed.first_event(before + unread),
+                candidates: count,
+            }
         })
 }
 
@@ -164,6 +174,14 @@
     }
 }
 
+/// Returns how long a request waits for a slot: they become free one after the
+/// other, within the time of a request.
+fn slot_wait(backend: &Backend, now: Timestamp, hold: Duration) -> Duration {
+    let slots = backend.record.slots.max(1);
+    let waiting = (backend.occupancy(now) + 1).saturating_sub(slots);
+    hold.mul_f64(f64::from(waiting) / f64::from(slots))
+}
+
 /// Returns a number from 0 to 1 that differs for each request and server.
 fn draw(request: u64, id: &BackendId) -> f64 {
     let mut hasher = XxHash64::with_seed(request);
@@ -183,9 +201,6 @@
     times: ServiceTimes,
     unread: u64,
 ) -> f64 {
-    let slots = f64::from(backend.record.slots.max(1));
-    let occupancy = f64::from(backend.occupancy(now));
-    let waiting = (occupancy + 1.0 - slots).max(0.0);
     let before = times
         .speed
         .reading_millis(backend.unread_tokens + backend.others_unread);
@@ -193,8 +208,7 @@
     let own = reading * RECOMPUTE_WEIGHT;
     let mut cost = before + own;
     cost += delay_of_streams(reading, filling(backend, now).min(1.0));
-    // The slots become free one after the other, within the time of a request.
-    cost += waiting * times.hold.as_secs_f64() * 1_000.0 / slots;
+    cost += slot_wait(backend, now, times.hold).as_secs_f64() * 1_000.0;
     cost += backend.failure_share * FAILURE_COST;
     if backend.record.zone != *query.zone {
         cost += ZONE_COST;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod call_log;
 pub mod call_refusal;
 pub mod call_service;
+pub mod call_shedding;
 pub mod config_follower;
 pub mod document_parts;
 pub mod document_transfer;
--- a/lib/src/gateway/site_config.rs
+++ b/lib/src/gateway/site_config.rs
@@ -184,6 +184,9 @@
     /// All client accounts; if there are none, no key is needed.
     pub accounts: Vec<AccountRule>,
     keys: HashMap<KeyDigest, usize>,
+    /// The shortest target latency among the routes of each service, of streams
+    /// and of others.
+    shortest_targets: BTreeMap<(ServiceName, bool), Duration>,
 }
 
 impl SiteConfig {
@@ -196,9 +199,29 @@
             limits,
             accounts: Vec::new(),
             keys: HashMap::new(),
+            shortest_targets: BTreeMap::new(),
         }
     }
 
+    /// Adds a route.
+    pub fn add_route(&mut self, route: RouteRule) {
+        for target in &route.targets {
+            let key = (target.service.clone(), route.streaming);
+            let shortest = self.shortest_targets.entry(key);
+            let shortest = shortest.or_insert(route.target_latency);
+            *shortest = (*shortest).min(route.target_latency);
+        }
+        self.routes.push(route);
+    }
+
+    /// Returns the shortest target latency among the routes of a service that
+    /// answer as `route` does, with streams or not.
+    pub fn shortest_target(&self, service: &ServiceName, route: &RouteRule) -> Duration {
+        let key = (service.clone(), route.streaming);
+        let shortest = self.shortest_targets.get(&key).copied();
+        shortest.unwrap_or(route.target_latency)
+    }
+
     /// Adds an account with its keys.
     pub fn add_account<'a>(
         &mut self,
