--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -5,21 +5,20 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendName;
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::backend_record::BackendRecord;
-use crate::gateway::backend_record::LifeStart;
 use crate::gateway::backend_record::LoadReport;
+use crate::gateway::ended_lives::EndedLives;
+use crate::gateway::known_backend::Backend;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::list_history::ListHistory;
 use crate::gateway::list_history::ListOffer;
 use crate::gateway::list_history::record_digest;
-use crate::gateway::reading_speed::ReadingSpeed;
+use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
 
@@ -37,101 +36,6 @@
 const FAILURES_TO_EXCLUDE: u32 = 2;
 /// The weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
-/// How many ended lives are remembered: those of a few minutes in which several
-/// servers end each second. Records that come late are some seconds old.
-const MAX_ENDED: usize = 1_024;
-/// The most prompt parts remembered for a backend server.
-const MAX_PARTS: usize = 512;
-/// How long a request is believed to occupy a backend server before any has
-/// ended: between plain requests of some ten ms and streams of some seconds.
-const PRIOR_HOLD: Duration = Duration::from_millis(500);
-/// The weight of the newest request in the average of such times.
-const HOLD_WEIGHT: f64 = 0.02;
-/// How long a report of load counts; later only the own count does.
-const LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
-
-/// A backend server and what is believed of it.
-#[derive(Clone, Debug)]
-pub struct Backend {
-    /// Its newest record.
-    pub record: BackendRecord,
-    /// Requests of this entry that it has.
-    pub in_flight: u32,
-    /// Prompt tokens of those that have not begun to answer.
-    pub unread_tokens: u64,
-    /// Requests of other entries, as they told last.
-    pub others_in_flight: u32,
-    /// Unread prompt tokens of other entries.
-    pub others_unread: u64,
-    /// The share of requests that failed, weighted to the newest.
-    pub failure_share: f64,
-    load: Option<(Timestamp, LoadReport)>,
-    failures_in_row: u32,
-    excluded_until: Timestamp,
-    missing_since: Option<Timestamp>,
-    parts: HashMap<u64, Timestamp>,
-}
-
-impl Backend {
-    fn new(record: BackendRecord) -> Self {
-        Self {
-            record,
-            in_flight: 0,
-            unread_tokens: 0,
-            others_in_flight: 0,
-            others_unread: 0,
-            failure_share: 0.0,
-            load: None,
-            failures_in_row: 0,
-            excluded_until: Timestamp(0),
-            missing_since: None,
-            parts: HashMap::new(),
-        }
-    }
-
-    /// Returns whether new work may go to it.
-    pub fn takes_work(&self) -> bool {
-        !self.record.leaving
-    }
-
-    /// Returns whether it is left out for now because of failures.
-    pub fn is_excluded(&self, now: Timestamp) -> bool {
-        now < self.excluded_until
-    }
-
-    /// Returns whether its record is missing, though perhaps not for good.
-    pub fn is_missing(&self) -> bool {
-        self.missing_since.is_some()
-    }
-
-    /// Returns the requests that it probably has from all entries.
-    pub fn occupancy(&self, now: Timestamp) -> u32 {
-        let counted = self.in_flight + self.others_in_flight;
-        match self.load {
-            Some((at, load)) if now.since(at) < LOAD_LIFETIME => {
-                counted.max(load.running + load.waiting)
-            }
-            _ => counted,
-        }
-    }
-
-    /// Returns when this entry last sent it a part.
-    pub fn part_used_at(&self, part: u64) -> Option<Timestamp> {
-        self.parts.get(&part).copied()
-    }
-
-    fn note_part(&mut self, now: Timestamp, part: u64) {
-        self.parts.insert(part, now);
-        if self.parts.len() > MAX_PARTS {
-            let oldest = self
-                .parts
-                .iter()
-                .min_by_key(|(_, at)| **at)
-                .map(|(id, _)| *id);
-            oldest.map(|id| self.parts.remove(&id));
-        }
-    }
-}
 
 /// What changed in the set.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -146,68 +50,6 @@
     Gone(BackendId),
 }
 
-/// A mean of times, weighted to the newest once there are enough of them.
-#[derive(Clone, Copy, Debug)]
-struct MeanTime {
-    mean: Duration,
-    /// The times that were noted, the prior included.
-    count: u32,
-}
-
-impl Default for MeanTime {
-    fn default() -> Self {
-        Self {
-            mean: PRIOR_HOLD,
-            count: 1,
-        }
-    }
-}
-
-impl MeanTime {
-    fn note(&mut self, time: Duration) {
-        self.count += 1;
-        // An entry with few requests is not to keep the prior for long.
-        let weight = HOLD_WEIGHT.max(1.0 / f64::from(self.count));
-        self.mean = self.mean.mul_f64(1.0 - weight) + time.mul_f64(weight);
-    }
-}
-
-/// The last lives of servers that are no longer listed, so that an old record
-/// which comes late does not bring an earlier one back.
-#[derive(Clone, Debug, Default)]
-struct EndedLives {
-    starts: HashMap<BackendName, LifeStart>,
-    /// The names in the order of their ends.
-    order: VecDeque<BackendName>,
-}
-
-impl EndedLives {
-    fn note(&mut self, id: &BackendId) {
-        // A server that does not tell its start has no second life.
-        if !id.start.is_told() {
-            return;
-        }
-        if self.starts.insert(id.name.clone(), id.start).is_none() {
-            self.order.push_back(id.name.clone());
-        }
-        if self.order.len() > MAX_ENDED {
-            let oldest = self.order.pop_front();
-            oldest.map(|name| self.starts.remove(&name));
-        }
-    }
-
-    fn knows(&self, name: &BackendName) -> bool {
-        self.starts.contains_key(name)
-    }
-
-    /// Returns whether a later life of the server has ended already. The same
-    /// life may be back: its record lapses while the store is away.
-    fn is_replaced(&self, id: &BackendId) -> bool {
-        let ended = self.starts.get(&id.name);
-        ended.is_some_and(|last| *last > id.start)
-    }
-}
-
 /// All backend servers that are known.
 #[derive(Clone, Debug, Default)]
 pub struct BackendSet {
@@ -216,9 +58,7 @@
     ended: EndedLives,
     digest: u64,
     history: ListHistory,
-    speeds: BTreeMap<ServiceName, ReadingSpeed>,
-    holds: BTreeMap<ServiceName, Duration>,
-    runs: BTreeMap<ServiceName, MeanTime>,
+    times: BTreeMap<ServiceName, ServiceTimes>,
     store_back_at: Option<Timestamp>,
     confirmed_at: Option<Timestamp>,
 }
@@ -253,9 +93,9 @@
         (backend.record.id == *id).then_some(backend)
     }
 
-    /// Returns how fast the replicas of a service read prompts.
-    pub fn reading_speed(&self, service: &ServiceName) -> ReadingSpeed {
-        self.speeds.get(service).copied().unwrap_or_default()
+    /// Returns how long the requests of a service take, as observed.
+    pub fn times(&self, service: &ServiceName) -> ServiceTimes {
+        self.times.get(service).copied().unwrap_or_default()
     }
 
     /// Notes when the first event of an answer came from a replica that had
@@ -265,19 +105,8 @@
             return;
         };
         let service = backend.record.service.clone();
-        self.speeds.entry(service).or_default().note(unread, took);
-    }
-
-    /// Returns how long a request of a service occupies a backend server, on
-    /// the average of the last ones.
-    pub fn hold_time(&self, service: &ServiceName) -> Duration {
-        self.holds.get(service).copied().unwrap_or(PRIOR_HOLD)
-    }
-
-    /// Returns how long a request of a service occupies a backend server that
-    /// has room for it. Unlike [`Self::hold_time`] it does not grow with queues.
-    pub fn run_time(&self, service: &ServiceName) -> Duration {
-        self.runs.get(service).copied().unwrap_or_default().mean
+        let times = self.times.entry(service).or_default();
+        times.speed.note(unread, took);
     }
 
     /// Returns a digest of the list: equal lists have equal digests.
@@ -571,11 +400,8 @@
         };
         backend.in_flight = backend.in_flight.saturating_sub(1);
         let service = backend.record.service.clone();
-        let hold = self.holds.entry(service.clone()).or_insert(PRIOR_HOLD);
-        *hold = hold.mul_f64(1.0 - HOLD_WEIGHT) + held.mul_f64(HOLD_WEIGHT);
-        if had_room {
-            self.runs.entry(service).or_default().note(held);
-        }
+        let times = self.times.entry(service).or_default();
+        times.note_left(held, had_room);
     }
 
     /// Notes the load that a backend server told.
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -362,7 +362,7 @@
     let address = backend.record.address;
     let had_room = backend.occupancy(now) < backend.record.slots;
     let ahead = backend.unread_tokens + backend.others_unread;
-    let speed = backends.reading_speed(&call.service);
+    let speed = backends.times(&call.service).speed;
     let first_event = speed.first_event(ahead + choice.unread);
     if plan.tried.is_empty() {
         context.work.lock().note(now, &call.service, choice.unread);
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -13,10 +13,10 @@
 use twox_hash::XxHash64;
 
 use crate::gateway::backend_record::BackendId;
-use crate::gateway::backend_set::Backend;
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::call_head::PromptPart;
-use crate::gateway::reading_speed::ReadingSpeed;
+use crate::gateway::known_backend::Backend;
+use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
 use crate::id::ZoneName;
 use crate::quantity::Timestamp;
@@ -90,10 +90,7 @@
         .collect();
     let home = part_home(&candidates, query.parts);
     let count = candidates.len();
-    let times = ServiceTimes {
-        speed: set.reading_speed(query.service),
-        hold: set.hold_time(query.service),
-    };
+    let times = set.times(query.service);
     candidates
         .drain(..)
         .map(|backend| {
@@ -152,13 +149,6 @@
     total - kept.map(|part| part.tokens.0).sum::<u64>()
 }
 
-/// How long the requests of a service take, as observed.
-#[derive(Clone, Copy, Debug)]
-struct ServiceTimes {
-    speed: ReadingSpeed,
-    hold: Duration,
-}
-
 /// Returns what the reading of a prompt costs those that run beside it: their
 /// events pause meanwhile. `filling` is the share of slots that they take.
 fn delay_of_streams(reading: f64, filling: f64) -> f64 {
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -300,7 +300,7 @@
     let backends = context.backends.lock();
     let meter = context.work.lock();
     let work = meter.rates(now).map(|(service, offered)| {
-        let run = backends.run_time(service).as_secs_f64();
+        let run = backends.times(service).run.as_secs_f64();
         ServiceWork {
             service: service.to_string(),
             tokens_per_s: offered.tokens_per_s as u64,
--- a/lib/src/gateway/replica_desk.rs
+++ b/lib/src/gateway/replica_desk.rs
@@ -211,7 +211,7 @@
         // Requests that wait are not counted: a queue that built up once would
         // be taken for demand until it is gone.
         let running = of_service.map(|b| b.occupancy(now).min(slots)).sum();
-        (running, backends.reading_speed(service).token_rate().0)
+        (running, backends.times(service).speed.token_rate().0)
     };
     let own = own_work(context);
     let own = own.iter().filter(|work| work.service == service.as_str());
--- a/lib/tests/test_sudden_loss.rs
+++ b/lib/tests/test_sudden_loss.rs
@@ -205,7 +205,7 @@
     let mut shown = Vec::new();
     for (held, had_room) in [(900, true), (900, true), (6_000, false), (6_000, false)] {
         set.note_left(&id, Duration::from_millis(held), had_room);
-        shown.push((set.run_time(&service), set.hold_time(&service)));
+        shown.push((set.times(&service).run, set.times(&service).hold));
     }
     insta::assert_debug_snapshot!(shown);
 }
