replica_plan: the need after a loss is counted without spare replicas

Cause: two spare replicas stand for what an average does not show; after a loss the highest need counts, which shows it.

Change: 0.8 of the need without them, which is the same for a need of 32 to 40 and a sixth less for one of 12.

--- a/lib/src/gateway/replica_plan.rs
+++ b/lib/src/gateway/replica_plan.rs
@@ -39,9 +39,10 @@
 const BARE_COVER: f64 = 0.65;
 /// The share of the need for which they are ordered after a loss. None of the
 /// others is to be had then for a quarter of a minute, in which every caller
-/// beyond what is there is late. With 1.0 whole days are served better by 0.025 to
-/// 0.001, and replicas cost twice as much more (four days, two paired plays each).
-const ALARM_COVER: f64 = 0.75;
+/// beyond what is there is late. With 1.0 in place of 0.75, whole days are served
+/// better by 0.025 to 0.001, and replicas cost twice as much more (four days, two
+/// paired plays each).
+const ALARM_COVER: f64 = 0.8;
 /// How many further zones may be lost after one before an order is carried out.
 /// Reclaims come in groups, two of them within a second. With one, the same
 /// days are served 0.879 and 0.862 in place of 0.896 and 0.900 (cover of 0.75).
@@ -301,12 +302,14 @@
 
     /// Returns how many replicas that are not reclaimable there have to be.
     fn missing_replicas(&self, supply: &ZoneSupply) -> u32 {
-        let is_alarmed = !self.losses.is_empty();
-        let (needed, cover, losses) = match is_alarmed {
-            false => (self.steady.average(), BARE_COVER, 0),
-            true => (self.latest.highest(), ALARM_COVER, EXPECTED_LOSSES),
+        let (needed, losses) = if self.losses.is_empty() {
+            (f64::from(self.steady.average()) * BARE_COVER, 0)
+        } else {
+            // The highest need shows what spare replicas are there for.
+            let needed = f64::from(self.latest.highest()) - SPARE_REPLICAS;
+            (needed * ALARM_COVER, EXPECTED_LOSSES)
         };
-        let bare = (f64::from(needed) * cover).ceil() as u32;
+        let bare = needed.max(0.0).ceil() as u32;
         bare.saturating_sub(left_after(losses, supply))
     }
 
