duty_task: a holder that finds another's claim while it writes counts does not claim again at once

Read while writing counts, it ended the lease without the pause.

Test: a_holder_that_was_replaced_does_not_take_turns; without the note it claims again 0.5 s after the foreign claim (a first run with the note taken out passed, since a report met the claim first).

--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -278,9 +278,17 @@
         match append_duty(context, &record).await {
             Ok(_) => self.interim = windows,
             Err(StoreError::Conflict(_)) => {
-                // Whoever else appended is read, which shows another holder too.
+                // Whoever else appended is read. Another holder's claim has to be
+                // noted as such: an entry that was replaced and claims again soon
+                // makes two holders act in turn.
                 let read = read_duties(context).await;
-                self.note_result(context, &read);
+                let is_replaced = context.duties.lock().fence().is_none();
+                let result = if is_replaced {
+                    Err(StoreError::Fenced)
+                } else {
+                    read
+                };
+                self.note_result(context, &result);
             }
             // Reports and orders must not wait for a store that is away.
             Err(_) => self.interim_due = context.now().after(INTERIM_PAUSE),
