server_notice: what servers say of themselves in their answers is read, logged and counted

Cause: of an answer's head entries decoded the load, the id and whether the request ran. Limits, leaving and times of rest that servers tell there could not be seen from outside, so that three hypotheses about requests which reached them all the same could not be told apart. Change: notices are decoded, kept with the life that gave them, logged and counted by server. No decision uses them yet. One that cannot be read changes nothing; a surplus answer and one from another server at the address tell nothing of this one.

--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -18,6 +18,8 @@
 use crate::gateway::list_history::ListHistory;
 use crate::gateway::list_history::ListOffer;
 use crate::gateway::list_history::record_digest;
+use crate::gateway::server_notice::NoticeChange;
+use crate::gateway::server_notice::ServerNotice;
 use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -411,6 +413,18 @@
         }
     }
 
+    /// Notes what a backend server said of itself in an answer; returns what that
+    /// changed.
+    pub fn note_notice(
+        &mut self,
+        now: Timestamp,
+        id: &BackendId,
+        notice: &ServerNotice,
+    ) -> Vec<NoticeChange> {
+        let backend = self.get_mut(id);
+        backend.map_or_else(Vec::new, |backend| backend.note_notice(now, notice))
+    }
+
     /// Notes what other entries have at a backend server.
     pub fn note_others(&mut self, id: &BackendId, in_flight: u32, unread: u64) {
         if let Some(backend) = self.get_mut(id) {
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -30,6 +30,7 @@
 use crate::gateway::engine_choice::ChoiceQuery;
 use crate::gateway::engine_choice::choose_backend;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::notice_watch::note_notice;
 use crate::gateway::send_guard::CONNECTION_LOST;
 use crate::gateway::send_guard::GuardTerms;
 use crate::gateway::send_guard::STARTED_AGAIN;
@@ -267,6 +268,10 @@
         // one's; the connection closes with it.
         return SendResult::Lost("other_answer");
     }
+    // Where another server has the address, that one speaks.
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        note_notice(context, backend, &answer.notice);
+    }
     if answer.not_run {
         // Another server has the address: this one is gone.
         let gone = status == StatusCode::MISDIRECTED_REQUEST;
--- a/lib/src/gateway/edge.rs
+++ b/lib/src/gateway/edge.rs
@@ -16,6 +16,7 @@
 use crate::gateway::backend_record::LoadReport;
 use crate::gateway::call_head::CallHead;
 use crate::gateway::call_head::HeadError;
+use crate::gateway::server_notice::ServerNotice;
 use crate::gateway::site_config::SiteConfig;
 use crate::id::AccountName;
 use crate::id::EntryName;
@@ -57,7 +58,7 @@
 }
 
 /// What a backend server's answer says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// The request that it answers.
     pub call: Option<String>,
@@ -65,6 +66,8 @@
     pub not_run: bool,
     /// The load of the backend server, if it tells.
     pub load: Option<LoadReport>,
+    /// What else the backend server says of itself.
+    pub notice: ServerNotice,
     /// How long the backend server keeps the connection when idle.
     pub keep_idle: Option<Duration>,
 }
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -35,6 +35,7 @@
 use crate::gateway::life_watch::LifeWatch;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::log_budget::LogBudget;
+use crate::gateway::notice_watch::ServerLabels;
 use crate::gateway::peer_book::PeerBook;
 use crate::gateway::send_budget::SendBudget;
 use crate::gateway::usage_table::UsageTable;
@@ -102,6 +103,8 @@
     pub log_budget: Mutex<LogBudget>,
     /// Changes of the list of backend servers that others told.
     pub heard_changes: Mutex<HeardChanges>,
+    /// The backend servers that have counters of their own.
+    pub server_labels: ServerLabels,
     /// Wakes the exchange of news.
     pub news_due: Notify,
     /// Ends all tasks.
@@ -153,6 +156,7 @@
             links: PeerSender::new(stop.clone(), log.clone()),
             log_budget: Mutex::new(LogBudget::new()),
             heard_changes: Mutex::new(HeardChanges::default()),
+            server_labels: ServerLabels::default(),
             news_due: Notify::new(),
             stop,
             leaving: AtomicBool::new(false),
--- /dev/null
+++ b/lib/src/gateway/notice_watch.rs
@@ -0,0 +1,84 @@
+//! Takes over what backend servers say of themselves in their answers, and tells
+//! operators of it.
+
+use std::collections::BTreeSet;
+
+use metrics::counter;
+use parking_lot::Mutex;
+use slog::info;
+
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::log_budget::LineClass;
+use crate::gateway::server_notice::NoticeChange;
+use crate::gateway::server_notice::ServerNotice;
+
+/// The most backend servers that have counters of their own. Those of lives that
+/// have ended stay on the metrics page, so further ones share one label.
+const MAX_LABELS: usize = 256;
+/// The label that further backend servers share.
+const SHARED_LABEL: &str = "others";
+
+/// The backend servers that have counters of their own.
+#[derive(Debug, Default)]
+pub struct ServerLabels {
+    names: Mutex<BTreeSet<String>>,
+}
+
+impl ServerLabels {
+    /// Returns the label of a backend server.
+    fn label(&self, id: &BackendId) -> String {
+        let mut names = self.names.lock();
+        let name = &id.name.0;
+        if !names.contains(name) {
+            if names.len() >= MAX_LABELS {
+                return SHARED_LABEL.to_owned();
+            }
+            names.insert(name.clone());
+        }
+        name.clone()
+    }
+}
+
+/// Takes over what a server said with an answer that came just now.
+pub fn note_notice(context: &GatewayContext, id: &BackendId, notice: &ServerNotice) {
+    let now = context.now();
+    let changes = context.backends.lock().note_notice(now, id, notice);
+    for change in changes {
+        tell_change(context, id, change);
+    }
+}
+
+/// Counts and logs what a server said anew.
+fn tell_change(context: &GatewayContext, id: &BackendId, change: NoticeChange) {
+    let label = context.server_labels.label(id);
+    let logs = context.logs(&id.name.0, LineClass::Failure);
+    match change {
+        NoticeChange::Limited(rate) => {
+            counter!("cloverbend_backend_limits_named_total", "backend" => label).increment(1);
+            if logs {
+                info!(context.log, "backend server named a limit"; "backend" => %id,
+                    "requests_per_s" => rate.0);
+            }
+        }
+        NoticeChange::LimitOver => {
+            counter!("cloverbend_backend_limits_over_total", "backend" => label).increment(1);
+            if logs {
+                info!(context.log, "backend server's limit is over"; "backend" => %id);
+            }
+        }
+        NoticeChange::Leaving => {
+            counter!("cloverbend_backend_leaves_told_total", "backend" => label).increment(1);
+            if logs {
+                info!(context.log, "backend server said that it leaves"; "backend" => %id);
+            }
+        }
+        NoticeChange::Rest(rest) => {
+            counter!("cloverbend_backend_rests_asked_total", "backend" => label).increment(1);
+            if logs {
+                info!(context.log, "backend server asked for rest"; "backend" => %id,
+                    "for_ms" => rest.as_millis() as u64);
+            }
+        }
+    }
+}
