server_limits: a limit that a backend server names holds for all entries together

Callers saw nothing; a server in need got as many requests as before, 241 in 4 s where 11 are borne. Cause: the limit was not read, and no decision was made for a rate that entries share: each entry chooses servers by itself, with knowledge that only bounds load by chance. Class: a bound of the whole system that was left to each part. Ruled out: that reading it is enough (nine entries that space their own requests send nine times as much, 302 entries break a limit of one a second with one request each); repeats and resumed streams as the cause (the requests were first sends). Change: words about limits go to the hubs with the news and from them to all entries, with their age, so that the one said last holds, for the life that said it. Each hub gives the entries that ask it for answers permits for single requests, their part of the limit, by what callers bring them; a permit ends by itself and what was used is told with the news. No round trip for a request, no election: parts of hubs add up. One choice serves first sends, repeats and resumed streams; prompts keep their homes at servers without a limit. What no limit has room for is refused at once (503, all_limited) with the time of the next chance. Ways weighed: a fixed owner by hash (three servers leave all but three entries without service), even shares (hundreds that saved up one request each), one hub for all (two thirds hear it once a second).

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -29,12 +29,14 @@
 use crate::gateway::engine_choice::BackendChoice;
 use crate::gateway::engine_choice::ChoiceQuery;
 use crate::gateway::engine_choice::choose_backend;
+use crate::gateway::engine_choice::limited_for;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::notice_watch::note_notice;
 use crate::gateway::send_guard::CONNECTION_LOST;
 use crate::gateway::send_guard::GuardTerms;
 use crate::gateway::send_guard::STARTED_AGAIN;
 use crate::gateway::send_guard::SendGuard;
+use crate::quantity::Timestamp;
 
 /// The least time left for which a request is sent.
 const LEAST_LEFT: Duration = Duration::from_millis(10);
@@ -129,7 +131,11 @@
         let mut chosen = match choose(context, call, plan) {
             Choice::Server(chosen) => chosen,
             Choice::Crowded(after) => return Err(CallRefusal::Crowded(after)),
-            Choice::NoServer => break,
+            // Where it may have run, that is what its caller has to know.
+            Choice::AllLimited(after) if plan.runs == 0 => {
+                return Err(CallRefusal::AllLimited(after));
+            }
+            Choice::AllLimited(_) | Choice::NoServer => break,
         };
         let backend = chosen.guard.backend().clone();
         plan.tried.push(backend.clone());
@@ -242,9 +248,11 @@
 pub fn has_other_server(context: &GatewayContext, call: &AdmittedCall, plan: &SendPlan) -> bool {
     let now = context.now();
     let backends = context.backends.lock();
+    let limits = context.server_limits.lock();
     backends.of_service(&call.service).any(|backend| {
+        let id = &backend.record.id;
         let usable = backend.takes_work() && !backend.is_missing() && !backend.is_excluded(now);
-        usable && !plan.tried.contains(&backend.record.id)
+        usable && limits.lets_in(now, id) && !plan.tried.contains(id)
     })
 }
 
@@ -305,21 +313,28 @@
     Server(Box<ChosenBackend>),
     /// It is turned away, and may come back after a while.
     Crowded(Duration),
+    /// All servers have limits of which nothing is left for this entry now; it
+    /// may come back after a while.
+    AllLimited(Duration),
     /// There is no server to send it to.
     NoServer,
 }
 
 fn choose(context: &Arc<GatewayContext>, call: &AdmittedCall, plan: &SendPlan) -> Choice {
+    let now = context.now();
+    let mut backends = context.backends.lock();
+    let mut limits = context.server_limits.lock();
     let query = ChoiceQuery {
         service: &call.service,
         zone: &context.settings.zone,
         parts: &call.head.parts,
         tried: &plan.tried,
+        limits: &limits,
     };
-    let now = context.now();
-    let mut backends = context.backends.lock();
     let Some(choice) = choose_backend(&backends, now, &query) else {
-        return Choice::NoServer;
+        let after = limited_for(&backends, &query);
+        note_unsent_work(context, call, plan, now);
+        return after.map_or(Choice::NoServer, Choice::AllLimited);
     };
     let Some(backend) = backends.get(&choice.id) else {
         return Choice::NoServer;
@@ -337,6 +352,8 @@
     }
     let parts: Vec<u64> = call.head.parts.iter().map(|part| part.id).collect();
     backends.note_sent(now, &choice.id, choice.unread, &parts);
+    limits.note_sent(now, &choice.id);
+    drop(limits);
     drop(backends);
     let terms = GuardTerms {
         backend: choice.id,
@@ -356,6 +373,20 @@
     }))
 }
 
+/// Notes the work of a request for which there is no server: entries get permits
+/// by the requests that come.
+fn note_unsent_work(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    plan: &SendPlan,
+    now: Timestamp,
+) {
+    if plan.tried.is_empty() {
+        let tokens = call.head.parts.iter().map(|part| part.tokens.0).sum();
+        context.work.lock().note(now, &call.service, tokens);
+    }
+}
+
 fn crowd_query(call: &AdmittedCall, choice: &BackendChoice) -> CrowdQuery {
     let number = XxHash64::oneshot(2, call.head.id.0.as_bytes());
     CrowdQuery {
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -37,6 +37,9 @@
     NoBackend,
     /// The backend servers are full, and it would be late.
     Crowded(Duration),
+    /// All backend servers have named limits that are used up here, or want to
+    /// rest; the soonest may take it after that time.
+    AllLimited(Duration),
     /// The backend servers refused it.
     AllFull,
     /// It crashes the backend servers that run it.
@@ -70,6 +73,7 @@
             Self::OverLimit(_) => "over_limit",
             Self::NoBackend => "no_backend",
             Self::Crowded(_) => "crowded",
+            Self::AllLimited(_) => "all_limited",
             Self::AllFull => "all_full",
             Self::CrashesServers => "crashes_servers",
             Self::Leaving => "leaving",
@@ -91,6 +95,7 @@
             | Self::NoConfig
             | Self::NoBackend
             | Self::Crowded(_)
+            | Self::AllLimited(_)
             | Self::AllFull
             | Self::CrashesServers
             | Self::Leaving
@@ -104,7 +109,9 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::OverLimit(after) => Some((*after).clamp(COME_BACK, LONGEST_COME_BACK)),
-            Self::Crowded(after) => Some((*after).clamp(COME_BACK, LONGEST_COME_BACK)),
+            Self::Crowded(after) | Self::AllLimited(after) => {
+                Some((*after).clamp(COME_BACK, LONGEST_COME_BACK))
+            }
             Self::NoRoom | Self::NoConfig | Self::NoBackend | Self::AllFull => {
                 Some(COME_BACK + COME_BACK.mul_f64(rand::rng().random()))
             }
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -16,6 +16,7 @@
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::call_head::PromptPart;
 use crate::gateway::known_backend::Backend;
+use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
 use crate::id::ZoneName;
@@ -59,6 +60,8 @@
     pub parts: &'a [PromptPart],
     /// Backend servers that this request has already been sent to.
     pub tried: &'a [BackendId],
+    /// What servers with a limit take of this entry.
+    pub limits: &'a ServerLimits,
 }
 
 /// A chosen backend server.
@@ -87,8 +90,9 @@
     let mut candidates: Vec<&Backend> = set
         .of_service(query.service)
         .filter(|backend| backend.takes_work() && !query.tried.contains(&backend.record.id))
+        .filter(|backend| query.limits.lets_in(now, &backend.record.id))
         .collect();
-    let home = part_home(&candidates, query.parts);
+    let home = part_home(&home_candidates(&candidates, query.limits), query.parts);
     let count = candidates.len();
     let times = set.times(query.service);
     candidates
@@ -115,6 +119,35 @@
         })
 }
 
+/// Returns after what time a request has a chance for which there is no server
+/// now: when all entries together may send the next one to those with a limit.
+/// None if there are none.
+pub fn limited_for(set: &BackendSet, query: &ChoiceQuery<'_>) -> Option<Duration> {
+    let takes =
+        |backend: &&Backend| backend.takes_work() && !query.tried.contains(&backend.record.id);
+    let limits = set
+        .of_service(query.service)
+        .filter(takes)
+        .filter_map(|backend| query.limits.book.limit(&backend.record.id));
+    let sum = limits
+        .map(|limit| limit.0)
+        .reduce(|sum, limit| sum + limit)?;
+    Some(Duration::try_from_secs_f64(1.0 / sum).unwrap_or(Duration::MAX))
+}
+
+/// Returns the candidates that can be homes: those without a limit, if there are
+/// any. Entries have permits by turns, and would have different homes.
+fn home_candidates<'a>(candidates: &[&'a Backend], limits: &ServerLimits) -> Vec<&'a Backend> {
+    let free = candidates.iter().copied();
+    let free: Vec<&Backend> = free
+        .filter(|backend| !limits.is_limited(&backend.record.id))
+        .collect();
+    if free.is_empty() {
+        return candidates.to_vec();
+    }
+    free
+}
+
 /// Returns the home of a prompt among the candidates: that of its last shared
 /// part. The parts before it are shared by so many that every home has them.
 fn part_home<'a>(candidates: &[&'a Backend], parts: &[PromptPart]) -> Option<&'a BackendId> {
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -38,6 +38,7 @@
 use crate::gateway::notice_watch::ServerLabels;
 use crate::gateway::peer_book::PeerBook;
 use crate::gateway::send_budget::SendBudget;
+use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::usage_table::UsageTable;
 use crate::gateway::work_meter::WorkMeter;
 use crate::id::Incarnation;
@@ -75,6 +76,8 @@
     pub transfer: Mutex<DocumentTransfer>,
     /// The backend servers.
     pub backends: Mutex<BackendSet>,
+    /// The limits that backend servers have named.
+    pub server_limits: Mutex<ServerLimits>,
     /// The accounts' limits.
     pub limits: Mutex<AccountLimits>,
     /// The budget of sends beyond the first.
@@ -138,6 +141,7 @@
             config: Mutex::new(ConfigFollower::new()),
             transfer: Mutex::new(DocumentTransfer::new()),
             backends: Mutex::new(BackendSet::new()),
+            server_limits: Mutex::new(ServerLimits::new(settings.name.clone())),
             limits: Mutex::new(AccountLimits::new(
                 incarnation,
                 settings.first_start,
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -283,6 +283,8 @@
     gauge!("cloverbend_open_requests").set(context.open_calls() as f64);
     gauge!("cloverbend_held_bytes").set(context.held.used() as f64);
     gauge!("cloverbend_backend_idle_connections").set(context.pool.idle_count() as f64);
+    let limits = context.server_limits.lock().book.limits().count();
+    gauge!("cloverbend_backend_limits").set(limits as f64);
     gauge!("cloverbend_suspended_seconds").set(context.clock.suspended().as_secs_f64());
     let fatal = context.crashes.lock().fatal_count();
     gauge!("cloverbend_fatal_requests").set(fatal as f64);
--- a/lib/src/gateway/known_backend.rs
+++ b/lib/src/gateway/known_backend.rs
@@ -7,10 +7,8 @@
 
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_record::LoadReport;
-use crate::gateway::server_notice::LimitNotice;
 use crate::gateway::server_notice::NoticeChange;
 use crate::gateway::server_notice::ServerNotice;
-use crate::quantity::RequestRate;
 use crate::quantity::Timestamp;
 
 /// The most prompt parts remembered for a backend server.
@@ -37,8 +35,6 @@
     pub(super) failures_in_row: u32,
     pub(super) excluded_until: Timestamp,
     pub(super) missing_since: Option<Timestamp>,
-    /// The requests a second that it takes from all entries, if it names a limit.
-    pub(super) limit: Option<RequestRate>,
     /// Whether it said in an answer that it leaves.
     pub(super) said_leaving: bool,
     /// Until when it wants no request from this entry.
@@ -59,7 +55,6 @@
             failures_in_row: 0,
             excluded_until: Timestamp(0),
             missing_since: None,
-            limit: None,
             said_leaving: false,
             rests_until: Timestamp(0),
             parts: HashMap::new(),
@@ -104,7 +99,6 @@
         notice: &ServerNotice,
     ) -> Vec<NoticeChange> {
         let mut changes = Vec::new();
-        changes.extend(self.note_limit(notice.limit));
         if notice.leaving && !std::mem::replace(&mut self.said_leaving, true) {
             changes.push(NoticeChange::Leaving);
         }
@@ -115,18 +109,6 @@
         changes
     }
 
-    fn note_limit(&mut self, notice: LimitNotice) -> Option<NoticeChange> {
-        let named = match notice {
-            LimitNotice::Unlimited => None,
-            LimitNotice::Limited(rate) => Some(rate),
-            LimitNotice::Unreadable => return None,
-        };
-        if std::mem::replace(&mut self.limit, named) == named {
-            return None;
-        }
-        Some(named.map_or(NoticeChange::LimitOver, NoticeChange::Limited))
-    }
-
     pub(super) fn note_part(&mut self, now: Timestamp, part: u64) {
         self.parts.insert(part, now);
         if self.parts.len() > MAX_PARTS {
--- /dev/null
+++ b/lib/src/gateway/limit_news.rs
@@ -0,0 +1,120 @@
+//! Limits of backend servers in the news between entries.
+
+use std::time::Duration;
+
+use prost::Message;
+
+use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendName;
+use crate::gateway::backend_record::LifeStart;
+use crate::gateway::notice_book::ServerWord;
+use crate::gateway::send_permits::LimitedSends;
+use crate::gateway::send_permits::PermitGrant;
+use crate::quantity::RequestRate;
+
+/// The frame of [`ServerWord`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ServerWordFrame {
+    #[prost(string, tag = "1")]
+    backend: String,
+    #[prost(uint64, tag = "2")]
+    start: u64,
+    /// Requests a second, as the bits of a number of double precision: entries
+    /// that know the same limit must have the same. None if there is no limit.
+    #[prost(fixed64, optional, tag = "3")]
+    limit_bits: Option<u64>,
+    #[prost(uint64, tag = "4")]
+    age_ms: u64,
+}
+
+/// The frame of [`LimitedSends`] and [`PermitGrant`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ServerCountFrame {
+    #[prost(string, tag = "1")]
+    backend: String,
+    #[prost(uint64, tag = "2")]
+    start: u64,
+    #[prost(uint64, tag = "3")]
+    count: u64,
+}
+
+impl ServerCountFrame {
+    fn new(id: BackendId, count: u64) -> Self {
+        Self {
+            backend: id.name.0,
+            start: id.start.0,
+            count,
+        }
+    }
+}
+
+fn read_id(backend: String, start: u64) -> BackendId {
+    BackendId {
+        name: BackendName(backend),
+        start: LifeStart(start),
+    }
+}
+
+impl From<ServerWord> for ServerWordFrame {
+    fn from(word: ServerWord) -> Self {
+        Self {
+            backend: word.id.name.0,
+            start: word.id.start.0,
+            limit_bits: word.limit.map(|rate| rate.0.to_bits()),
+            age_ms: word.age.as_millis() as u64,
+        }
+    }
+}
+
+/// Reads words. One with a rate that is no rate says nothing.
+pub fn read_words(frames: Vec<ServerWordFrame>) -> Vec<ServerWord> {
+    frames.into_iter().filter_map(read_word).collect()
+}
+
+fn read_word(frame: ServerWordFrame) -> Option<ServerWord> {
+    let rate =
+        |bits: u64| Some(f64::from_bits(bits)).filter(|rate| rate.is_finite() && *rate >= 0.0);
+    let limit = match frame.limit_bits {
+        Some(bits) => Some(RequestRate(rate(bits)?)),
+        None => None,
+    };
+    Some(ServerWord {
+        id: read_id(frame.backend, frame.start),
+        limit,
+        age: Duration::from_millis(frame.age_ms),
+    })
+}
+
+impl From<LimitedSends> for ServerCountFrame {
+    fn from(sends: LimitedSends) -> Self {
+        Self::new(sends.id, sends.sent)
+    }
+}
+
+impl From<ServerCountFrame> for LimitedSends {
+    fn from(frame: ServerCountFrame) -> Self {
+        Self {
+            id: read_id(frame.backend, frame.start),
+            sent: frame.count,
+        }
+    }
+}
+
+impl From<PermitGrant> for ServerCountFrame {
+    fn from(grant: PermitGrant) -> Self {
+        Self::new(grant.id, grant.count.into())
+    }
+}
+
+impl From<ServerCountFrame> for PermitGrant {
+    fn from(frame: ServerCountFrame) -> Self {
+        Self {
+            id: read_id(frame.backend, frame.start),
+            count: u32::try_from(frame.count).unwrap_or(0).min(MAX_GRANT),
+        }
+    }
+}
+
+/// The most permits that one grant gives: what the fastest server takes from one
+/// entry while they hold. More can only come from a damaged frame.
+const MAX_GRANT: u32 = 4_096;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -20,9 +20,13 @@
 //! What crashes the servers that run it is refused: [`crash_watch`] notes which requests ran
 //! where a server crashed, [`crash_ledger`] keeps it and [`crash_verdict`] finds the cause.
 //!
+//! What servers say of themselves in answers is read by [`notice_watch`]. Limits that they name are
+//! kept in [`server_limits`], told to all by [`limit_desk`], and kept by permits that the
+//! [`permit_issuer`] of a hub gives out.
+//!
 //! The formats of the platform stand behind the traits of [`edge`].
 //!
-//! Lock order: `config`, `transfer`, `backends`, `limits`, `usage`, `peers`, `duties`, `crashes`.
+//! Lock order: `config`, `transfer`, `backends`, `server_limits`, `limits`, `usage`, `peers`, `duties`, `crashes`.
 //! None is held across an await.
 
 pub mod account_limits;
@@ -63,19 +67,25 @@
 pub mod held_bytes;
 pub mod known_backend;
 pub mod life_watch;
+pub mod limit_desk;
+pub mod limit_news;
 pub mod list_history;
 pub mod log_budget;
+pub mod notice_book;
 pub mod notice_watch;
 pub mod packed_document;
 pub mod pause_watch;
 pub mod peer_book;
 pub mod peer_news;
 pub mod peer_task;
+pub mod permit_issuer;
 pub mod reading_speed;
 pub mod replica_desk;
 pub mod replica_plan;
 pub mod send_budget;
 pub mod send_guard;
+pub mod send_permits;
+pub mod server_limits;
 pub mod server_notice;
 pub mod service_times;
 pub mod site_config;
--- a/lib/src/gateway/notice_watch.rs
+++ b/lib/src/gateway/notice_watch.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use metrics::counter;
+use metrics::gauge;
 use parking_lot::Mutex;
 use slog::info;
 
@@ -19,6 +20,9 @@
 /// The label that further backend servers share.
 const SHARED_LABEL: &str = "others";
 
+/// What the gauge of a server shows whose limit is over: 0 is a limit too.
+pub const NO_LIMIT: f64 = -1.0;
+
 /// The backend servers that have counters of their own.
 #[derive(Debug, Default)]
 pub struct ServerLabels {
@@ -27,7 +31,7 @@
 
 impl ServerLabels {
     /// Returns the label of a backend server.
-    fn label(&self, id: &BackendId) -> String {
+    pub fn label(&self, id: &BackendId) -> String {
         let mut names = self.names.lock();
         let name = &id.name.0;
         if !names.contains(name) {
@@ -43,7 +47,15 @@
 /// Takes over what a server said with an answer that came just now.
 pub fn note_notice(context: &GatewayContext, id: &BackendId, notice: &ServerNotice) {
     let now = context.now();
-    let changes = context.backends.lock().note_notice(now, id, notice);
+    let mut changes = context.backends.lock().note_notice(now, id, notice);
+    let mut limits = context.server_limits.lock();
+    let limit = limits.book.note_answer(now, id, notice.limit);
+    drop(limits);
+    if limit.is_some() {
+        // Others send there until they are told.
+        context.news_due.notify_one();
+    }
+    changes.extend(limit);
     for change in changes {
         tell_change(context, id, change);
     }
@@ -55,6 +67,7 @@
     let logs = context.logs(&id.name.0, LineClass::Failure);
     match change {
         NoticeChange::Limited(rate) => {
+            gauge!("cloverbend_backend_limit", "backend" => label.clone()).set(rate.0);
             counter!("cloverbend_backend_limits_named_total", "backend" => label).increment(1);
             if logs {
                 info!(context.log, "backend server named a limit"; "backend" => %id,
@@ -62,6 +75,7 @@
             }
         }
         NoticeChange::LimitOver => {
+            gauge!("cloverbend_backend_limit", "backend" => label.clone()).set(NO_LIMIT);
             counter!("cloverbend_backend_limits_over_total", "backend" => label).increment(1);
             if logs {
                 info!(context.log, "backend server's limit is over"; "backend" => %id);
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -41,6 +41,9 @@
 /// How long an entry that was sent the list of backend servers has to say that
 /// it has it. Its answer comes with its next news, a quarter of a second later.
 const LIST_PAUSE: Duration = Duration::from_millis(600);
+/// How long an entry may know other limits of backend servers before it is told
+/// all of them: by then it has answered to the changes.
+const LIMITS_PATIENCE: Duration = Duration::from_millis(1_500);
 /// An entry from which nothing came for so long is forgotten. Until then its
 /// part of every limit is left to it, in case it is only cut off.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -80,6 +83,12 @@
     owes_digest: bool,
     /// The digest of the list of backend servers that was sent last, and when.
     list_sent: Option<(u64, Timestamp)>,
+    /// The digest of the limits that it knows.
+    limits_hash: u64,
+    /// Since when that differs from the own one.
+    limits_differ_since: Option<Timestamp>,
+    /// When it was told all limits last.
+    limits_sent_at: Option<Timestamp>,
 }
 
 impl PeerState {
@@ -105,6 +114,9 @@
             unanswered_since: None,
             owes_digest: false,
             list_sent: None,
+            limits_hash: 0,
+            limits_differ_since: None,
+            limits_sent_at: None,
         }
     }
 
@@ -245,6 +257,7 @@
         peer.answers_pulls = news.answers_pulls;
         peer.takes_changes = news.takes_changes;
         peer.backends_hash = news.backends_hash;
+        peer.limits_hash = news.limits_hash;
         peer.leaving = news.leaving;
         peer.fence = news.fence;
         if news.tells {
@@ -366,6 +379,37 @@
         !sent_lately
     }
 
+    /// Returns whether an entry is to be told of limits, as it knows others than
+    /// those with that digest: `Some(true)` if it is to be told all of them.
+    pub fn offers_limits(&mut self, now: Timestamp, name: &EntryName, digest: u64) -> Option<bool> {
+        let peer = self.peers.get_mut(name)?;
+        if peer.limits_hash == digest {
+            peer.limits_differ_since = None;
+            return None;
+        }
+        let since = *peer.limits_differ_since.get_or_insert(now);
+        let sent_at = peer.limits_sent_at.unwrap_or_default();
+        let whole = match peer.limits_sent_at {
+            None => true,
+            Some(_) => now.since(since.max(sent_at)) >= LIMITS_PATIENCE,
+        };
+        if whole {
+            peer.limits_sent_at = Some(now);
+        }
+        Some(whole)
+    }
+
+    /// Iterates over the entries that this one answers each round, with the work
+    /// that callers bring them.
+    pub fn answered_each_round(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&EntryName, &[ServiceWork])> {
+        let asking = self.peers.iter();
+        let asking = asking.filter(move |(_, peer)| peer.wants_digest && peer.tells(now));
+        asking.map(|(name, peer)| (name, peer.work.as_slice()))
+    }
+
     /// Returns the hub that answers this entry each round. Entries choose
     /// different ones, so that no hub's link carries all answers.
     fn primary(&self, hubs: &[EntryName]) -> Option<EntryName> {
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -11,7 +11,13 @@
 use crate::gateway::backend_record::LifeStart;
 use crate::gateway::crash_ledger::CrashReport;
 use crate::gateway::crash_news::CrashReportFrame;
+use crate::gateway::limit_news::ServerCountFrame;
+use crate::gateway::limit_news::ServerWordFrame;
+use crate::gateway::limit_news::read_words;
 use crate::gateway::list_history::ListChanges;
+use crate::gateway::notice_book::ServerWord;
+use crate::gateway::send_permits::LimitedSends;
+use crate::gateway::send_permits::PermitGrant;
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::AccountName;
 use crate::id::EntryName;
@@ -73,6 +79,9 @@
     /// Thousandths of slots that its requests occupy on the average.
     #[prost(uint64, tag = "3")]
     pub busy_milli: u64,
+    /// Thousandths of requests in a second.
+    #[prost(uint64, tag = "4")]
+    pub requests_milli: u64,
 }
 
 /// Requests of an account that began in a window at an entry.
@@ -100,7 +109,7 @@
 }
 
 /// What a hub adds to its answers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HubDigest {
     /// What all entries but the receiver admitted, as the hub counts.
     pub admitted: Vec<AdmittedUnits>,
@@ -113,11 +122,15 @@
     pub changes: Option<ListChanges>,
     /// Those that leave, while the list cannot be passed on.
     pub leaving: Vec<BackendId>,
+    /// Limits that servers named, if the receiver knows others.
+    pub words: Vec<ServerWord>,
+    /// What the receiver may send to servers with a limit.
+    pub permits: Vec<PermitGrant>,
 }
 
 /// What one entry tells another several times a second. It is always the
 /// whole state, so that a lost message needs no repetition.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewayNews {
     /// The sender's life.
     pub incarnation: Incarnation,
@@ -159,6 +172,12 @@
     pub work: Vec<ServiceWork>,
     /// Requests under which backend servers crashed.
     pub crashes: Vec<CrashReport>,
+    /// Limits that servers named to the sender a moment ago.
+    pub words: Vec<ServerWord>,
+    /// The digest of the limits that the sender knows.
+    pub limits_hash: u64,
+    /// What the sender has sent to servers with a limit.
+    pub sends: Vec<LimitedSends>,
     /// What the sender knows of all entries, if it answers as a hub.
     pub view: Option<HubView>,
     /// What the sender adds as a hub.
@@ -193,6 +212,9 @@
             uses: Vec::new(),
             work: Vec::new(),
             crashes: Vec::new(),
+            words: Vec::new(),
+            limits_hash: 0,
+            sends: Vec::new(),
             view: None,
             digest: None,
         }
@@ -298,6 +320,10 @@
     leaving: Vec<LifeFrame>,
     #[prost(message, optional, tag = "5")]
     changes: Option<ListChangesFrame>,
+    #[prost(message, repeated, tag = "7")]
+    words: Vec<ServerWordFrame>,
+    #[prost(message, repeated, tag = "8")]
+    permits: Vec<ServerCountFrame>,
 }
 
 /// The frame of [`GatewayNews`].
@@ -345,6 +371,12 @@
     takes_changes: bool,
     #[prost(message, repeated, tag = "22")]
     crashes: Vec<CrashReportFrame>,
+    #[prost(message, repeated, tag = "23")]
+    words: Vec<ServerWordFrame>,
+    #[prost(fixed64, tag = "24")]
+    limits_hash: u64,
+    #[prost(message, repeated, tag = "25")]
+    sends: Vec<ServerCountFrame>,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -452,6 +484,8 @@
         backends: digest.backends.map(list),
         leaving: digest.leaving.into_iter().map(life).collect(),
         changes: digest.changes.map(write_changes),
+        words: digest.words.into_iter().map(Into::into).collect(),
+        permits: digest.permits.into_iter().map(Into::into).collect(),
     }
 }
 
@@ -469,6 +503,8 @@
         backends: frame.backends.map(list).transpose()?,
         leaving: frame.leaving.into_iter().map(life).collect(),
         changes: frame.changes.map(read_changes).transpose()?,
+        words: read_words(frame.words),
+        permits: frame.permits.into_iter().map(Into::into).collect(),
     })
 }
 
@@ -496,6 +532,9 @@
             uses: news.uses,
             work: news.work,
             crashes: news.crashes.into_iter().map(Into::into).collect(),
+            words: news.words.into_iter().map(Into::into).collect(),
+            limits_hash: news.limits_hash,
+            sends: news.sends.into_iter().map(Into::into).collect(),
             tells: news.tells,
             wants_digest: news.wants_digest,
             backends_hash: news.backends_hash,
@@ -539,6 +578,9 @@
             uses: frame.uses,
             work: frame.work,
             crashes: frame.crashes.into_iter().map(Into::into).collect(),
+            words: read_words(frame.words),
+            limits_hash: frame.limits_hash,
+            sends: frame.sends.into_iter().map(Into::into).collect(),
             view: frame.view.map(|view| HubView {
                 entries: view.entries as usize,
                 heard: view.heard as usize,
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -16,6 +16,10 @@
 use crate::gateway::document_parts::DocumentPart;
 use crate::gateway::document_parts::DocumentPull;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::limit_desk::GrantedPermits;
+use crate::gateway::limit_desk::issue_permits;
+use crate::gateway::limit_desk::take_limit_news;
+use crate::gateway::limit_desk::words_for;
 use crate::gateway::list_history::ListOffer;
 use crate::gateway::peer_book::DueMessage;
 use crate::gateway::peer_book::HeardLife;
@@ -64,12 +68,13 @@
 
 fn send_round(context: &GatewayContext, now: Timestamp, round: u32) {
     let due = context.peers.lock().due(now, round);
+    let granted = issue_permits(context, now);
     if due.is_empty() {
         return;
     }
     let common = common_news(context);
     let digests = due.iter().any(|message| message.digest);
-    let knowledge = digests.then(|| HubKnowledge::gather(context, &common, now));
+    let knowledge = digests.then(|| HubKnowledge::gather(context, &common, granted, now));
     for message in due {
         if message.reopen {
             context.links.forget(message.address);
@@ -95,7 +100,14 @@
 /// Builds what is the same in all messages of a round.
 fn common_news(context: &GatewayContext) -> GatewayNews {
     let revision = context.config.lock().revision();
-    let backends_hash = context.backends.lock().list_hash();
+    let backends = context.backends.lock();
+    let backends_hash = backends.list_hash();
+    let limits = context.server_limits.lock();
+    let limits_hash = limits.digest(&backends);
+    let words = limits.book.heard_words(context.now());
+    let sends = limits.sends();
+    drop(limits);
+    drop(backends);
     let fence = context.duties.lock().fence();
     GatewayNews {
         sent_at: context.now().0,
@@ -109,6 +121,9 @@
         uses: own_uses(context),
         work: own_work(context),
         crashes: context.crashes.lock().reports(context.now()),
+        words,
+        limits_hash,
+        sends,
         ..own_name(context)
     }
 }
@@ -139,6 +154,8 @@
         news.counts = Vec::new();
         news.uses = Vec::new();
         news.work = Vec::new();
+        news.words = Vec::new();
+        news.sends = Vec::new();
     }
 }
 
@@ -149,10 +166,16 @@
     fence: Option<FenceToken>,
     hubs: Vec<(EntryName, SocketAddr, VmStrength)>,
     uses: BTreeMap<BackendId, BackendUse>,
+    granted: GrantedPermits,
 }
 
 impl HubKnowledge {
-    fn gather(context: &GatewayContext, own: &GatewayNews, now: Timestamp) -> Self {
+    fn gather(
+        context: &GatewayContext,
+        own: &GatewayNews,
+        granted: GrantedPermits,
+        now: Timestamp,
+    ) -> Self {
         let peers = context.peers.lock();
         let mut uses = peers.direct_uses(now);
         add_uses(&mut uses, &own.uses);
@@ -161,6 +184,7 @@
             fence: peers.told_fence(now).max(own.fence),
             hubs: peers.hub_addresses(now),
             uses,
+            granted,
         }
     }
 
@@ -218,6 +242,12 @@
         backends,
         changes,
         leaving: told_leaving(context, differs),
+        words: words_for(context, now, &message.name, news.limits_hash),
+        permits: knowledge
+            .granted
+            .get(&message.name)
+            .cloned()
+            .unwrap_or_default(),
     });
 }
 
@@ -310,6 +340,7 @@
             service: service.to_string(),
             tokens_per_s: offered.tokens_per_s as u64,
             busy_milli: (offered.requests_per_s * run * 1_000.0) as u64,
+            requests_milli: (offered.requests_per_s * 1_000.0) as u64,
         }
     });
     work.collect()
@@ -363,6 +394,7 @@
     if !news.crashes.is_empty() {
         take_reports(context, &news.crashes);
     }
+    take_limit_news(context, now, &news);
     if let Some(digest) = &news.digest {
         note_digest(context, &news, digest, now);
     }
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -15,6 +15,7 @@
 use cloverbend::gateway::list_history::ListOffer;
 use cloverbend::gateway::send_budget::SendBudget;
 use cloverbend::gateway::send_budget::SendBudgetRule;
+use cloverbend::gateway::server_limits::ServerLimits;
 use cloverbend::id::ServiceName;
 use cloverbend::id::ZoneName;
 use cloverbend::quantity::Timestamp;
@@ -212,6 +213,7 @@
 struct Chooser {
     service: ServiceName,
     zone: ZoneName,
+    limits: ServerLimits,
 }
 
 impl Chooser {
@@ -219,6 +221,7 @@
         Self {
             service: "pool".parse().unwrap(),
             zone: "zone-a".parse().unwrap(),
+            limits: ServerLimits::new("entry-1".parse().unwrap()),
         }
     }
 
@@ -238,6 +241,7 @@
             zone: &self.zone,
             parts,
             tried,
+            limits: &self.limits,
         };
         choose_backend(set, now, &query).map(|choice| choice.id.name.0)
     }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -13,6 +13,7 @@
 use cloverbend::gateway::crash_verdict::LifeDigest;
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::list_history::ListChanges;
+use cloverbend::gateway::notice_book::ServerWord;
 use cloverbend::gateway::peer_book::DueMessage;
 use cloverbend::gateway::peer_book::HUB_COUNT;
 use cloverbend::gateway::peer_book::HeardLife;
@@ -25,11 +26,14 @@
 use cloverbend::gateway::peer_news::NewsFrame;
 use cloverbend::gateway::peer_news::ServiceWork;
 use cloverbend::gateway::peer_news::WindowCount;
+use cloverbend::gateway::send_permits::LimitedSends;
+use cloverbend::gateway::send_permits::PermitGrant;
 use cloverbend::gateway::vm_strength::VmStrength;
 use cloverbend::id::EntryName;
 use cloverbend::id::FenceToken;
 use cloverbend::id::Incarnation;
 use cloverbend::id::RevisionNumber;
+use cloverbend::quantity::RequestRate;
 use cloverbend::quantity::Timestamp;
 use proptest::prelude::*;
 use prost::Message;
@@ -402,6 +406,17 @@
         service: "pool".to_owned(),
         tokens_per_s: 11,
         busy_milli: 12,
+        requests_milli: 13,
+    }];
+    full.words = vec![ServerWord {
+        id: life("b"),
+        limit: Some(RequestRate(1.5)),
+        age: Duration::from_millis(14),
+    }];
+    full.limits_hash = 15;
+    full.sends = vec![LimitedSends {
+        id: life("b"),
+        sent: 16,
     }];
     full.crashes = vec![CrashReport {
         digest: CallDigest(5),
@@ -434,6 +449,15 @@
             gone: vec![BackendName("d".to_owned())],
         }),
         leaving: vec![life("c")],
+        words: vec![ServerWord {
+            id: life("c"),
+            limit: None,
+            age: Duration::ZERO,
+        }],
+        permits: vec![PermitGrant {
+            id: life("b"),
+            count: 2,
+        }],
     });
     full
 }
--- a/lib/tests/test_gateway_size.rs
+++ b/lib/tests/test_gateway_size.rs
@@ -204,6 +204,8 @@
                 backends,
                 changes,
                 leaving: Vec::new(),
+                words: Vec::new(),
+                permits: Vec::new(),
             }),
             ..GatewayNews::of_entry(
                 Incarnation(number as u64 + 1),
