leaving_lives: a backend server that says in an answer that it leaves is believed at once

Callers' requests were cut when the server ended: 135 of them in 3 s reached one that had said for two seconds and more that it leaves, while the store was away. Cause: only the store's record told entries who leaves. Class: a fact of a server with one messenger, that may be away. The same cause elsewhere: a life whose record lapsed while it left and came back as ready, from the store or an older list of another entry, took requests again, since only earlier lives were remembered. Ruled out: connections that were kept (requests are chosen anew), and an older record that unsays it (no line told of it before the store's). Change: an answer that says so is believed like the record, for this life and for good, and told to the other entries with the words about limits; lives that leave are remembered when their record is gone.

--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -14,12 +14,11 @@
 use crate::gateway::backend_record::LoadReport;
 use crate::gateway::ended_lives::EndedLives;
 use crate::gateway::known_backend::Backend;
+use crate::gateway::leaving_lives::LeavingLives;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::list_history::ListHistory;
 use crate::gateway::list_history::ListOffer;
 use crate::gateway::list_history::record_digest;
-use crate::gateway::server_notice::NoticeChange;
-use crate::gateway::server_notice::ServerNotice;
 use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -58,6 +57,8 @@
     backends: BTreeMap<BackendName, Backend>,
     /// The last lives of servers that are no longer listed.
     ended: EndedLives,
+    /// Lives that leave, listed or not.
+    leaving: LeavingLives,
     digest: u64,
     history: ListHistory,
     times: BTreeMap<ServiceName, ServiceTimes>,
@@ -231,6 +232,9 @@
             backend.missing_since = None;
         }
         let merged = merged?;
+        if merged.leaving {
+            self.leaving.note(&merged.id);
+        }
         let after = Some(record_digest(&merged));
         let change = match self.backends.get_mut(&name) {
             Some(backend) if backend.record.id == merged.id => {
@@ -241,7 +245,9 @@
             }
             _ => {
                 let joined = BackendChange::Joined(merged.clone());
-                self.backends.insert(name.clone(), Backend::new(merged));
+                let mut backend = Backend::new(merged);
+                backend.said_leaving = self.leaving.contains(&backend.record.id);
+                self.backends.insert(name.clone(), backend);
                 Some(joined)
             }
         };
@@ -252,6 +258,7 @@
     /// Notes that a server leaves, as another entry told.
     pub fn note_leaving(&mut self, id: &BackendId) -> Option<BackendChange> {
         let before = self.listing(&id.name);
+        self.leaving.note(id);
         let backend = self.get_mut(id)?;
         let left_before = std::mem::replace(&mut backend.record.leaving, true);
         let after = self.listing(&id.name);
@@ -413,16 +420,23 @@
         }
     }
 
-    /// Notes what a backend server said of itself in an answer; returns what that
-    /// changed.
-    pub fn note_notice(
-        &mut self,
-        now: Timestamp,
-        id: &BackendId,
-        notice: &ServerNotice,
-    ) -> Vec<NoticeChange> {
-        let backend = self.get_mut(id);
-        backend.map_or_else(Vec::new, |backend| backend.note_notice(now, notice))
+    /// Notes that a server said in an answer that it leaves. Returns whether that
+    /// is new.
+    pub fn note_said_leaving(&mut self, id: &BackendId) -> bool {
+        self.leaving.note(id);
+        let Some(backend) = self.get_mut(id) else {
+            return false;
+        };
+        let took_work = backend.takes_work();
+        backend.said_leaving = true;
+        took_work
+    }
+
+    /// Notes that a server wants no request from this entry for a while.
+    pub fn note_rest(&mut self, now: Timestamp, id: &BackendId, rest: Duration) {
+        if let Some(backend) = self.get_mut(id) {
+            backend.note_rest(now, rest);
+        }
     }
 
     /// Notes what other entries have at a backend server.
--- a/lib/src/gateway/known_backend.rs
+++ b/lib/src/gateway/known_backend.rs
@@ -7,8 +7,6 @@
 
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_record::LoadReport;
-use crate::gateway::server_notice::NoticeChange;
-use crate::gateway::server_notice::ServerNotice;
 use crate::quantity::Timestamp;
 
 /// The most prompt parts remembered for a backend server.
@@ -61,9 +59,10 @@
         }
     }
 
-    /// Returns whether new work may go to it.
+    /// Returns whether new work may go to it: neither its record says that it
+    /// leaves, nor an answer.
     pub fn takes_work(&self) -> bool {
-        !self.record.leaving
+        !self.record.leaving && !self.said_leaving
     }
 
     /// Returns whether it is left out for now because of failures.
@@ -92,21 +91,9 @@
         self.parts.get(&part).copied()
     }
 
-    /// Takes over what it said in an answer; returns what that changed.
-    pub(super) fn note_notice(
-        &mut self,
-        now: Timestamp,
-        notice: &ServerNotice,
-    ) -> Vec<NoticeChange> {
-        let mut changes = Vec::new();
-        if notice.leaving && !std::mem::replace(&mut self.said_leaving, true) {
-            changes.push(NoticeChange::Leaving);
-        }
-        if let Some(rest) = notice.rest {
-            self.rests_until = self.rests_until.max(now.after(rest));
-            changes.push(NoticeChange::Rest(rest));
-        }
-        changes
+    /// Notes that it wants no request from this entry for a while.
+    pub(super) fn note_rest(&mut self, now: Timestamp, rest: Duration) {
+        self.rests_until = self.rests_until.max(now.after(rest));
     }
 
     pub(super) fn note_part(&mut self, now: Timestamp, part: u64) {
--- a/lib/src/gateway/limit_desk.rs
+++ b/lib/src/gateway/limit_desk.rs
@@ -137,19 +137,24 @@
         }
     }
     drop(limits);
+    let mut backends = context.backends.lock();
+    for word in changed.iter().filter(|word| word.leaving) {
+        backends.note_said_leaving(&word.id);
+    }
+    drop(backends);
     for word in changed {
         log_told(context, &word.id, word);
     }
 }
 
 fn log_told(context: &GatewayContext, id: &BackendId, word: &ServerWord) {
-    counter!("cloverbend_backend_limits_heard_of_total").increment(1);
+    counter!("cloverbend_backend_words_heard_of_total").increment(1);
     let label = context.server_labels.label(id);
     let rate = word.limit.map_or(NO_LIMIT, |rate| rate.0);
     gauge!("cloverbend_backend_limit", "backend" => label).set(rate);
     if context.logs(&id.name.0, LineClass::Step) {
-        info!(context.log, "backend server's limit heard of"; "backend" => %id,
-            "requests_per_s" => word.limit.map(|rate| rate.0),
+        info!(context.log, "backend server's words heard of"; "backend" => %id,
+            "requests_per_s" => word.limit.map(|rate| rate.0), "leaving" => word.leaving,
             "age_ms" => word.age.as_millis() as u64);
     }
 }
--- a/lib/src/gateway/limit_news.rs
+++ b/lib/src/gateway/limit_news.rs
@@ -25,6 +25,8 @@
     limit_bits: Option<u64>,
     #[prost(uint64, tag = "4")]
     age_ms: u64,
+    #[prost(bool, tag = "5")]
+    leaving: bool,
 }
 
 /// The frame of [`LimitedSends`] and [`PermitGrant`].
@@ -62,6 +64,7 @@
             start: word.id.start.0,
             limit_bits: word.limit.map(|rate| rate.0.to_bits()),
             age_ms: word.age.as_millis() as u64,
+            leaving: word.leaving,
         }
     }
 }
@@ -81,6 +84,7 @@
     Some(ServerWord {
         id: read_id(frame.backend, frame.start),
         limit,
+        leaving: frame.leaving,
         age: Duration::from_millis(frame.age_ms),
     })
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -66,6 +66,7 @@
 pub mod heard_changes;
 pub mod held_bytes;
 pub mod known_backend;
+pub mod leaving_lives;
 pub mod life_watch;
 pub mod limit_desk;
 pub mod limit_news;
--- a/lib/src/gateway/notice_book.rs
+++ b/lib/src/gateway/notice_book.rs
@@ -1,8 +1,10 @@
-//! The limits that backend servers have named, as far as one entry knows them.
+//! What backend servers said of themselves in answers, as far as one entry knows:
+//! the limits that they have named, and that they leave.
 //!
-//! Pure. A server tells its limit to the entry that it answers; the others hear of
-//! it from that entry. Of two words about one life the one that was said later
+//! Pure. A server tells the entry that it answers; the others hear of it from that
+//! entry. Of two words about the limit of one life the one that was said later
 //! holds, whoever brings it and in whatever order: words travel with their age.
+//! That a life leaves holds from the first word on.
 
 use std::collections::BTreeMap;
 use std::hash::Hash;
@@ -15,6 +17,7 @@
 use crate::gateway::backend_record::BackendName;
 use crate::gateway::server_notice::LimitNotice;
 use crate::gateway::server_notice::NoticeChange;
+use crate::gateway::server_notice::ServerNotice;
 use crate::quantity::RequestRate;
 use crate::quantity::Timestamp;
 
@@ -36,6 +39,8 @@
     /// The requests a second that it takes from all entries; none if it named no
     /// limit.
     pub limit: Option<RequestRate>,
+    /// Whether it leaves.
+    pub leaving: bool,
     /// How long ago it said so.
     pub age: Duration,
 }
@@ -44,6 +49,7 @@
 struct KnownWord {
     id: BackendId,
     limit: Option<RequestRate>,
+    leaving: bool,
     said_at: Timestamp,
     /// When this entry last heard it from the server itself.
     heard_at: Option<Timestamp>,
@@ -56,6 +62,7 @@
         Self {
             id,
             limit: None,
+            leaving: false,
             said_at: Timestamp(0),
             heard_at: None,
             changed_at: now,
@@ -63,22 +70,41 @@
         }
     }
 
+    fn note_limit(&mut self, notice: LimitNotice) -> Option<NoticeChange> {
+        let named = match notice {
+            LimitNotice::Unlimited => None,
+            LimitNotice::Limited(rate) => Some(rate),
+            LimitNotice::Unreadable => return None,
+        };
+        if std::mem::replace(&mut self.limit, named) == named {
+            return None;
+        }
+        Some(named.map_or(NoticeChange::LimitOver, NoticeChange::Limited))
+    }
+
     fn to_told(&self, now: Timestamp) -> ServerWord {
         ServerWord {
             id: self.id.clone(),
             limit: self.limit,
+            leaving: self.leaving,
             age: now.since(self.said_at),
         }
     }
 
+    /// Returns whether the server takes requests like any other.
+    fn says_nothing(&self) -> bool {
+        self.limit.is_none() && !self.leaving
+    }
+
     /// Returns what the word adds to the digest of a book.
     fn digest(&self) -> u64 {
-        let Some(limit) = self.limit else {
+        if self.says_nothing() {
             return 0;
-        };
+        }
         let mut hasher = XxHash64::with_seed(6);
         self.id.hash(&mut hasher);
-        limit.0.to_bits().hash(&mut hasher);
+        self.limit.map(|limit| limit.0.to_bits()).hash(&mut hasher);
+        self.leaving.hash(&mut hasher);
         hasher.finish()
     }
 }
@@ -107,31 +133,32 @@
         words.filter_map(|known| Some((&known.id, known.limit?)))
     }
 
-    /// Notes what a server said in an answer that came just now.
+    /// Notes what a server said in an answer that came just now; returns what that
+    /// changed for others too.
     pub fn note_answer(
         &mut self,
         now: Timestamp,
         id: &BackendId,
-        notice: LimitNotice,
-    ) -> Option<NoticeChange> {
-        let limit = match notice {
-            LimitNotice::Unlimited => None,
-            LimitNotice::Limited(rate) => Some(rate),
-            LimitNotice::Unreadable => return None,
-        };
-        if limit.is_none() && !self.words.contains_key(&id.name) {
-            return None;
+        notice: &ServerNotice,
+    ) -> Vec<NoticeChange> {
+        let says_nothing = notice.limit == LimitNotice::Unlimited && !notice.leaving;
+        if says_nothing && !self.words.contains_key(&id.name) {
+            return Vec::new();
         }
-        let before = self.limit(id);
-        let known = self.known_mut(now, id)?;
+        let Some(known) = self.known_mut(now, id) else {
+            return Vec::new();
+        };
         known.said_at = known.said_at.max(now);
         known.heard_at = Some(now);
-        known.limit = limit;
-        if before == limit {
-            return None;
+        let mut changes = Vec::new();
+        changes.extend(known.note_limit(notice.limit));
+        if notice.leaving && !std::mem::replace(&mut known.leaving, true) {
+            changes.push(NoticeChange::Leaving);
+        }
+        if !changes.is_empty() {
+            known.changed_at = now;
         }
-        known.changed_at = now;
-        Some(limit.map_or(NoticeChange::LimitOver, NoticeChange::Limited))
+        changes
     }
 
     /// Takes over what another entry told. Returns whether something changed.
@@ -140,16 +167,17 @@
         let Some(known) = self.known_mut(now, &word.id) else {
             return false;
         };
-        if said_at <= known.said_at {
-            return false;
+        let leaves = word.leaving && !std::mem::replace(&mut known.leaving, true);
+        let is_newer = said_at > known.said_at;
+        let limit_changed = is_newer && known.limit != word.limit;
+        if is_newer {
+            known.said_at = said_at;
+            known.limit = word.limit;
         }
-        known.said_at = said_at;
-        if known.limit == word.limit {
-            return false;
+        if leaves || limit_changed {
+            known.changed_at = now;
         }
-        known.limit = word.limit;
-        known.changed_at = now;
-        true
+        leaves || limit_changed
     }
 
     /// Returns what is known of a life; none if a later one is known. What was
@@ -166,8 +194,8 @@
         Some(known)
     }
 
-    /// Returns a digest of the limits in force at listed servers. Entries that
-    /// know the same ones have the same digest.
+    /// Returns a digest of what listed servers said. Entries that know the same
+    /// have the same digest.
     pub fn digest(&self, is_listed: impl Fn(&BackendId) -> bool) -> u64 {
         let listed = self.words.values().filter(|known| is_listed(&known.id));
         listed.fold(0, |digest, known| digest ^ known.digest())
@@ -200,7 +228,7 @@
             if is_listed(&known.id) {
                 known.listed_at = now;
             }
-            let is_over = known.limit.is_none() && now.since(known.changed_at) >= KEPT_FOR;
+            let is_over = known.says_nothing() && now.since(known.changed_at) >= KEPT_FOR;
             !is_over && now.since(known.listed_at) < KEPT_FOR
         });
     }
--- a/lib/src/gateway/notice_watch.rs
+++ b/lib/src/gateway/notice_watch.rs
@@ -47,16 +47,25 @@
 /// Takes over what a server said with an answer that came just now.
 pub fn note_notice(context: &GatewayContext, id: &BackendId, notice: &ServerNotice) {
     let now = context.now();
-    let mut changes = context.backends.lock().note_notice(now, id, notice);
-    let mut limits = context.server_limits.lock();
-    let limit = limits.book.note_answer(now, id, notice.limit);
-    drop(limits);
-    if limit.is_some() {
+    let changes = context
+        .server_limits
+        .lock()
+        .book
+        .note_answer(now, id, notice);
+    if !changes.is_empty() {
         // Others send there until they are told.
         context.news_due.notify_one();
     }
-    changes.extend(limit);
-    for change in changes {
+    let mut backends = context.backends.lock();
+    if notice.leaving {
+        backends.note_said_leaving(id);
+    }
+    if let Some(rest) = notice.rest {
+        backends.note_rest(now, id, rest);
+    }
+    drop(backends);
+    let rest = notice.rest.map(NoticeChange::Rest);
+    for change in changes.into_iter().chain(rest) {
         tell_change(context, id, change);
     }
 }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -411,6 +411,7 @@
     full.words = vec![ServerWord {
         id: life("b"),
         limit: Some(RequestRate(1.5)),
+        leaving: true,
         age: Duration::from_millis(14),
     }];
     full.limits_hash = 15;
@@ -452,6 +453,7 @@
         words: vec![ServerWord {
             id: life("c"),
             limit: None,
+            leaving: false,
             age: Duration::ZERO,
         }],
         permits: vec![PermitGrant {
--- a/lib/tests/test_limit_words.rs
+++ b/lib/tests/test_limit_words.rs
@@ -10,6 +10,7 @@
 use cloverbend::gateway::notice_book::ServerWord;
 use cloverbend::gateway::server_notice::LimitNotice;
 use cloverbend::gateway::server_notice::NoticeChange;
+use cloverbend::gateway::server_notice::ServerNotice;
 use cloverbend::quantity::RequestRate;
 use cloverbend::quantity::Timestamp;
 use proptest::prelude::*;
@@ -25,14 +26,26 @@
     Timestamp::from_millis(millis)
 }
 
-fn limited(rate: f64) -> LimitNotice {
-    LimitNotice::Limited(RequestRate(rate))
+fn notice(limit: LimitNotice) -> ServerNotice {
+    ServerNotice {
+        limit,
+        ..ServerNotice::default()
+    }
+}
+
+fn limited(rate: f64) -> ServerNotice {
+    notice(LimitNotice::Limited(RequestRate(rate)))
+}
+
+fn unlimited() -> ServerNotice {
+    ServerNotice::default()
 }
 
 fn word(start: u64, limit: Option<f64>, age_ms: u64) -> ServerWord {
     ServerWord {
         id: life(start),
         limit: limit.map(RequestRate),
+        leaving: false,
         age: Duration::from_millis(age_ms),
     }
 }
@@ -40,8 +53,8 @@
 #[test]
 fn an_old_word_that_comes_late_changes_nothing() {
     let mut book = NoticeBook::new();
-    book.note_answer(at(1_000), &life(1), limited(2.0));
-    book.note_answer(at(2_000), &life(1), LimitNotice::Unlimited);
+    book.note_answer(at(1_000), &life(1), &limited(2.0));
+    book.note_answer(at(2_000), &life(1), &unlimited());
     // Said at 1.5 s.
     assert!(!book.take_over(at(4_000), &word(1, Some(2.0), 2_500)));
     assert_eq!(book.limit(&life(1)), None);
@@ -53,21 +66,21 @@
 #[test]
 fn a_limit_that_cannot_be_read_changes_nothing() {
     let mut book = NoticeBook::new();
-    book.note_answer(at(1_000), &life(1), limited(2.0));
-    let change = book.note_answer(at(2_000), &life(1), LimitNotice::Unreadable);
-    assert_eq!(change, None);
+    book.note_answer(at(1_000), &life(1), &limited(2.0));
+    let change = book.note_answer(at(2_000), &life(1), &notice(LimitNotice::Unreadable));
+    assert_eq!(change, vec![]);
     assert_eq!(book.limit(&life(1)), Some(RequestRate(2.0)));
 }
 
 #[test]
 fn a_later_life_has_said_nothing_and_the_earlier_one_says_no_more() {
     let mut book = NoticeBook::new();
-    book.note_answer(at(1_000), &life(1), limited(2.0));
+    book.note_answer(at(1_000), &life(1), &limited(2.0));
     assert_eq!(book.limit(&life(2)), None);
-    book.note_answer(at(2_000), &life(2), limited(5.0));
+    book.note_answer(at(2_000), &life(2), &limited(5.0));
     assert!(!book.take_over(at(3_000), &word(1, Some(2.0), 0)));
-    let change = book.note_answer(at(3_000), &life(1), limited(2.0));
-    assert_eq!(change, None);
+    let change = book.note_answer(at(3_000), &life(1), &limited(2.0));
+    assert_eq!(change, vec![]);
     assert_eq!(book.limit(&life(2)), Some(RequestRate(5.0)));
     assert_eq!(book.limit(&life(1)), None);
 }
@@ -75,7 +88,7 @@
 #[test]
 fn what_was_heard_itself_is_told_for_a_second_and_all_of_it_to_who_asks() {
     let mut book = NoticeBook::new();
-    book.note_answer(at(1_000), &life(1), limited(2.0));
+    book.note_answer(at(1_000), &life(1), &limited(2.0));
     assert_eq!(book.heard_words(at(1_500)), vec![word(1, Some(2.0), 500)]);
     assert_eq!(book.heard_words(at(2_500)), vec![]);
     assert_eq!(book.all_words(at(61_000)), vec![word(1, Some(2.0), 60_000)]);
@@ -87,20 +100,20 @@
     let mut own = NoticeBook::new();
     let mut other = NoticeBook::new();
     assert_eq!(own.digest(listed), 0);
-    own.note_answer(at(1_000), &life(1), limited(2.0));
+    own.note_answer(at(1_000), &life(1), &limited(2.0));
     assert_ne!(own.digest(listed), other.digest(listed));
     other.take_over(at(9_000), &word(1, Some(2.0), 3_000));
     assert_eq!(own.digest(listed), other.digest(listed));
     // Servers that one of them does not list make no difference.
     assert_eq!(own.digest(|_| false), 0);
-    own.note_answer(at(2_000), &life(1), LimitNotice::Unlimited);
+    own.note_answer(at(2_000), &life(1), &unlimited());
     assert_eq!(own.digest(listed), 0);
 }
 
 #[test]
 fn words_of_servers_that_are_gone_are_forgotten() {
     let mut book = NoticeBook::new();
-    book.note_answer(at(1_000), &life(1), limited(2.0));
+    book.note_answer(at(1_000), &life(1), &limited(2.0));
     book.sweep(at(30_000), |_| true);
     book.sweep(at(80_000), |_| false);
     assert_eq!(book.all_words(at(80_000)).len(), 1);
@@ -111,15 +124,36 @@
 #[test]
 fn a_change_is_told_once() {
     let mut book = NoticeBook::new();
-    let first = book.note_answer(at(1_000), &life(1), limited(2.0));
-    assert_eq!(first, Some(NoticeChange::Limited(RequestRate(2.0))));
-    assert_eq!(book.note_answer(at(1_100), &life(1), limited(2.0)), None);
-    let over = book.note_answer(at(1_200), &life(1), LimitNotice::Unlimited);
-    assert_eq!(over, Some(NoticeChange::LimitOver));
-    assert_eq!(
-        book.note_answer(at(1_300), &life(1), LimitNotice::Unlimited),
-        None
-    );
+    let first = book.note_answer(at(1_000), &life(1), &limited(2.0));
+    assert_eq!(first, vec![NoticeChange::Limited(RequestRate(2.0))]);
+    assert_eq!(book.note_answer(at(1_100), &life(1), &limited(2.0)), vec![]);
+    let over = book.note_answer(at(1_200), &life(1), &unlimited());
+    assert_eq!(over, vec![NoticeChange::LimitOver]);
+    assert_eq!(book.note_answer(at(1_300), &life(1), &unlimited()), vec![]);
+}
+
+#[test]
+fn a_server_that_leaves_goes_on_leaving_whoever_says_otherwise() {
+    let mut book = NoticeBook::new();
+    let leaving = ServerNotice {
+        leaving: true,
+        ..ServerNotice::default()
+    };
+    let change = book.note_answer(at(1_000), &life(1), &leaving);
+    assert_eq!(change, vec![NoticeChange::Leaving]);
+    book.note_answer(at(2_000), &life(1), &unlimited());
+    book.take_over(at(3_000), &word(1, None, 0));
+    assert!(book.all_words(at(3_000))[0].leaving);
+    // An old word that says so is believed too.
+    let mut other = NoticeBook::new();
+    other.note_answer(at(2_500), &life(1), &limited(2.0));
+    let told = ServerWord {
+        leaving: true,
+        ..word(1, None, 2_000)
+    };
+    assert!(other.take_over(at(3_000), &told));
+    assert!(other.all_words(at(3_000))[0].leaving);
+    assert_eq!(other.limit(&life(1)), Some(RequestRate(2.0)));
 }
 
 proptest! {
--- a/lib/tests/test_permit_issuer.rs
+++ b/lib/tests/test_permit_issuer.rs
@@ -18,6 +18,7 @@
 use cloverbend::gateway::send_permits::PermitGrant;
 use cloverbend::gateway::server_limits::ServerLimits;
 use cloverbend::gateway::server_notice::LimitNotice;
+use cloverbend::gateway::server_notice::ServerNotice;
 use cloverbend::gateway::vm_strength::VmStrength;
 use cloverbend::id::EntryName;
 use cloverbend::id::Incarnation;
@@ -119,10 +120,13 @@
             }
             let mut limits = ServerLimits::new(name(number));
             for server in backends.iter() {
-                let notice = LimitNotice::Limited(RequestRate(limit));
+                let notice = ServerNotice {
+                    limit: LimitNotice::Limited(RequestRate(limit)),
+                    ..ServerNotice::default()
+                };
                 limits
                     .book
-                    .note_answer(Timestamp(1), &server.record.id, notice);
+                    .note_answer(Timestamp(1), &server.record.id, &notice);
             }
             let incarnation = Incarnation(number as u64 + 1);
             let last_news =
