known_backend: a backend server that asks an entry for rest gets nothing from it for so long

Callers lost the time of a try elsewhere with each server that turned them away, and were refused with all_full after four of them while others served; 111 requests of one entry reached a server in 3 s of rest, 2 are borne. Cause: the time in a 503 was not read, and a server that runs nothing seems the emptiest of all. Class: a refusal was taken for news about load only. Ruled out: the budget of repeats (their sum kept its bound). Change: the server is no candidate of that entry until its rest is over, in every choice, and others go on sending there. Where all servers rest or have limits, a request is refused at once (503, all_closed) with the time of the first chance.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -29,7 +29,7 @@
 use crate::gateway::engine_choice::BackendChoice;
 use crate::gateway::engine_choice::ChoiceQuery;
 use crate::gateway::engine_choice::choose_backend;
-use crate::gateway::engine_choice::limited_for;
+use crate::gateway::engine_choice::closed_for;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::notice_watch::note_notice;
 use crate::gateway::send_guard::CONNECTION_LOST;
@@ -132,10 +132,10 @@
             Choice::Server(chosen) => chosen,
             Choice::Crowded(after) => return Err(CallRefusal::Crowded(after)),
             // Where it may have run, that is what its caller has to know.
-            Choice::AllLimited(after) if plan.runs == 0 => {
-                return Err(CallRefusal::AllLimited(after));
+            Choice::AllClosed(after) if plan.runs == 0 => {
+                return Err(CallRefusal::AllClosed(after));
             }
-            Choice::AllLimited(_) | Choice::NoServer => break,
+            Choice::AllClosed(_) | Choice::NoServer => break,
         };
         let backend = chosen.guard.backend().clone();
         plan.tried.push(backend.clone());
@@ -252,7 +252,10 @@
     backends.of_service(&call.service).any(|backend| {
         let id = &backend.record.id;
         let usable = backend.takes_work() && !backend.is_missing() && !backend.is_excluded(now);
-        usable && limits.lets_in(now, id) && !plan.tried.contains(id)
+        usable
+            && backend.rest_left(now).is_none()
+            && limits.lets_in(now, id)
+            && !plan.tried.contains(id)
     })
 }
 
@@ -313,9 +316,9 @@
     Server(Box<ChosenBackend>),
     /// It is turned away, and may come back after a while.
     Crowded(Duration),
-    /// All servers have limits of which nothing is left for this entry now; it
-    /// may come back after a while.
-    AllLimited(Duration),
+    /// All servers rest, or have limits of which nothing is left for this entry
+    /// now; it may come back after a while.
+    AllClosed(Duration),
     /// There is no server to send it to.
     NoServer,
 }
@@ -332,9 +335,9 @@
         limits: &limits,
     };
     let Some(choice) = choose_backend(&backends, now, &query) else {
-        let after = limited_for(&backends, &query);
+        let after = closed_for(&backends, now, &query);
         note_unsent_work(context, call, plan, now);
-        return after.map_or(Choice::NoServer, Choice::AllLimited);
+        return after.map_or(Choice::NoServer, Choice::AllClosed);
     };
     let Some(backend) = backends.get(&choice.id) else {
         return Choice::NoServer;
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -39,7 +39,7 @@
     Crowded(Duration),
     /// All backend servers have named limits that are used up here, or want to
     /// rest; the soonest may take it after that time.
-    AllLimited(Duration),
+    AllClosed(Duration),
     /// The backend servers refused it.
     AllFull,
     /// It crashes the backend servers that run it.
@@ -73,7 +73,7 @@
             Self::OverLimit(_) => "over_limit",
             Self::NoBackend => "no_backend",
             Self::Crowded(_) => "crowded",
-            Self::AllLimited(_) => "all_limited",
+            Self::AllClosed(_) => "all_closed",
             Self::AllFull => "all_full",
             Self::CrashesServers => "crashes_servers",
             Self::Leaving => "leaving",
@@ -95,7 +95,7 @@
             | Self::NoConfig
             | Self::NoBackend
             | Self::Crowded(_)
-            | Self::AllLimited(_)
+            | Self::AllClosed(_)
             | Self::AllFull
             | Self::CrashesServers
             | Self::Leaving
@@ -109,7 +109,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::OverLimit(after) => Some((*after).clamp(COME_BACK, LONGEST_COME_BACK)),
-            Self::Crowded(after) | Self::AllLimited(after) => {
+            Self::Crowded(after) | Self::AllClosed(after) => {
                 Some((*after).clamp(COME_BACK, LONGEST_COME_BACK))
             }
             Self::NoRoom | Self::NoConfig | Self::NoBackend | Self::AllFull => {
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -90,6 +90,7 @@
     let mut candidates: Vec<&Backend> = set
         .of_service(query.service)
         .filter(|backend| backend.takes_work() && !query.tried.contains(&backend.record.id))
+        .filter(|backend| backend.rest_left(now).is_none())
         .filter(|backend| query.limits.lets_in(now, &backend.record.id))
         .collect();
     let home = part_home(&home_candidates(&candidates, query.limits), query.parts);
@@ -120,19 +121,23 @@
 }
 
 /// Returns after what time a request has a chance for which there is no server
-/// now: when all entries together may send the next one to those with a limit.
-/// None if there are none.
-pub fn limited_for(set: &BackendSet, query: &ChoiceQuery<'_>) -> Option<Duration> {
+/// now: when the first one that rests has rested, or when all entries together may
+/// send the next request to those with a limit. None if there is no server at all.
+pub fn closed_for(set: &BackendSet, now: Timestamp, query: &ChoiceQuery<'_>) -> Option<Duration> {
     let takes =
         |backend: &&Backend| backend.takes_work() && !query.tried.contains(&backend.record.id);
-    let limits = set
-        .of_service(query.service)
-        .filter(takes)
-        .filter_map(|backend| query.limits.book.limit(&backend.record.id));
-    let sum = limits
-        .map(|limit| limit.0)
-        .reduce(|sum, limit| sum + limit)?;
-    Some(Duration::try_from_secs_f64(1.0 / sum).unwrap_or(Duration::MAX))
+    let mut rest: Option<Duration> = None;
+    let mut limits: Option<f64> = None;
+    for backend in set.of_service(query.service).filter(takes) {
+        if let Some(left) = backend.rest_left(now) {
+            rest = Some(rest.map_or(left, |least| least.min(left)));
+        } else if let Some(limit) = query.limits.book.limit(&backend.record.id) {
+            limits = Some(limits.unwrap_or(0.0) + limit.0);
+        }
+    }
+    let next_permit =
+        limits.map(|sum| Duration::try_from_secs_f64(1.0 / sum).unwrap_or(Duration::MAX));
+    rest.into_iter().chain(next_permit).min()
 }
 
 /// Returns the candidates that can be homes: those without a limit, if there are
