limit_desk: nothing is done for permits while no limit is in force

Hubs built the demand of all entries that they answer four times a second also while no server had named a limit; and a request that met no server at all, as in the first second of an entry, counted as demand, which replicas are planned by. Change: rounds end after a look at the words; only requests that servers with limits or in rest don't take now are counted.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -335,9 +335,11 @@
         limits: &limits,
     };
     let Some(choice) = choose_backend(&backends, now, &query) else {
-        let after = closed_for(&backends, now, &query);
+        let Some(after) = closed_for(&backends, now, &query) else {
+            return Choice::NoServer;
+        };
         note_unsent_work(context, call, plan, now);
-        return after.map_or(Choice::NoServer, Choice::AllClosed);
+        return Choice::AllClosed(after);
     };
     let Some(backend) = backends.get(&choice.id) else {
         return Choice::NoServer;
@@ -376,8 +378,8 @@
     }))
 }
 
-/// Notes the work of a request for which there is no server: entries get permits
-/// by the requests that come.
+/// Notes the work of a request that no server takes now: entries get permits, and
+/// replicas are planned, by the requests that come.
 fn note_unsent_work(
     context: &GatewayContext,
     call: &AdmittedCall,
--- a/lib/src/gateway/limit_desk.rs
+++ b/lib/src/gateway/limit_desk.rs
@@ -31,21 +31,17 @@
 /// hears no other gives itself its own part, so that all that are cut off from
 /// each other stay within a limit too.
 pub fn issue_permits(context: &GatewayContext, now: Timestamp) -> GrantedPermits {
+    if !sweep_limits(context, now) {
+        return GrantedPermits::new();
+    }
     let own = &context.settings.name;
-    let peers = context.peers.lock();
-    let view = peers.share_view(now);
+    let view = context.peers.lock().share_view(now);
     let is_alone = view.heard <= 1;
-    let mut clients: Vec<PermitClient> = peers
-        .answered_each_round(now)
-        .map(|(name, work)| PermitClient {
-            name: name.clone(),
-            demand: read_demand(work),
-        })
-        .collect();
-    drop(peers);
-    if is_alone {
-        clients = vec![own_client(context, now)];
-    }
+    let clients = if is_alone {
+        vec![own_client(context, now)]
+    } else {
+        answered_clients(context, now)
+    };
     let part = clients.len() as f64 / view.entries.max(1) as f64;
     let backends = context.backends.lock();
     let mut limits = context.server_limits.lock();
@@ -61,6 +57,23 @@
     granted
 }
 
+/// Forgets limits that are over. Returns whether any is in force.
+fn sweep_limits(context: &GatewayContext, now: Timestamp) -> bool {
+    let backends = context.backends.lock();
+    context.server_limits.lock().sweep(now, &backends)
+}
+
+/// Returns the entries that this one answers each round.
+fn answered_clients(context: &GatewayContext, now: Timestamp) -> Vec<PermitClient> {
+    let peers = context.peers.lock();
+    let answered = peers.answered_each_round(now);
+    let client = |(name, work): (&EntryName, &[ServiceWork])| PermitClient {
+        name: name.clone(),
+        demand: read_demand(work),
+    };
+    answered.map(client).collect()
+}
+
 /// Counts permits that this entry has got.
 fn count_permits(context: &GatewayContext, grants: &[PermitGrant]) {
     for grant in grants {
--- a/lib/src/gateway/server_limits.rs
+++ b/lib/src/gateway/server_limits.rs
@@ -78,8 +78,16 @@
         }
     }
 
+    /// Forgets what is over. Returns whether any limit is in force.
+    pub fn sweep(&mut self, now: Timestamp, backends: &BackendSet) -> bool {
+        self.book.sweep(now, |id| backends.get(id).is_some());
+        let book = &self.book;
+        self.permits.keep(|id| book.limit(id).is_some());
+        book.limits().next().is_some()
+    }
+
     /// Gives out permits of `part` of each limit to the entries that this one
-    /// answers, and forgets what is over.
+    /// answers.
     pub fn issue(
         &mut self,
         now: Timestamp,
@@ -87,10 +95,7 @@
         part: f64,
         clients: &[PermitClient],
     ) -> BTreeMap<EntryName, Vec<PermitGrant>> {
-        self.book.sweep(now, |id| backends.get(id).is_some());
-        let book = &self.book;
-        self.permits.keep(|id| book.limit(id).is_some());
-        let limited = limited_servers(book, backends);
+        let limited = limited_servers(&self.book, backends);
         self.issuer.issue(now, part, &limited, clients)
     }
 
