soak: replicas that name limits, leave or ask for rest, checked from what they got

The soak drew faults of entries, links, the store and single answers, but no replica said anything of itself, so that a decision against its word showed nowhere. Existing seeds draw what they drew before.

--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -4,21 +4,27 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use cloverbend_platform_standin::soak::SoakFaults;
 use cloverbend_platform_standin::soak::SoakPlan;
 use cloverbend_platform_standin::soak::run_soak;
 use rstest::rstest;
 
 #[rstest]
-#[case::short(1, 0)]
+#[case::short(1, 0, SoakFaults::All)]
 // A key was given back while a request waited at a paused entry; the check was
 // wrong.
-#[case::key_given_back(31_008, 0)]
+#[case::key_given_back(31_008, 0, SoakFaults::All)]
 // An entry that started again counted what others knew before as known since
 // its start, and told it on as fresh.
-#[case::known_before_the_start(81_001, 0)]
-#[case::large_configuration(2, 2_000)]
+#[case::known_before_the_start(81_001, 0, SoakFaults::All)]
+#[case::large_configuration(2, 2_000, SoakFaults::All)]
+#[case::words_of_replicas(3, 0, SoakFaults::Words)]
 #[tokio::test]
-async fn no_promise_breaks_under_faults(#[case] seed: u64, #[case] routes: usize) {
+async fn no_promise_breaks_under_faults(
+    #[case] seed: u64,
+    #[case] routes: usize,
+    #[case] faults: SoakFaults,
+) {
     let folder = tempfile::tempdir().unwrap();
     let plan = SoakPlan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_cloverbendd")),
@@ -27,6 +33,7 @@
         entries: 3,
         time: Duration::from_secs(8),
         routes,
+        faults,
     };
     let report = run_soak(plan).await.unwrap();
     assert_eq!(report.broken, [], "faults: {:#?}", report.faults);
