send_permits: entries tell what they sent to servers with limits for a second only, and to one hub

Cause: counts of all servers that an entry had sent to since they named limits went to three hubs four times a second; with 3,000 servers in need an entry would tell hundreds of them after a minute (computed, 16 MB a second at a hub with 302 entries). The hub that gives the permits is the only one that reckons with them. Change: a count is told for a second after it rose, to that hub; what is new to a hub counts as use of its own permits at most.

--- a/lib/src/gateway/limit_desk.rs
+++ b/lib/src/gateway/limit_desk.rs
@@ -46,7 +46,7 @@
     let backends = context.backends.lock();
     let mut limits = context.server_limits.lock();
     if is_alone {
-        let sends = limits.sends();
+        let sends = limits.sends(now);
         limits.note_sends(own, context.incarnation, &sends);
     }
     let mut granted = limits.issue(now, &backends, part, &clients);
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -104,8 +104,9 @@
     let backends_hash = backends.list_hash();
     let limits = context.server_limits.lock();
     let limits_hash = limits.digest(&backends);
-    let words = limits.book.heard_words(context.now());
-    let sends = limits.sends();
+    let now = context.now();
+    let words = limits.book.heard_words(now);
+    let sends = limits.sends(now);
     drop(limits);
     drop(backends);
     let fence = context.duties.lock().fence();
@@ -148,6 +149,10 @@
     news.echo = peers.echo(&message.name, config_at, backends_at);
     drop(peers);
     news.wants_digest = message.wants_digest;
+    // Only the hub that gives this entry its permits reckons with them.
+    if !message.wants_digest {
+        news.sends = Vec::new();
+    }
     if !message.tells {
         news.tells = false;
         news.admitted = Vec::new();
@@ -155,7 +160,6 @@
         news.uses = Vec::new();
         news.work = Vec::new();
         news.words = Vec::new();
-        news.sends = Vec::new();
     }
 }
 
--- a/lib/src/gateway/permit_issuer.rs
+++ b/lib/src/gateway/permit_issuer.rs
@@ -128,19 +128,22 @@
         self.level - self.open.len() as f64 >= 1.0
     }
 
-    /// Notes what an entry told that it has sent. What it sent before it was
-    /// first heard is in the past.
+    fn open_permits(&self, client: &EntryName) -> u64 {
+        let open = self.open.iter().filter(|permit| permit.client == *client);
+        open.count() as u64
+    }
+
+    /// Notes what an entry told that it has sent.
     fn note_sent(&mut self, client: &EntryName, incarnation: Incarnation, sent: u64) {
         let told = ClientUse { incarnation, sent };
         let before = self.uses.insert(client.clone(), told);
         let before = before.filter(|known| known.incarnation == incarnation && known.sent <= sent);
-        let base = match before {
-            Some(known) => known.sent,
-            // All of it was sent under permits of this hub.
-            None if self.open.iter().any(|permit| permit.client == *client) => 0,
-            None => sent,
+        let new = match before {
+            Some(known) => sent - known.sent,
+            // What it sent without a permit of this hub is in the past, or counts
+            // at another hub.
+            None => sent.min(self.open_permits(client)),
         };
-        let new = sent - base;
         self.level -= new as f64;
         for _ in 0..new {
             let used = self.open.iter().position(|permit| permit.client == *client);
--- a/lib/src/gateway/send_permits.rs
+++ b/lib/src/gateway/send_permits.rs
@@ -4,10 +4,16 @@
 //! is cut off from whoever gives them sends nothing beyond those in hand.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::gateway::backend_record::BackendId;
 use crate::quantity::Timestamp;
 
+/// How long a count is told after it last rose, in case a message is lost: four
+/// rounds. Counts of all servers, of which there may be thousands, would be most
+/// of the news.
+const TOLD_FOR: Duration = Duration::from_secs(1);
+
 /// Requests that an entry has sent to a server since it knows of its limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitedSends {
@@ -31,6 +37,7 @@
     /// When each permit in hand ends.
     permits: Vec<Timestamp>,
     sent: u64,
+    sent_at: Timestamp,
 }
 
 /// The permits in hand, and what was sent.
@@ -62,6 +69,7 @@
     pub fn take(&mut self, now: Timestamp, id: &BackendId) {
         let server = self.servers.entry(id.clone()).or_default();
         server.sent += 1;
+        server.sent_at = now;
         server.permits.retain(|until| now < *until);
         let permits = server.permits.iter().enumerate();
         if let Some((first, _)) = permits.min_by_key(|(_, until)| **until) {
@@ -69,9 +77,11 @@
         }
     }
 
-    /// Returns what was sent to each server.
-    pub fn sends(&self) -> Vec<LimitedSends> {
-        let sent = self.servers.iter().filter(|(_, server)| server.sent > 0);
+    /// Returns what was sent to each server that got a request a moment ago.
+    pub fn sends(&self, now: Timestamp) -> Vec<LimitedSends> {
+        let lately =
+            |server: &LimitedServer| server.sent > 0 && now.since(server.sent_at) < TOLD_FOR;
+        let sent = self.servers.iter().filter(|(_, server)| lately(server));
         sent.map(|(id, server)| LimitedSends {
             id: id.clone(),
             sent: server.sent,
--- a/lib/src/gateway/server_limits.rs
+++ b/lib/src/gateway/server_limits.rs
@@ -54,9 +54,10 @@
         }
     }
 
-    /// Returns what this entry has sent to servers with a limit.
-    pub fn sends(&self) -> Vec<LimitedSends> {
-        self.permits.sends()
+    /// Returns what this entry has sent to servers with a limit, of those that got
+    /// a request a moment ago.
+    pub fn sends(&self, now: Timestamp) -> Vec<LimitedSends> {
+        self.permits.sends(now)
     }
 
     /// Notes what an entry told that it has sent.
--- a/lib/tests/test_permit_issuer.rs
+++ b/lib/tests/test_permit_issuer.rs
@@ -11,7 +11,9 @@
 use cloverbend::gateway::backend_set::BackendSet;
 use cloverbend::gateway::peer_book::PeerBook;
 use cloverbend::gateway::peer_news::GatewayNews;
+use cloverbend::gateway::peer_news::HubDigest;
 use cloverbend::gateway::peer_news::HubView;
+use cloverbend::gateway::peer_news::NewsFrame;
 use cloverbend::gateway::peer_news::ServiceWork;
 use cloverbend::gateway::permit_issuer::PERMIT_LIFETIME;
 use cloverbend::gateway::permit_issuer::PermitClient;
@@ -25,6 +27,7 @@
 use cloverbend::id::ServiceName;
 use cloverbend::quantity::RequestRate;
 use cloverbend::quantity::Timestamp;
+use prost::Message as _;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -33,6 +36,7 @@
 const STEP: Duration = Duration::from_millis(50);
 const ROUND_STEPS: u64 = 5;
 const LENGTH: Duration = Duration::from_secs(40);
+/// The servers of the service, but where a test names others.
 const SERVERS: usize = 4;
 /// The window of the bound, and by how much a limit may be exceeded in it.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -100,6 +104,8 @@
     now: Timestamp,
     steps: u64,
     calls_per_s: f64,
+    /// Bytes of counts and permits that each entry has sent.
+    bytes: Vec<usize>,
     sent: Vec<Vec<Timestamp>>,
     refused: usize,
     on_the_way: VecDeque<Message>,
@@ -108,9 +114,19 @@
 
 impl LimitWorld {
     fn new(entries: usize, limit: f64, calls_per_s: f64, seed: u64) -> Self {
+        Self::with_servers(SERVERS, entries, limit, calls_per_s, seed)
+    }
+
+    fn with_servers(
+        servers: usize,
+        entries: usize,
+        limit: f64,
+        calls_per_s: f64,
+        seed: u64,
+    ) -> Self {
         let strength = |number: usize| VmStrength(if number < 4 { 500 } else { 120 });
         let mut backends = BackendSet::new();
-        for number in 0..SERVERS {
+        for number in 0..servers {
             backends.put(server(number));
         }
         let entry = |number: usize| {
@@ -144,7 +160,8 @@
             now: Timestamp(1),
             steps: 0,
             calls_per_s,
-            sent: vec![Vec::new(); SERVERS],
+            bytes: vec![0; entries],
+            sent: vec![Vec::new(); servers],
             refused: 0,
             on_the_way: VecDeque::new(),
             random: StdRng::seed_from_u64(seed),
@@ -206,7 +223,7 @@
                 name: own.clone(),
                 demand: [(pool(), demand)].into(),
             }];
-            let sends = entry.limits.sends();
+            let sends = entry.limits.sends(now);
             let incarnation = entry.last_news.incarnation;
             entry.limits.note_sends(&own, incarnation, &sends);
         }
@@ -223,7 +240,9 @@
             news.tells = message.tells;
             news.wants_digest = message.wants_digest;
             news.work.clone_from(&work);
-            news.sends = entry.limits.sends();
+            if message.wants_digest {
+                news.sends = entry.limits.sends(now);
+            }
             news.echo = entry.book.echo(&message.name, None, None);
             news.view = message.digest.then(|| HubView {
                 entries: direct.entries,
@@ -231,6 +250,7 @@
                 ..HubView::default()
             });
             let permits = granted.remove(&message.name).unwrap_or_default();
+            self.bytes[number] += added_bytes(&news, &permits);
             let receiver = message.address.port() as usize - 1_000;
             let cut = entry.state == EntryState::CutOff;
             if !cut && !self.random.random_bool(LOST) {
@@ -280,9 +300,10 @@
             if !self.runs(number) {
                 continue;
             }
-            let first = self.random.random_range(0..SERVERS);
+            let servers = self.sent.len();
+            let first = self.random.random_range(0..servers);
             let limits = &mut self.entries[number].limits;
-            let order = (0..SERVERS).map(|offset| (first + offset) % SERVERS);
+            let order = (0..servers).map(|offset| (first + offset) % servers);
             let open = |server: &usize| limits.lets_in(self.now, &server_id(*server));
             match order.into_iter().find(open) {
                 Some(server) => {
@@ -321,7 +342,7 @@
     fn used_share(&self, limit: f64, from: Timestamp, to: Timestamp) -> f64 {
         let sent = self.sent.iter().flatten();
         let sent = sent.filter(|at| **at >= from && **at < to).count();
-        sent as f64 / (limit * SERVERS as f64 * to.since(from).as_secs_f64())
+        sent as f64 / (limit * self.sent.len() as f64 * to.since(from).as_secs_f64())
     }
 
     fn first_hubs(&self) -> Vec<usize> {
@@ -339,6 +360,32 @@
     }
 }
 
+/// Returns the bytes that counts and permits add to a message.
+fn added_bytes(news: &GatewayNews, permits: &[PermitGrant]) -> usize {
+    let bare = GatewayNews {
+        sends: Vec::new(),
+        ..news.clone()
+    };
+    let digest = |permits: Vec<PermitGrant>| HubDigest {
+        admitted: Vec::new(),
+        hubs: Vec::new(),
+        backends: None,
+        changes: None,
+        leaving: Vec::new(),
+        words: Vec::new(),
+        permits,
+    };
+    let full = GatewayNews {
+        digest: Some(digest(permits.to_vec())),
+        ..news.clone()
+    };
+    let bare = GatewayNews {
+        digest: Some(digest(Vec::new())),
+        ..bare
+    };
+    NewsFrame::from(full).encoded_len() - NewsFrame::from(bare).encoded_len()
+}
+
 fn server_id(number: usize) -> BackendId {
     BackendId::untimed(format!("i-{number}"))
 }
@@ -444,3 +491,30 @@
     let most = world.most_in_window();
     assert!(most <= allowed(limit), "{most} of {}", allowed(limit));
 }
+
+/// The bytes a second that permits may cost the busiest hub, a hundredth of a
+/// link of 200 Mbit/s.
+const MOST_BYTES: f64 = 250_000.0;
+
+/// All of 3,000 servers are in need at once.
+#[test]
+fn permits_for_thousands_of_servers_are_few_bytes() {
+    let mut world = LimitWorld::with_servers(3_000, 302, 1.0, 2_000.0, 1);
+    let begun = Duration::from_secs(4);
+    world.run(begun);
+    world.bytes.fill(0);
+    let length = Duration::from_secs(4);
+    world.run(begun + length);
+    let per_s = |bytes: usize| bytes as f64 / length.as_secs_f64();
+    let busiest = per_s(world.bytes.iter().copied().max().unwrap());
+    let mut sorted = world.bytes.clone();
+    sorted.sort_unstable();
+    let middle = per_s(sorted[sorted.len() / 2]);
+    println!("busiest {busiest:.0}, middle {middle:.0} bytes a second");
+    assert!(busiest <= MOST_BYTES, "{busiest:.0} bytes a second");
+    let from = Timestamp::from_millis(4_000);
+    let used = world.used_share(1.0, from, world.now);
+    println!("{used:.2} of the limits, {} refused", world.refused);
+    let most = world.most_in_window();
+    assert!(most <= allowed(1.0), "{most} of {}", allowed(1.0));
+}
