gateway: frames of news, labels of metrics and notices that are told in files and under names of their own

Change: news_frame, server_labels, notice_frames; ToldNotice; NoticeOffer; BackendId::of_life. Moved and renamed only, but that an empty list of notices takes no lock.

--- a/lib/src/gateway/backend_record.rs
+++ b/lib/src/gateway/backend_record.rs
@@ -50,6 +50,15 @@
         }
     }
 
+    /// Returns the life of a server that began at `start`, in milliseconds since 1970
+    /// by its own clock; 0 if it does not tell.
+    pub fn of_life(name: impl Into<String>, start: u64) -> Self {
+        Self {
+            name: BackendName(name.into()),
+            start: LifeStart(start),
+        }
+    }
+
     /// Returns whether this is a later life of the server that had `other`.
     pub fn replaces(&self, other: &Self) -> bool {
         self.name == other.name && self.start > other.start
--- a/lib/src/gateway/limit_desk.rs
+++ b/lib/src/gateway/limit_desk.rs
@@ -1,5 +1,5 @@
-//! Exchanges the limits of backend servers with other entries, and permits to
-//! send to these servers.
+//! Exchanges with other entries what backend servers said in answers, and permits
+//! to send to those with limits.
 
 use std::collections::BTreeMap;
 
@@ -10,13 +10,14 @@
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
-use crate::gateway::notice_book::ServerWord;
-use crate::gateway::notice_watch::NO_LIMIT;
+use crate::gateway::notice_book::ToldNotice;
+use crate::gateway::peer_book::NoticeOffer;
 use crate::gateway::peer_news::GatewayNews;
 use crate::gateway::peer_news::ServiceWork;
 use crate::gateway::permit_issuer::PERMIT_LIFETIME;
 use crate::gateway::permit_issuer::PermitClient;
 use crate::gateway::send_permits::PermitGrant;
+use crate::gateway::server_labels::NO_LIMIT;
 use crate::id::EntryName;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -102,33 +103,32 @@
     work.iter().filter_map(read).collect()
 }
 
-/// Returns the words that an entry is told whose digest differs: what changed a
-/// moment ago, or all if that did not help.
-pub fn words_for(
+/// Returns the notices that an entry is told, where the own ones have that digest.
+pub fn notices_for(
     context: &GatewayContext,
     now: Timestamp,
     name: &EntryName,
     digest: u64,
-) -> Vec<ServerWord> {
-    let whole = context.peers.lock().offers_limits(now, name, digest);
+) -> Vec<ToldNotice> {
+    let offer = context.peers.lock().offer_notices(now, name, digest);
     let limits = context.server_limits.lock();
-    match whole {
-        None => Vec::new(),
-        Some(false) => limits.book.recent_words(now),
-        Some(true) => limits.book.all_words(now),
+    match offer {
+        NoticeOffer::Nothing => Vec::new(),
+        NoticeOffer::Recent => limits.book.recent_notices(now),
+        NoticeOffer::All => limits.book.all_notices(now),
     }
 }
 
-/// Takes over what another entry told of limits.
-pub fn take_limit_news(context: &GatewayContext, now: Timestamp, news: &GatewayNews) {
-    take_words(context, now, &news.words);
+/// Takes over what another entry told of servers, and the permits that it gave.
+pub fn take_server_news(context: &GatewayContext, now: Timestamp, news: &GatewayNews) {
+    take_notices(context, now, &news.notices);
     // Each entry's sends count where it gets its permits.
     if news.tells && news.wants_digest {
         let mut limits = context.server_limits.lock();
         limits.note_sends(&news.name, news.incarnation, &news.sends);
     }
     let Some(digest) = &news.digest else { return };
-    take_words(context, now, &digest.words);
+    take_notices(context, now, &digest.notices);
     let own = context.incarnation;
     if let Some(echo) = news.echo.filter(|echo| echo.incarnation == own) {
         // The giver counts them from later on, so none is used after it has
@@ -141,33 +141,36 @@
     }
 }
 
-fn take_words(context: &GatewayContext, now: Timestamp, words: &[ServerWord]) {
-    let mut changed: Vec<&ServerWord> = Vec::new();
+fn take_notices(context: &GatewayContext, now: Timestamp, notices: &[ToldNotice]) {
+    if notices.is_empty() {
+        return;
+    }
+    let mut changed: Vec<&ToldNotice> = Vec::new();
     let mut limits = context.server_limits.lock();
-    for word in words {
-        if limits.book.take_over(now, word) {
-            changed.push(word);
+    for notice in notices {
+        if limits.book.take_over(now, notice) {
+            changed.push(notice);
         }
     }
     drop(limits);
     let mut backends = context.backends.lock();
-    for word in changed.iter().filter(|word| word.leaving) {
-        backends.note_said_leaving(&word.id);
+    for notice in changed.iter().filter(|notice| notice.leaving) {
+        backends.note_said_leaving(&notice.id);
     }
     drop(backends);
-    for word in changed {
-        log_told(context, &word.id, word);
+    for notice in changed {
+        log_told(context, &notice.id, notice);
     }
 }
 
-fn log_told(context: &GatewayContext, id: &BackendId, word: &ServerWord) {
-    counter!("cloverbend_backend_words_heard_of_total").increment(1);
+fn log_told(context: &GatewayContext, id: &BackendId, notice: &ToldNotice) {
+    counter!("cloverbend_backend_notices_heard_of_total").increment(1);
     let label = context.server_labels.label(id);
-    let rate = word.limit.map_or(NO_LIMIT, |rate| rate.0);
+    let rate = notice.limit.map_or(NO_LIMIT, |rate| rate.0);
     gauge!("cloverbend_backend_limit", "backend" => label).set(rate);
     if context.logs(&id.name.0, LineClass::Step) {
-        info!(context.log, "backend server's words heard of"; "backend" => %id,
-            "requests_per_s" => word.limit.map(|rate| rate.0), "leaving" => word.leaving,
-            "age_ms" => word.age.as_millis() as u64);
+        info!(context.log, "backend server's notice heard of"; "backend" => %id,
+            "requests_per_s" => notice.limit.map(|rate| rate.0), "leaving" => notice.leaving,
+            "age_ms" => notice.age.as_millis() as u64);
     }
 }
--- a/lib/src/gateway/notice_book.rs
+++ b/lib/src/gateway/notice_book.rs
@@ -2,9 +2,9 @@
 //! the limits that they have named, and that they leave.
 //!
 //! Pure. A server tells the entry that it answers; the others hear of it from that
-//! entry. Of two words about the limit of one life the one that was said later
-//! holds, whoever brings it and in whatever order: words travel with their age.
-//! That a life leaves holds from the first word on.
+//! entry. Of two notices about the limit of one life the one that was said later
+//! holds, whoever brings it and in whatever order: notices travel with their age.
+//! That a life leaves holds from the first notice on.
 
 use std::collections::BTreeMap;
 use std::hash::Hash;
@@ -26,14 +26,14 @@
 const TOLD_FOR: Duration = Duration::from_secs(1);
 /// How long a change is told to entries that know something else.
 const RECENT: Duration = Duration::from_millis(1_500);
-/// How long words are kept of servers that are not listed, which may be listed
-/// later or again, and of limits that are over, so that older words are known as
+/// How long notices are kept of servers that are not listed, which may be listed
+/// later or again, and of limits that are over, so that older notices are known as
 /// such.
 const KEPT_FOR: Duration = Duration::from_secs(60);
 
 /// What a server said, as one entry tells another.
 #[derive(Clone, Debug, PartialEq)]
-pub struct ServerWord {
+pub struct ToldNotice {
     /// The life that said it.
     pub id: BackendId,
     /// The requests a second that it takes from all entries; none if it named no
@@ -46,7 +46,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct KnownWord {
+struct KnownNotice {
     id: BackendId,
     limit: Option<RequestRate>,
     leaving: bool,
@@ -57,7 +57,7 @@
     listed_at: Timestamp,
 }
 
-impl KnownWord {
+impl KnownNotice {
     fn new(id: BackendId, now: Timestamp) -> Self {
         Self {
             id,
@@ -82,8 +82,8 @@
         Some(named.map_or(NoticeChange::LimitOver, NoticeChange::Limited))
     }
 
-    fn to_told(&self, now: Timestamp) -> ServerWord {
-        ServerWord {
+    fn to_told(&self, now: Timestamp) -> ToldNotice {
+        ToldNotice {
             id: self.id.clone(),
             limit: self.limit,
             leaving: self.leaving,
@@ -96,7 +96,7 @@
         self.limit.is_none() && !self.leaving
     }
 
-    /// Returns what the word adds to the digest of a book.
+    /// Returns what the notice adds to the digest of a book.
     fn digest(&self) -> u64 {
         if self.says_nothing() {
             return 0;
@@ -112,25 +112,25 @@
 /// What servers said, by their names.
 #[derive(Clone, Debug, Default)]
 pub struct NoticeBook {
-    words: BTreeMap<BackendName, KnownWord>,
+    notices: BTreeMap<BackendName, KnownNotice>,
 }
 
 impl NoticeBook {
-    /// Returns a book without words.
+    /// Returns a book without notices.
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Returns the limit that a life has named, if it is in force.
     pub fn limit(&self, id: &BackendId) -> Option<RequestRate> {
-        let known = self.words.get(&id.name)?;
+        let known = self.notices.get(&id.name)?;
         known.limit.filter(|_| known.id == *id)
     }
 
     /// Iterates over all limits in force.
     pub fn limits(&self) -> impl Iterator<Item = (&BackendId, RequestRate)> {
-        let words = self.words.values();
-        words.filter_map(|known| Some((&known.id, known.limit?)))
+        let notices = self.notices.values();
+        notices.filter_map(|known| Some((&known.id, known.limit?)))
     }
 
     /// Notes what a server said in an answer that came just now; returns what that
@@ -142,7 +142,7 @@
         notice: &ServerNotice,
     ) -> Vec<NoticeChange> {
         let says_nothing = notice.limit == LimitNotice::Unlimited && !notice.leaving;
-        if says_nothing && !self.words.contains_key(&id.name) {
+        if says_nothing && !self.notices.contains_key(&id.name) {
             return Vec::new();
         }
         let Some(known) = self.known_mut(now, id) else {
@@ -162,17 +162,17 @@
     }
 
     /// Takes over what another entry told. Returns whether something changed.
-    pub fn take_over(&mut self, now: Timestamp, word: &ServerWord) -> bool {
-        let said_at = Timestamp(now.0.saturating_sub(word.age.as_micros() as u64));
-        let Some(known) = self.known_mut(now, &word.id) else {
+    pub fn take_over(&mut self, now: Timestamp, notice: &ToldNotice) -> bool {
+        let said_at = Timestamp(now.0.saturating_sub(notice.age.as_micros() as u64));
+        let Some(known) = self.known_mut(now, &notice.id) else {
             return false;
         };
-        let leaves = word.leaving && !std::mem::replace(&mut known.leaving, true);
+        let leaves = notice.leaving && !std::mem::replace(&mut known.leaving, true);
         let is_newer = said_at > known.said_at;
-        let limit_changed = is_newer && known.limit != word.limit;
+        let limit_changed = is_newer && known.limit != notice.limit;
         if is_newer {
             known.said_at = said_at;
-            known.limit = word.limit;
+            known.limit = notice.limit;
         }
         if leaves || limit_changed {
             known.changed_at = now;
@@ -182,9 +182,9 @@
 
     /// Returns what is known of a life; none if a later one is known. What was
     /// known of an earlier one ends.
-    fn known_mut(&mut self, now: Timestamp, id: &BackendId) -> Option<&mut KnownWord> {
-        let new = || KnownWord::new(id.clone(), now);
-        let known = self.words.entry(id.name.clone()).or_insert_with(new);
+    fn known_mut(&mut self, now: Timestamp, id: &BackendId) -> Option<&mut KnownNotice> {
+        let new = || KnownNotice::new(id.clone(), now);
+        let known = self.notices.entry(id.name.clone()).or_insert_with(new);
         if known.id.replaces(id) {
             return None;
         }
@@ -197,34 +197,35 @@
     /// Returns a digest of what listed servers said. Entries that know the same
     /// have the same digest.
     pub fn digest(&self, is_listed: impl Fn(&BackendId) -> bool) -> u64 {
-        let listed = self.words.values().filter(|known| is_listed(&known.id));
+        let listed = self.notices.values().filter(|known| is_listed(&known.id));
         listed.fold(0, |digest, known| digest ^ known.digest())
     }
 
     /// Returns what this entry heard itself a moment ago.
-    pub fn heard_words(&self, now: Timestamp) -> Vec<ServerWord> {
-        let heard = |known: &&KnownWord| known.heard_at.is_some_and(|at| now.since(at) < TOLD_FOR);
-        let words = self.words.values().filter(heard);
-        words.map(|known| known.to_told(now)).collect()
+    pub fn heard_notices(&self, now: Timestamp) -> Vec<ToldNotice> {
+        let heard =
+            |known: &&KnownNotice| known.heard_at.is_some_and(|at| now.since(at) < TOLD_FOR);
+        let notices = self.notices.values().filter(heard);
+        notices.map(|known| known.to_told(now)).collect()
     }
 
     /// Returns what changed a moment ago.
-    pub fn recent_words(&self, now: Timestamp) -> Vec<ServerWord> {
-        let recent = |known: &&KnownWord| now.since(known.changed_at) < RECENT;
-        let words = self.words.values().filter(recent);
-        words.map(|known| known.to_told(now)).collect()
+    pub fn recent_notices(&self, now: Timestamp) -> Vec<ToldNotice> {
+        let recent = |known: &&KnownNotice| now.since(known.changed_at) < RECENT;
+        let notices = self.notices.values().filter(recent);
+        notices.map(|known| known.to_told(now)).collect()
     }
 
     /// Returns all that is known, also of limits that are over.
-    pub fn all_words(&self, now: Timestamp) -> Vec<ServerWord> {
-        let words = self.words.values();
-        words.map(|known| known.to_told(now)).collect()
+    pub fn all_notices(&self, now: Timestamp) -> Vec<ToldNotice> {
+        let notices = self.notices.values();
+        notices.map(|known| known.to_told(now)).collect()
     }
 
     /// Forgets servers that have not been listed for long, and limits that have
     /// been over for long.
     pub fn sweep(&mut self, now: Timestamp, is_listed: impl Fn(&BackendId) -> bool) {
-        self.words.retain(|_, known| {
+        self.notices.retain(|_, known| {
             if is_listed(&known.id) {
                 known.listed_at = now;
             }
--- a/lib/src/gateway/limit_news.rs
+++ b/lib/src/gateway/notice_frames.rs
@@ -5,16 +5,14 @@
 use prost::Message;
 
 use crate::gateway::backend_record::BackendId;
-use crate::gateway::backend_record::BackendName;
-use crate::gateway::backend_record::LifeStart;
-use crate::gateway::notice_book::ServerWord;
+use crate::gateway::notice_book::ToldNotice;
 use crate::gateway::send_permits::LimitedSends;
 use crate::gateway::send_permits::PermitGrant;
 use crate::quantity::RequestRate;
 
-/// The frame of [`ServerWord`].
+/// The frame of [`ToldNotice`].
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct ServerWordFrame {
+pub struct ToldNoticeFrame {
     #[prost(string, tag = "1")]
     backend: String,
     #[prost(uint64, tag = "2")]
@@ -50,39 +48,32 @@
     }
 }
 
-fn read_id(backend: String, start: u64) -> BackendId {
-    BackendId {
-        name: BackendName(backend),
-        start: LifeStart(start),
-    }
-}
-
-impl From<ServerWord> for ServerWordFrame {
-    fn from(word: ServerWord) -> Self {
+impl From<ToldNotice> for ToldNoticeFrame {
+    fn from(notice: ToldNotice) -> Self {
         Self {
-            backend: word.id.name.0,
-            start: word.id.start.0,
-            limit_bits: word.limit.map(|rate| rate.0.to_bits()),
-            age_ms: word.age.as_millis() as u64,
-            leaving: word.leaving,
+            backend: notice.id.name.0,
+            start: notice.id.start.0,
+            limit_bits: notice.limit.map(|rate| rate.0.to_bits()),
+            age_ms: notice.age.as_millis() as u64,
+            leaving: notice.leaving,
         }
     }
 }
 
-/// Reads words. One with a rate that is no rate says nothing.
-pub fn read_words(frames: Vec<ServerWordFrame>) -> Vec<ServerWord> {
-    frames.into_iter().filter_map(read_word).collect()
+/// Reads notices. One with a rate that is no rate says nothing.
+pub fn read_notices(frames: Vec<ToldNoticeFrame>) -> Vec<ToldNotice> {
+    frames.into_iter().filter_map(read_notice).collect()
 }
 
-fn read_word(frame: ServerWordFrame) -> Option<ServerWord> {
+fn read_notice(frame: ToldNoticeFrame) -> Option<ToldNotice> {
     let rate =
         |bits: u64| Some(f64::from_bits(bits)).filter(|rate| rate.is_finite() && *rate >= 0.0);
     let limit = match frame.limit_bits {
         Some(bits) => Some(RequestRate(rate(bits)?)),
         None => None,
     };
-    Some(ServerWord {
-        id: read_id(frame.backend, frame.start),
+    Some(ToldNotice {
+        id: BackendId::of_life(frame.backend, frame.start),
         limit,
         leaving: frame.leaving,
         age: Duration::from_millis(frame.age_ms),
@@ -98,7 +89,7 @@
 impl From<ServerCountFrame> for LimitedSends {
     fn from(frame: ServerCountFrame) -> Self {
         Self {
-            id: read_id(frame.backend, frame.start),
+            id: BackendId::of_life(frame.backend, frame.start),
             sent: frame.count,
         }
     }
@@ -113,7 +104,7 @@
 impl From<ServerCountFrame> for PermitGrant {
     fn from(frame: ServerCountFrame) -> Self {
         Self {
-            id: read_id(frame.backend, frame.start),
+            id: BackendId::of_life(frame.backend, frame.start),
             count: u32::try_from(frame.count).unwrap_or(0).min(MAX_GRANT),
         }
     }
--- a/lib/src/gateway/notice_watch.rs
+++ b/lib/src/gateway/notice_watch.rs
@@ -1,49 +1,17 @@
 //! Takes over what backend servers say of themselves in their answers, and tells
 //! operators of it.
 
-use std::collections::BTreeSet;
-
 use metrics::counter;
 use metrics::gauge;
-use parking_lot::Mutex;
 use slog::info;
 
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
+use crate::gateway::server_labels::NO_LIMIT;
 use crate::gateway::server_notice::NoticeChange;
 use crate::gateway::server_notice::ServerNotice;
 
-/// The most backend servers that have counters of their own. Those of lives that
-/// have ended stay on the metrics page, so further ones share one label.
-const MAX_LABELS: usize = 256;
-/// The label that further backend servers share.
-const SHARED_LABEL: &str = "others";
-
-/// What the gauge of a server shows whose limit is over: 0 is a limit too.
-pub const NO_LIMIT: f64 = -1.0;
-
-/// The backend servers that have counters of their own.
-#[derive(Debug, Default)]
-pub struct ServerLabels {
-    names: Mutex<BTreeSet<String>>,
-}
-
-impl ServerLabels {
-    /// Returns the label of a backend server.
-    pub fn label(&self, id: &BackendId) -> String {
-        let mut names = self.names.lock();
-        let name = &id.name.0;
-        if !names.contains(name) {
-            if names.len() >= MAX_LABELS {
-                return SHARED_LABEL.to_owned();
-            }
-            names.insert(name.clone());
-        }
-        name.clone()
-    }
-}
-
 /// Takes over what a server said with an answer that came just now.
 pub fn note_notice(context: &GatewayContext, id: &BackendId, notice: &ServerNotice) {
     let now = context.now();
--- a/lib/src/gateway/peer_book.rs
+++ b/lib/src/gateway/peer_book.rs
@@ -41,9 +41,9 @@
 /// How long an entry that was sent the list of backend servers has to say that
 /// it has it. Its answer comes with its next news, a quarter of a second later.
 const LIST_PAUSE: Duration = Duration::from_millis(600);
-/// How long an entry may know other limits of backend servers before it is told
-/// all of them: by then it has answered to the changes.
-const LIMITS_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How long an entry may know something else of what servers said before it is
+/// told all of it: by then it has answered to the changes.
+const NOTICES_PATIENCE: Duration = Duration::from_millis(1_500);
 /// An entry from which nothing came for so long is forgotten. Until then its
 /// part of every limit is left to it, in case it is only cut off.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -83,12 +83,12 @@
     owes_digest: bool,
     /// The digest of the list of backend servers that was sent last, and when.
     list_sent: Option<(u64, Timestamp)>,
-    /// The digest of the limits that it knows.
-    limits_hash: u64,
+    /// The digest of what it knows of what servers said.
+    notices_hash: u64,
     /// Since when that differs from the own one.
-    limits_differ_since: Option<Timestamp>,
-    /// When it was told all limits last.
-    limits_sent_at: Option<Timestamp>,
+    notices_differ_since: Option<Timestamp>,
+    /// When it was told all of that last.
+    notices_sent_at: Option<Timestamp>,
 }
 
 impl PeerState {
@@ -114,9 +114,9 @@
             unanswered_since: None,
             owes_digest: false,
             list_sent: None,
-            limits_hash: 0,
-            limits_differ_since: None,
-            limits_sent_at: None,
+            notices_hash: 0,
+            notices_differ_since: None,
+            notices_sent_at: None,
         }
     }
 
@@ -145,6 +145,17 @@
     }
 }
 
+/// What an entry is told of what servers said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeOffer {
+    /// Nothing: it knows the same.
+    Nothing,
+    /// What changed a moment ago.
+    Recent,
+    /// All of it: the entry is new, or changes did not help.
+    All,
+}
+
 /// What a message tells of its sender's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeardLife {
@@ -257,7 +268,7 @@
         peer.answers_pulls = news.answers_pulls;
         peer.takes_changes = news.takes_changes;
         peer.backends_hash = news.backends_hash;
-        peer.limits_hash = news.limits_hash;
+        peer.notices_hash = news.notices_hash;
         peer.leaving = news.leaving;
         peer.fence = news.fence;
         if news.tells {
@@ -379,24 +390,25 @@
         !sent_lately
     }
 
-    /// Returns whether an entry is to be told of limits, as it knows others than
-    /// those with that digest: `Some(true)` if it is to be told all of them.
-    pub fn offers_limits(&mut self, now: Timestamp, name: &EntryName, digest: u64) -> Option<bool> {
-        let peer = self.peers.get_mut(name)?;
-        if peer.limits_hash == digest {
-            peer.limits_differ_since = None;
-            return None;
-        }
-        let since = *peer.limits_differ_since.get_or_insert(now);
-        let sent_at = peer.limits_sent_at.unwrap_or_default();
-        let whole = match peer.limits_sent_at {
-            None => true,
-            Some(_) => now.since(since.max(sent_at)) >= LIMITS_PATIENCE,
+    /// Returns what an entry is to be told of what servers said, where the own
+    /// knowledge has that digest.
+    pub fn offer_notices(&mut self, now: Timestamp, name: &EntryName, digest: u64) -> NoticeOffer {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return NoticeOffer::Nothing;
         };
-        if whole {
-            peer.limits_sent_at = Some(now);
+        if peer.notices_hash == digest {
+            peer.notices_differ_since = None;
+            return NoticeOffer::Nothing;
+        }
+        let since = *peer.notices_differ_since.get_or_insert(now);
+        let is_due = peer
+            .notices_sent_at
+            .is_none_or(|sent_at| now.since(since.max(sent_at)) >= NOTICES_PATIENCE);
+        if !is_due {
+            return NoticeOffer::Recent;
         }
-        Some(whole)
+        peer.notices_sent_at = Some(now);
+        NoticeOffer::All
     }
 
     /// Iterates over the entries that this one answers each round, with the work
--- a/lib/src/gateway/peer_news.rs
+++ b/lib/src/gateway/peer_news.rs
@@ -6,16 +6,10 @@
 
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_record::BackendId;
-use crate::gateway::backend_record::BackendName;
 use crate::gateway::backend_record::BackendRecord;
-use crate::gateway::backend_record::LifeStart;
 use crate::gateway::crash_ledger::CrashReport;
-use crate::gateway::crash_news::CrashReportFrame;
-use crate::gateway::limit_news::ServerCountFrame;
-use crate::gateway::limit_news::ServerWordFrame;
-use crate::gateway::limit_news::read_words;
 use crate::gateway::list_history::ListChanges;
-use crate::gateway::notice_book::ServerWord;
+use crate::gateway::notice_book::ToldNotice;
 use crate::gateway::send_permits::LimitedSends;
 use crate::gateway::send_permits::PermitGrant;
 use crate::gateway::vm_strength::VmStrength;
@@ -24,8 +18,6 @@
 use crate::id::FenceToken;
 use crate::id::Incarnation;
 use crate::id::RevisionNumber;
-use crate::wire_error::WireError;
-use crate::wire_error::read_field;
 
 /// How old the sender's knowledge was when it received the message that it
 /// answers. The receiver measures from its own clock.
@@ -63,7 +55,7 @@
 impl BackendUse {
     /// Returns the life that has the requests.
     pub fn id(&self) -> BackendId {
-        read_id(self.backend.clone(), self.start)
+        BackendId::of_life(self.backend.clone(), self.start)
     }
 }
 
@@ -123,7 +115,7 @@
     /// Those that leave, while the list cannot be passed on.
     pub leaving: Vec<BackendId>,
     /// Limits that servers named, if the receiver knows others.
-    pub words: Vec<ServerWord>,
+    pub notices: Vec<ToldNotice>,
     /// What the receiver may send to servers with a limit.
     pub permits: Vec<PermitGrant>,
 }
@@ -173,9 +165,9 @@
     /// Requests under which backend servers crashed.
     pub crashes: Vec<CrashReport>,
     /// Limits that servers named to the sender a moment ago.
-    pub words: Vec<ServerWord>,
+    pub notices: Vec<ToldNotice>,
     /// The digest of the limits that the sender knows.
-    pub limits_hash: u64,
+    pub notices_hash: u64,
     /// What the sender has sent to servers with a limit.
     pub sends: Vec<LimitedSends>,
     /// What the sender knows of all entries, if it answers as a hub.
@@ -212,382 +204,11 @@
             uses: Vec::new(),
             work: Vec::new(),
             crashes: Vec::new(),
-            words: Vec::new(),
-            limits_hash: 0,
+            notices: Vec::new(),
+            notices_hash: 0,
             sends: Vec::new(),
             view: None,
             digest: None,
         }
     }
 }
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct EchoFrame {
-    #[prost(fixed64, tag = "1")]
-    incarnation: u64,
-    #[prost(uint64, tag = "2")]
-    sent_at: u64,
-    #[prost(int64, optional, tag = "3")]
-    age: Option<i64>,
-    #[prost(int64, optional, tag = "4")]
-    backends_age: Option<i64>,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct CountFrame {
-    #[prost(uint64, tag = "1")]
-    window: u64,
-    #[prost(string, tag = "2")]
-    account: String,
-    #[prost(uint64, tag = "3")]
-    count: u64,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct ViewFrame {
-    #[prost(uint64, tag = "1")]
-    entries: u64,
-    #[prost(uint64, tag = "2")]
-    heard: u64,
-    #[prost(uint64, optional, tag = "3")]
-    fence: Option<u64>,
-    #[prost(message, repeated, tag = "4")]
-    uses: Vec<BackendUse>,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct HubFrame {
-    #[prost(string, tag = "1")]
-    name: String,
-    #[prost(string, tag = "2")]
-    address: String,
-    #[prost(uint32, tag = "3")]
-    strength: u32,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct BackendFrame {
-    #[prost(string, tag = "1")]
-    id: String,
-    #[prost(string, tag = "2")]
-    service: String,
-    #[prost(string, tag = "3")]
-    address: String,
-    #[prost(string, tag = "4")]
-    zone: String,
-    #[prost(uint32, tag = "5")]
-    slots: u32,
-    #[prost(bool, tag = "6")]
-    leaving: bool,
-    #[prost(bool, tag = "7")]
-    reclaimable: bool,
-    #[prost(uint64, tag = "8")]
-    start: u64,
-}
-
-/// One life of a backend server.
-#[derive(Clone, PartialEq, Eq, Message)]
-struct LifeFrame {
-    #[prost(string, tag = "1")]
-    name: String,
-    #[prost(uint64, tag = "2")]
-    start: u64,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct BackendListFrame {
-    #[prost(message, repeated, tag = "1")]
-    backends: Vec<BackendFrame>,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct ListChangesFrame {
-    #[prost(message, repeated, tag = "1")]
-    records: Vec<BackendFrame>,
-    #[prost(string, repeated, tag = "2")]
-    gone: Vec<String>,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct DigestFrame {
-    #[prost(message, repeated, tag = "1")]
-    admitted: Vec<CountFrame>,
-    #[prost(message, repeated, tag = "2")]
-    hubs: Vec<HubFrame>,
-    #[prost(message, optional, tag = "3")]
-    backends: Option<BackendListFrame>,
-    #[prost(message, repeated, tag = "6")]
-    leaving: Vec<LifeFrame>,
-    #[prost(message, optional, tag = "5")]
-    changes: Option<ListChangesFrame>,
-    #[prost(message, repeated, tag = "7")]
-    words: Vec<ServerWordFrame>,
-    #[prost(message, repeated, tag = "8")]
-    permits: Vec<ServerCountFrame>,
-}
-
-/// The frame of [`GatewayNews`].
-#[derive(Clone, PartialEq, Eq, Message)]
-pub struct NewsFrame {
-    #[prost(fixed64, tag = "1")]
-    incarnation: u64,
-    #[prost(string, tag = "2")]
-    name: String,
-    #[prost(string, tag = "3")]
-    address: String,
-    #[prost(uint64, tag = "4")]
-    sent_at: u64,
-    #[prost(bool, tag = "5")]
-    leaving: bool,
-    #[prost(uint64, tag = "6")]
-    revision: u64,
-    #[prost(message, optional, tag = "8")]
-    echo: Option<EchoFrame>,
-    #[prost(uint64, optional, tag = "9")]
-    fence: Option<u64>,
-    #[prost(message, repeated, tag = "10")]
-    admitted: Vec<CountFrame>,
-    #[prost(message, repeated, tag = "11")]
-    counts: Vec<CountFrame>,
-    #[prost(message, repeated, tag = "12")]
-    uses: Vec<BackendUse>,
-    #[prost(message, repeated, tag = "13")]
-    work: Vec<ServiceWork>,
-    #[prost(bool, tag = "14")]
-    tells: bool,
-    #[prost(bool, tag = "15")]
-    wants_digest: bool,
-    #[prost(fixed64, tag = "16")]
-    backends_hash: u64,
-    #[prost(message, optional, tag = "17")]
-    view: Option<ViewFrame>,
-    #[prost(message, optional, tag = "18")]
-    digest: Option<DigestFrame>,
-    #[prost(uint32, tag = "19")]
-    strength: u32,
-    #[prost(bool, tag = "20")]
-    answers_pulls: bool,
-    #[prost(bool, tag = "21")]
-    takes_changes: bool,
-    #[prost(message, repeated, tag = "22")]
-    crashes: Vec<CrashReportFrame>,
-    #[prost(message, repeated, tag = "23")]
-    words: Vec<ServerWordFrame>,
-    #[prost(fixed64, tag = "24")]
-    limits_hash: u64,
-    #[prost(message, repeated, tag = "25")]
-    sends: Vec<ServerCountFrame>,
-}
-
-fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
-    let frame = |item: AdmittedUnits| CountFrame {
-        window: 0,
-        account: item.account.into(),
-        count: item.units,
-    };
-    admitted.into_iter().map(frame).collect()
-}
-
-fn read_admitted(frames: Vec<CountFrame>) -> Result<Vec<AdmittedUnits>, WireError> {
-    let read = |frame: CountFrame| {
-        Ok(AdmittedUnits {
-            account: read_field("account", &frame.account)?,
-            units: frame.count,
-        })
-    };
-    frames.into_iter().map(read).collect()
-}
-
-fn write_counts(counts: Vec<WindowCount>) -> Vec<CountFrame> {
-    let frame = |item: WindowCount| CountFrame {
-        window: item.window,
-        account: item.account.into(),
-        count: item.count,
-    };
-    counts.into_iter().map(frame).collect()
-}
-
-fn read_counts(frames: Vec<CountFrame>) -> Result<Vec<WindowCount>, WireError> {
-    let read = |frame: CountFrame| {
-        Ok(WindowCount {
-            window: frame.window,
-            account: read_field("account", &frame.account)?,
-            count: frame.count,
-        })
-    };
-    frames.into_iter().map(read).collect()
-}
-
-fn read_id(name: String, start: u64) -> BackendId {
-    BackendId {
-        name: BackendName(name),
-        start: LifeStart(start),
-    }
-}
-
-fn write_backend(record: BackendRecord) -> BackendFrame {
-    BackendFrame {
-        id: record.id.name.0,
-        service: record.service.into(),
-        address: record.address.to_string(),
-        zone: record.zone.into(),
-        slots: record.slots,
-        leaving: record.leaving,
-        reclaimable: record.reclaimable,
-        start: record.id.start.0,
-    }
-}
-
-fn read_backend(frame: BackendFrame) -> Result<BackendRecord, WireError> {
-    Ok(BackendRecord {
-        id: read_id(frame.id, frame.start),
-        service: read_field("service", &frame.service)?,
-        address: read_field("address", &frame.address)?,
-        zone: read_field("zone", &frame.zone)?,
-        slots: frame.slots,
-        leaving: frame.leaving,
-        reclaimable: frame.reclaimable,
-    })
-}
-
-fn write_changes(changes: ListChanges) -> ListChangesFrame {
-    ListChangesFrame {
-        records: changes.records.into_iter().map(write_backend).collect(),
-        gone: changes.gone.into_iter().map(|name| name.0).collect(),
-    }
-}
-
-fn read_changes(frame: ListChangesFrame) -> Result<ListChanges, WireError> {
-    let records = frame.records.into_iter().map(read_backend);
-    Ok(ListChanges {
-        records: records.collect::<Result<_, _>>()?,
-        gone: frame.gone.into_iter().map(BackendName).collect(),
-    })
-}
-
-fn write_digest(digest: HubDigest) -> DigestFrame {
-    let hub = |(name, address, strength): (EntryName, SocketAddr, VmStrength)| HubFrame {
-        name: name.into(),
-        address: address.to_string(),
-        strength: strength.0,
-    };
-    let life = |id: BackendId| LifeFrame {
-        name: id.name.0,
-        start: id.start.0,
-    };
-    let list = |records: Vec<BackendRecord>| BackendListFrame {
-        backends: records.into_iter().map(write_backend).collect(),
-    };
-    DigestFrame {
-        admitted: write_admitted(digest.admitted),
-        hubs: digest.hubs.into_iter().map(hub).collect(),
-        backends: digest.backends.map(list),
-        leaving: digest.leaving.into_iter().map(life).collect(),
-        changes: digest.changes.map(write_changes),
-        words: digest.words.into_iter().map(Into::into).collect(),
-        permits: digest.permits.into_iter().map(Into::into).collect(),
-    }
-}
-
-fn read_digest(frame: DigestFrame) -> Result<HubDigest, WireError> {
-    let hub = |hub: HubFrame| {
-        let name = read_field("name", &hub.name)?;
-        let address = read_field("address", &hub.address)?;
-        Ok((name, address, VmStrength(hub.strength)))
-    };
-    let life = |frame: LifeFrame| read_id(frame.name, frame.start);
-    let list = |list: BackendListFrame| list.backends.into_iter().map(read_backend).collect();
-    Ok(HubDigest {
-        admitted: read_admitted(frame.admitted)?,
-        hubs: frame.hubs.into_iter().map(hub).collect::<Result<_, _>>()?,
-        backends: frame.backends.map(list).transpose()?,
-        leaving: frame.leaving.into_iter().map(life).collect(),
-        changes: frame.changes.map(read_changes).transpose()?,
-        words: read_words(frame.words),
-        permits: frame.permits.into_iter().map(Into::into).collect(),
-    })
-}
-
-impl From<GatewayNews> for NewsFrame {
-    fn from(news: GatewayNews) -> Self {
-        Self {
-            incarnation: news.incarnation.0,
-            name: news.name.into(),
-            address: news.address.to_string(),
-            strength: news.strength.0,
-            sent_at: news.sent_at,
-            leaving: news.leaving,
-            revision: news.revision.0,
-            answers_pulls: news.answers_pulls,
-            takes_changes: news.takes_changes,
-            echo: news.echo.map(|echo| EchoFrame {
-                incarnation: echo.incarnation.0,
-                sent_at: echo.sent_at,
-                age: echo.age,
-                backends_age: echo.backends_age,
-            }),
-            fence: news.fence.map(|fence| fence.0),
-            admitted: write_admitted(news.admitted),
-            counts: write_counts(news.counts),
-            uses: news.uses,
-            work: news.work,
-            crashes: news.crashes.into_iter().map(Into::into).collect(),
-            words: news.words.into_iter().map(Into::into).collect(),
-            limits_hash: news.limits_hash,
-            sends: news.sends.into_iter().map(Into::into).collect(),
-            tells: news.tells,
-            wants_digest: news.wants_digest,
-            backends_hash: news.backends_hash,
-            view: news.view.map(|view| ViewFrame {
-                entries: view.entries as u64,
-                heard: view.heard as u64,
-                fence: view.fence.map(|fence| fence.0),
-                uses: view.uses,
-            }),
-            digest: news.digest.map(write_digest),
-        }
-    }
-}
-
-impl TryFrom<NewsFrame> for GatewayNews {
-    type Error = WireError;
-
-    fn try_from(frame: NewsFrame) -> Result<Self, WireError> {
-        Ok(Self {
-            incarnation: Incarnation(frame.incarnation),
-            name: read_field("name", &frame.name)?,
-            address: read_field("address", &frame.address)?,
-            strength: VmStrength(frame.strength),
-            sent_at: frame.sent_at,
-            leaving: frame.leaving,
-            revision: RevisionNumber(frame.revision),
-            answers_pulls: frame.answers_pulls,
-            takes_changes: frame.takes_changes,
-            echo: frame.echo.map(|echo| ConfigEcho {
-                incarnation: Incarnation(echo.incarnation),
-                sent_at: echo.sent_at,
-                age: echo.age,
-                backends_age: echo.backends_age,
-            }),
-            fence: frame.fence.map(FenceToken),
-            tells: frame.tells,
-            wants_digest: frame.wants_digest,
-            backends_hash: frame.backends_hash,
-            admitted: read_admitted(frame.admitted)?,
-            counts: read_counts(frame.counts)?,
-            uses: frame.uses,
-            work: frame.work,
-            crashes: frame.crashes.into_iter().map(Into::into).collect(),
-            words: read_words(frame.words),
-            limits_hash: frame.limits_hash,
-            sends: frame.sends.into_iter().map(Into::into).collect(),
-            view: frame.view.map(|view| HubView {
-                entries: view.entries as usize,
-                heard: view.heard as usize,
-                fence: view.fence.map(FenceToken),
-                uses: view.uses,
-            }),
-            digest: frame.digest.map(read_digest).transpose()?,
-        })
-    }
-}
--- a/lib/src/gateway/peer_task.rs
+++ b/lib/src/gateway/peer_task.rs
@@ -18,8 +18,8 @@
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::limit_desk::GrantedPermits;
 use crate::gateway::limit_desk::issue_permits;
-use crate::gateway::limit_desk::take_limit_news;
-use crate::gateway::limit_desk::words_for;
+use crate::gateway::limit_desk::notices_for;
+use crate::gateway::limit_desk::take_server_news;
 use crate::gateway::list_history::ListOffer;
 use crate::gateway::peer_book::DueMessage;
 use crate::gateway::peer_book::HeardLife;
@@ -103,9 +103,9 @@
     let backends = context.backends.lock();
     let backends_hash = backends.list_hash();
     let limits = context.server_limits.lock();
-    let limits_hash = limits.digest(&backends);
+    let notices_hash = limits.digest(&backends);
     let now = context.now();
-    let words = limits.book.heard_words(now);
+    let notices = limits.book.heard_notices(now);
     let sends = limits.sends(now);
     drop(limits);
     drop(backends);
@@ -122,8 +122,8 @@
         uses: own_uses(context),
         work: own_work(context),
         crashes: context.crashes.lock().reports(context.now()),
-        words,
-        limits_hash,
+        notices,
+        notices_hash,
         sends,
         ..own_name(context)
     }
@@ -159,7 +159,7 @@
         news.counts = Vec::new();
         news.uses = Vec::new();
         news.work = Vec::new();
-        news.words = Vec::new();
+        news.notices = Vec::new();
     }
 }
 
@@ -246,7 +246,7 @@
         backends,
         changes,
         leaving: told_leaving(context, differs),
-        words: words_for(context, now, &message.name, news.limits_hash),
+        notices: notices_for(context, now, &message.name, news.notices_hash),
         permits: knowledge
             .granted
             .get(&message.name)
@@ -398,7 +398,7 @@
     if !news.crashes.is_empty() {
         take_reports(context, &news.crashes);
     }
-    take_limit_news(context, now, &news);
+    take_server_news(context, now, &news);
     if let Some(digest) = &news.digest {
         note_digest(context, &news, digest, now);
     }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -13,7 +13,8 @@
 use cloverbend::gateway::crash_verdict::LifeDigest;
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::list_history::ListChanges;
-use cloverbend::gateway::notice_book::ServerWord;
+use cloverbend::gateway::news_frame::NewsFrame;
+use cloverbend::gateway::notice_book::ToldNotice;
 use cloverbend::gateway::peer_book::DueMessage;
 use cloverbend::gateway::peer_book::HUB_COUNT;
 use cloverbend::gateway::peer_book::HeardLife;
@@ -23,7 +24,6 @@
 use cloverbend::gateway::peer_news::GatewayNews;
 use cloverbend::gateway::peer_news::HubDigest;
 use cloverbend::gateway::peer_news::HubView;
-use cloverbend::gateway::peer_news::NewsFrame;
 use cloverbend::gateway::peer_news::ServiceWork;
 use cloverbend::gateway::peer_news::WindowCount;
 use cloverbend::gateway::send_permits::LimitedSends;
@@ -408,13 +408,13 @@
         busy_milli: 12,
         requests_milli: 13,
     }];
-    full.words = vec![ServerWord {
+    full.notices = vec![ToldNotice {
         id: life("b"),
         limit: Some(RequestRate(1.5)),
         leaving: true,
         age: Duration::from_millis(14),
     }];
-    full.limits_hash = 15;
+    full.notices_hash = 15;
     full.sends = vec![LimitedSends {
         id: life("b"),
         sent: 16,
@@ -450,7 +450,7 @@
             gone: vec![BackendName("d".to_owned())],
         }),
         leaving: vec![life("c")],
-        words: vec![ServerWord {
+        notices: vec![ToldNotice {
             id: life("c"),
             limit: None,
             leaving: false,
--- a/lib/tests/test_gateway_size.rs
+++ b/lib/tests/test_gateway_size.rs
@@ -7,11 +7,11 @@
 use cloverbend::gateway::backend_record::BackendRecord;
 use cloverbend::gateway::backend_set::BackendSet;
 use cloverbend::gateway::list_history::ListOffer;
+use cloverbend::gateway::news_frame::NewsFrame;
 use cloverbend::gateway::peer_book::DueMessage;
 use cloverbend::gateway::peer_book::PeerBook;
 use cloverbend::gateway::peer_news::GatewayNews;
 use cloverbend::gateway::peer_news::HubDigest;
-use cloverbend::gateway::peer_news::NewsFrame;
 use cloverbend::gateway::store_rhythm::ReaderState;
 use cloverbend::gateway::store_rhythm::StoreRhythm;
 use cloverbend::gateway::vm_strength::VmStrength;
@@ -204,7 +204,7 @@
                 backends,
                 changes,
                 leaving: Vec::new(),
-                words: Vec::new(),
+                notices: Vec::new(),
                 permits: Vec::new(),
             }),
             ..GatewayNews::of_entry(
--- a/lib/tests/test_permit_issuer.rs
+++ b/lib/tests/test_permit_issuer.rs
@@ -9,11 +9,11 @@
 use cloverbend::gateway::backend_record::BackendId;
 use cloverbend::gateway::backend_record::BackendRecord;
 use cloverbend::gateway::backend_set::BackendSet;
+use cloverbend::gateway::news_frame::NewsFrame;
 use cloverbend::gateway::peer_book::PeerBook;
 use cloverbend::gateway::peer_news::GatewayNews;
 use cloverbend::gateway::peer_news::HubDigest;
 use cloverbend::gateway::peer_news::HubView;
-use cloverbend::gateway::peer_news::NewsFrame;
 use cloverbend::gateway::peer_news::ServiceWork;
 use cloverbend::gateway::permit_issuer::PERMIT_LIFETIME;
 use cloverbend::gateway::permit_issuer::PermitClient;
@@ -372,7 +372,7 @@
         backends: None,
         changes: None,
         leaving: Vec::new(),
-        words: Vec::new(),
+        notices: Vec::new(),
         permits,
     };
     let full = GatewayNews {
--- a/lib/tests/test_limit_words.rs
+++ b/lib/tests/test_told_notices.rs
@@ -1,5 +1,5 @@
 //! What entries believe of limits does not depend on who tells it or when: the
-//! word holds that its server said last, and it holds for the life that said it.
+//! notice holds that its server said last, and it holds for the life that said it.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 use cloverbend::gateway::backend_record::BackendName;
 use cloverbend::gateway::backend_record::LifeStart;
 use cloverbend::gateway::notice_book::NoticeBook;
-use cloverbend::gateway::notice_book::ServerWord;
+use cloverbend::gateway::notice_book::ToldNotice;
 use cloverbend::gateway::server_notice::LimitNotice;
 use cloverbend::gateway::server_notice::NoticeChange;
 use cloverbend::gateway::server_notice::ServerNotice;
@@ -41,8 +41,8 @@
     ServerNotice::default()
 }
 
-fn word(start: u64, limit: Option<f64>, age_ms: u64) -> ServerWord {
-    ServerWord {
+fn told(start: u64, limit: Option<f64>, age_ms: u64) -> ToldNotice {
+    ToldNotice {
         id: life(start),
         limit: limit.map(RequestRate),
         leaving: false,
@@ -56,10 +56,10 @@
     book.note_answer(at(1_000), &life(1), &limited(2.0));
     book.note_answer(at(2_000), &life(1), &unlimited());
     // Said at 1.5 s.
-    assert!(!book.take_over(at(4_000), &word(1, Some(2.0), 2_500)));
+    assert!(!book.take_over(at(4_000), &told(1, Some(2.0), 2_500)));
     assert_eq!(book.limit(&life(1)), None);
     // Said at 2.5 s.
-    assert!(book.take_over(at(4_000), &word(1, Some(3.0), 1_500)));
+    assert!(book.take_over(at(4_000), &told(1, Some(3.0), 1_500)));
     assert_eq!(book.limit(&life(1)), Some(RequestRate(3.0)));
 }
 
@@ -78,7 +78,7 @@
     book.note_answer(at(1_000), &life(1), &limited(2.0));
     assert_eq!(book.limit(&life(2)), None);
     book.note_answer(at(2_000), &life(2), &limited(5.0));
-    assert!(!book.take_over(at(3_000), &word(1, Some(2.0), 0)));
+    assert!(!book.take_over(at(3_000), &told(1, Some(2.0), 0)));
     let change = book.note_answer(at(3_000), &life(1), &limited(2.0));
     assert_eq!(change, vec![]);
     assert_eq!(book.limit(&life(2)), Some(RequestRate(5.0)));
@@ -89,9 +89,12 @@
 fn what_was_heard_itself_is_told_for_a_second_and_all_of_it_to_who_asks() {
     let mut book = NoticeBook::new();
     book.note_answer(at(1_000), &life(1), &limited(2.0));
-    assert_eq!(book.heard_words(at(1_500)), vec![word(1, Some(2.0), 500)]);
-    assert_eq!(book.heard_words(at(2_500)), vec![]);
-    assert_eq!(book.all_words(at(61_000)), vec![word(1, Some(2.0), 60_000)]);
+    assert_eq!(book.heard_notices(at(1_500)), vec![told(1, Some(2.0), 500)]);
+    assert_eq!(book.heard_notices(at(2_500)), vec![]);
+    assert_eq!(
+        book.all_notices(at(61_000)),
+        vec![told(1, Some(2.0), 60_000)]
+    );
 }
 
 #[test]
@@ -102,7 +105,7 @@
     assert_eq!(own.digest(listed), 0);
     own.note_answer(at(1_000), &life(1), &limited(2.0));
     assert_ne!(own.digest(listed), other.digest(listed));
-    other.take_over(at(9_000), &word(1, Some(2.0), 3_000));
+    other.take_over(at(9_000), &told(1, Some(2.0), 3_000));
     assert_eq!(own.digest(listed), other.digest(listed));
     // Servers that one of them does not list make no difference.
     assert_eq!(own.digest(|_| false), 0);
@@ -116,9 +119,9 @@
     book.note_answer(at(1_000), &life(1), &limited(2.0));
     book.sweep(at(30_000), |_| true);
     book.sweep(at(80_000), |_| false);
-    assert_eq!(book.all_words(at(80_000)).len(), 1);
+    assert_eq!(book.all_notices(at(80_000)).len(), 1);
     book.sweep(at(95_000), |_| false);
-    assert_eq!(book.all_words(at(95_000)).len(), 0);
+    assert_eq!(book.all_notices(at(95_000)).len(), 0);
 }
 
 #[test]
@@ -142,40 +145,40 @@
     let change = book.note_answer(at(1_000), &life(1), &leaving);
     assert_eq!(change, vec![NoticeChange::Leaving]);
     book.note_answer(at(2_000), &life(1), &unlimited());
-    book.take_over(at(3_000), &word(1, None, 0));
-    assert!(book.all_words(at(3_000))[0].leaving);
-    // An old word that says so is believed too.
+    book.take_over(at(3_000), &told(1, None, 0));
+    assert!(book.all_notices(at(3_000))[0].leaving);
+    // An old notice that says so is believed too.
     let mut other = NoticeBook::new();
     other.note_answer(at(2_500), &life(1), &limited(2.0));
-    let told = ServerWord {
+    let late = ToldNotice {
         leaving: true,
-        ..word(1, None, 2_000)
+        ..told(1, None, 2_000)
     };
-    assert!(other.take_over(at(3_000), &told));
-    assert!(other.all_words(at(3_000))[0].leaving);
+    assert!(other.take_over(at(3_000), &late));
+    assert!(other.all_notices(at(3_000))[0].leaving);
     assert_eq!(other.limit(&life(1)), Some(RequestRate(2.0)));
 }
 
 proptest! {
-    /// Whatever order words come in, and however often, the last one holds.
+    /// Whatever order notices come in, and however often, the last one holds.
     #[test]
     fn any_order_of_words_ends_with_the_newest(
         said in prop::collection::vec((0_u64..5_000, 0_u64..4), 1..12),
         order in prop::collection::vec(any::<prop::sample::Index>(), 1..40),
     ) {
-        // One word of a server at a time.
+        // One notice of a server at a time.
         let mut said = said;
         said.sort();
         said.dedup_by_key(|(at, _)| *at);
         let now = 6_000;
         let tell = |(said_at, rate): (u64, u64)| {
             let limit = (rate > 0).then_some(rate as f64);
-            word(1, limit, now - said_at)
+            told(1, limit, now - said_at)
         };
         let mut book = NoticeBook::new();
         let all = order.iter().map(|index| *index.get(&said)).chain(said.iter().rev().copied());
-        for told in all {
-            book.take_over(at(now), &tell(told));
+        for one in all {
+            book.take_over(at(now), &tell(one));
         }
         let newest = said.last().copied().unwrap();
         prop_assert_eq!(book.limit(&life(1)), tell(newest).limit.filter(|_| newest.0 > 0));
