--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::gateway::backend_record::BackendId;
@@ -35,6 +36,9 @@
 const LONGEST_EXCLUSION: Duration = Duration::from_secs(4);
 /// Failures in a row after which a backend server is left out.
 const FAILURES_TO_EXCLUDE: u32 = 2;
+/// The longest rest that is granted. One that lasts longer is asked for again by
+/// the answer that follows.
+const LONGEST_REST: Duration = Duration::from_secs(60);
 /// The weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
 
@@ -59,6 +63,8 @@
     ended: EndedLives,
     /// Lives that leave, listed or not.
     leaving: LeavingLives,
+    /// Until when lives want no request from this entry, listed or not.
+    rests: HashMap<BackendId, Timestamp>,
     digest: u64,
     history: ListHistory,
     times: BTreeMap<ServiceName, ServiceTimes>,
@@ -246,7 +252,9 @@
             _ => {
                 let joined = BackendChange::Joined(merged.clone());
                 let mut backend = Backend::new(merged);
-                backend.said_leaving = self.leaving.contains(&backend.record.id);
+                let id = &backend.record.id;
+                backend.said_leaving = self.leaving.contains(id);
+                backend.rests_until = self.rests.get(id).copied().unwrap_or_default();
                 self.backends.insert(name.clone(), backend);
                 Some(joined)
             }
@@ -432,10 +440,16 @@
         took_work
     }
 
-    /// Notes that a server wants no request from this entry for a while.
+    /// Notes that a server wants no request from this entry for a while, also if
+    /// its record lapses meanwhile.
     pub fn note_rest(&mut self, now: Timestamp, id: &BackendId, rest: Duration) {
+        let until = now.after(rest.min(LONGEST_REST));
+        self.rests.retain(|_, until| now < *until);
+        let known = self.rests.entry(id.clone()).or_default();
+        *known = until.max(*known);
+        let until = *known;
         if let Some(backend) = self.get_mut(id) {
-            backend.note_rest(now, rest);
+            backend.rests_until = until;
         }
     }
 
--- a/lib/src/gateway/known_backend.rs
+++ b/lib/src/gateway/known_backend.rs
@@ -11,9 +11,6 @@
 
 /// The most prompt parts remembered for a backend server.
 const MAX_PARTS: usize = 512;
-/// The longest rest that is granted. One that lasts longer is asked for again by
-/// the answer that follows.
-const LONGEST_REST: Duration = Duration::from_secs(60);
 /// How long a report of load counts; later only the own count does.
 const LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -100,12 +97,6 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Notes that it wants no request from this entry for a while.
-    pub(super) fn note_rest(&mut self, now: Timestamp, rest: Duration) {
-        let until = now.after(rest.min(LONGEST_REST));
-        self.rests_until = self.rests_until.max(until);
-    }
-
     pub(super) fn note_part(&mut self, now: Timestamp, part: u64) {
         self.parts.insert(part, now);
         if self.parts.len() > MAX_PARTS {
--- a/lib/tests/test_backend_lives.rs
+++ b/lib/tests/test_backend_lives.rs
@@ -228,3 +228,30 @@
     watch.leave(&life("a", 200));
     assert_eq!(watch.end_before(&life("a", 400)), 0);
 }
+
+/// A record that lapses and comes back is of the same life, which has said that it
+/// leaves, or that it wants to rest.
+#[test]
+fn what_a_life_said_in_answers_outlives_its_record() {
+    let mut set = BackendSet::new();
+    let (resting, leaving) = (life("a", 100), life("b", 100));
+    for id in [&resting, &leaving] {
+        set.put(record(&id.name.0, 100, false));
+    }
+    set.note_rest(at(1_000), &resting, Duration::from_secs(3));
+    set.note_said_leaving(&leaving);
+    for id in [&resting, &leaving] {
+        set.note_absent(at(1_500), &id.name);
+        set.put(record(&id.name.0, 100, false));
+    }
+    let left = set.get(&resting).unwrap().rest_left(at(2_000));
+    assert_eq!(left, Some(Duration::from_secs(2)));
+    assert!(!set.get(&leaving).unwrap().takes_work());
+    // A later life has said neither.
+    for name in ["a", "b"] {
+        set.put(record(name, 200, false));
+        let backend = set.get(&life(name, 200)).unwrap();
+        assert_eq!(backend.rest_left(at(2_000)), None);
+        assert!(backend.takes_work());
+    }
+}
