--- a/lib/src/gateway/permit_issuer.rs
+++ b/lib/src/gateway/permit_issuer.rs
@@ -11,7 +11,7 @@
 //! Ways that were weighed: a fixed owner of each server among the entries (three
 //! servers leave all but three entries without service), a share of the rate for
 //! each entry (hundreds that have saved up one request each exceed the limit at
-//! once), one hub for all (a third of the entries hears it once a second only).
+//! once), one hub for all (two thirds of the entries hear it once a second only).
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
