gateway: one test of which servers are open, and less on the path of an answer and of a choice

Cause, read as a newcomer: which servers a request may use stood at three places; each choice copied the list of candidates to find a prompt's home, and each answer locked the list of servers though it said nothing of its server; the issuer kept accounts of servers after the last limit was over, a wrapper around a heap, and a name that stood for two things. Change: ChoiceQuery::may_use and is_open for all three; homes by iterators; the list is locked for notices that change it; accounts end with the last limit, as they do with each other one. No decision differs but that.

--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -428,16 +428,12 @@
         }
     }
 
-    /// Notes that a server said in an answer that it leaves. Returns whether that
-    /// is new.
-    pub fn note_said_leaving(&mut self, id: &BackendId) -> bool {
+    /// Notes that a server said in an answer that it leaves.
+    pub fn note_said_leaving(&mut self, id: &BackendId) {
         self.leaving.note(id);
-        let Some(backend) = self.get_mut(id) else {
-            return false;
-        };
-        let took_work = backend.takes_work();
-        backend.said_leaving = true;
-        took_work
+        if let Some(backend) = self.get_mut(id) {
+            backend.said_leaving = true;
+        }
     }
 
     /// Notes that a server wants no request from this entry for a while, also if
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -30,12 +30,14 @@
 use crate::gateway::engine_choice::ChoiceQuery;
 use crate::gateway::engine_choice::choose_backend;
 use crate::gateway::engine_choice::closed_for;
+use crate::gateway::engine_choice::has_sound_server;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::notice_watch::note_notice;
 use crate::gateway::send_guard::CONNECTION_LOST;
 use crate::gateway::send_guard::GuardTerms;
 use crate::gateway::send_guard::STARTED_AGAIN;
 use crate::gateway::send_guard::SendGuard;
+use crate::gateway::server_limits::ServerLimits;
 use crate::quantity::Timestamp;
 
 /// The least time left for which a request is sent.
@@ -246,17 +248,29 @@
 /// Returns whether the service has a sound backend server that the request was
 /// not sent to.
 pub fn has_other_server(context: &GatewayContext, call: &AdmittedCall, plan: &SendPlan) -> bool {
-    let now = context.now();
     let backends = context.backends.lock();
     let limits = context.server_limits.lock();
-    backends.of_service(&call.service).any(|backend| {
-        let id = &backend.record.id;
-        let usable = backend.takes_work() && !backend.is_missing() && !backend.is_excluded(now);
-        usable
-            && backend.rest_left(now).is_none()
-            && limits.lets_in(now, id)
-            && !plan.tried.contains(id)
-    })
+    has_sound_server(
+        &backends,
+        context.now(),
+        &choice_query(context, call, plan, &limits),
+    )
+}
+
+/// Returns what the choice of a server for a request depends on.
+fn choice_query<'a>(
+    context: &'a GatewayContext,
+    call: &'a AdmittedCall,
+    plan: &'a SendPlan,
+    limits: &'a ServerLimits,
+) -> ChoiceQuery<'a> {
+    ChoiceQuery {
+        service: &call.service,
+        zone: &context.settings.zone,
+        parts: &call.head.parts,
+        tried: &plan.tried,
+        limits,
+    }
 }
 
 /// Judges the head of an answer: whether it belongs to the request, and whether
@@ -327,13 +341,7 @@
     let now = context.now();
     let mut backends = context.backends.lock();
     let mut limits = context.server_limits.lock();
-    let query = ChoiceQuery {
-        service: &call.service,
-        zone: &context.settings.zone,
-        parts: &call.head.parts,
-        tried: &plan.tried,
-        limits: &limits,
-    };
+    let query = choice_query(context, call, plan, &limits);
     let Some(choice) = choose_backend(&backends, now, &query) else {
         let Some(after) = closed_for(&backends, now, &query) else {
             return Choice::NoServer;
--- a/lib/src/gateway/engine_choice.rs
+++ b/lib/src/gateway/engine_choice.rs
@@ -64,6 +64,19 @@
     pub limits: &'a ServerLimits,
 }
 
+impl ChoiceQuery<'_> {
+    /// Returns whether a backend server takes work at all and was not tried.
+    fn may_use(&self, backend: &Backend) -> bool {
+        backend.takes_work() && !self.tried.contains(&backend.record.id)
+    }
+
+    /// Returns whether a backend server takes a request of this entry now: it does
+    /// not rest, and leaves room within its limit.
+    fn is_open(&self, now: Timestamp, backend: &Backend) -> bool {
+        backend.rest_left(now).is_none() && self.limits.lets_in(now, &backend.record.id)
+    }
+}
+
 /// A chosen backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackendChoice {
@@ -89,11 +102,9 @@
 ) -> Option<BackendChoice> {
     let mut candidates: Vec<&Backend> = set
         .of_service(query.service)
-        .filter(|backend| backend.takes_work() && !query.tried.contains(&backend.record.id))
-        .filter(|backend| backend.rest_left(now).is_none())
-        .filter(|backend| query.limits.lets_in(now, &backend.record.id))
+        .filter(|backend| query.may_use(backend) && query.is_open(now, backend))
         .collect();
-    let home = part_home(&home_candidates(&candidates, query.limits), query.parts);
+    let home = part_home(&candidates, query);
     let count = candidates.len();
     let times = set.times(query.service);
     candidates
@@ -124,11 +135,11 @@
 /// now: when the first one that rests has rested, or when all entries together may
 /// send the next request to those with a limit. None if there is no server at all.
 pub fn closed_for(set: &BackendSet, now: Timestamp, query: &ChoiceQuery<'_>) -> Option<Duration> {
-    let takes =
-        |backend: &&Backend| backend.takes_work() && !query.tried.contains(&backend.record.id);
+    let usable = set.of_service(query.service);
+    let usable = usable.filter(|backend| query.may_use(backend));
     let mut rest: Option<Duration> = None;
     let mut limits: Option<f64> = None;
-    for backend in set.of_service(query.service).filter(takes) {
+    for backend in usable {
         if let Some(left) = backend.rest_left(now) {
             rest = Some(rest.map_or(left, |least| least.min(left)));
         } else if let Some(limit) = query.limits.book.limit(&backend.record.id) {
@@ -140,35 +151,35 @@
     rest.into_iter().chain(next_permit).min()
 }
 
-/// Returns the candidates that can be homes: those without a limit, if there are
-/// any. Entries have permits by turns, and would have different homes.
-fn home_candidates<'a>(candidates: &[&'a Backend], limits: &ServerLimits) -> Vec<&'a Backend> {
-    let free = candidates.iter().copied();
-    let free: Vec<&Backend> = free
-        .filter(|backend| !limits.is_limited(&backend.record.id))
-        .collect();
-    if free.is_empty() {
-        return candidates.to_vec();
-    }
-    free
+/// Returns whether a sound backend server takes the request now.
+pub fn has_sound_server(set: &BackendSet, now: Timestamp, query: &ChoiceQuery<'_>) -> bool {
+    set.of_service(query.service).any(|backend| {
+        let sound = !backend.is_missing() && !backend.is_excluded(now);
+        sound && query.may_use(backend) && query.is_open(now, backend)
+    })
 }
 
 /// Returns the home of a prompt among the candidates: that of its last shared
 /// part. The parts before it are shared by so many that every home has them.
-fn part_home<'a>(candidates: &[&'a Backend], parts: &[PromptPart]) -> Option<&'a BackendId> {
-    let last_shared = parts.len().checked_sub(2)?;
-    rendezvous(candidates, parts[last_shared].id)
+/// Servers with limits are homes only if all candidates have some: entries have
+/// permits by turns, and would have different homes.
+fn part_home<'a>(candidates: &[&'a Backend], query: &ChoiceQuery<'_>) -> Option<&'a BackendId> {
+    let last_shared = query.parts.len().checked_sub(2)?;
+    let part = query.parts[last_shared].id;
+    let ids = candidates.iter().map(|backend| &backend.record.id);
+    let free = ids.clone().filter(|id| !query.limits.is_limited(id));
+    rendezvous(free, part).or_else(|| rendezvous(ids, part))
 }
 
-fn rendezvous<'a>(candidates: &[&'a Backend], part: u64) -> Option<&'a BackendId> {
-    candidates
-        .iter()
-        .map(|backend| &backend.record.id)
-        .max_by_key(|id| {
-            let mut hasher = XxHash64::with_seed(part);
-            write_id(&mut hasher, id);
-            hasher.finish()
-        })
+fn rendezvous<'a>(
+    candidates: impl Iterator<Item = &'a BackendId>,
+    part: u64,
+) -> Option<&'a BackendId> {
+    candidates.max_by_key(|id| {
+        let mut hasher = XxHash64::with_seed(part);
+        write_id(&mut hasher, id);
+        hasher.finish()
+    })
 }
 
 /// Estimates the tokens that a backend server has to read: a part is kept only
--- a/lib/src/gateway/notice_watch.rs
+++ b/lib/src/gateway/notice_watch.rs
@@ -24,14 +24,12 @@
         // Others send there until they are told.
         context.news_due.notify_one();
     }
-    let mut backends = context.backends.lock();
     if notice.leaving {
-        backends.note_said_leaving(id);
+        context.backends.lock().note_said_leaving(id);
     }
     if let Some(rest) = notice.rest {
-        backends.note_rest(now, id, rest);
+        context.backends.lock().note_rest(now, id, rest);
     }
-    drop(backends);
     let rest = notice.rest.map(NoticeChange::Rest);
     for change in changes.into_iter().chain(rest) {
         tell_change(context, id, change);
--- a/lib/src/gateway/permit_issuer.rs
+++ b/lib/src/gateway/permit_issuer.rs
@@ -17,6 +17,7 @@
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::time::Duration;
@@ -179,10 +180,7 @@
 }
 
 /// The turns of the entries with requests for one service.
-#[derive(Debug, Default)]
-struct ServiceTurns {
-    turns: BinaryHeap<ClientTurn>,
-}
+type ServiceTurns = BinaryHeap<ClientTurn>;
 
 /// The permits that one hub gives out.
 #[derive(Clone, Debug)]
@@ -255,7 +253,7 @@
         &mut self,
         now: Timestamp,
         server: &LimitedServer,
-        service: &mut ServiceTurns,
+        turns: &mut ServiceTurns,
         clients: &[PermitClient],
         grants: &mut BTreeMap<EntryName, Vec<PermitGrant>>,
     ) {
@@ -263,7 +261,7 @@
             return;
         };
         while account.has_room() {
-            let Some(mut turn) = service.turns.pop() else {
+            let Some(mut turn) = turns.pop() else {
                 return;
             };
             let client = &clients[turn.client];
@@ -277,7 +275,7 @@
             let key = (client.name.clone(), server.service.clone());
             self.given.insert(key, turn.due);
             if turn.room > 0 {
-                service.turns.push(turn);
+                turns.push(turn);
             }
         }
     }
@@ -308,10 +306,8 @@
                 room: (useful.ceil() as u32 + 1).saturating_sub(held),
             }
         };
-        let turns = with_demand.map(turn).filter(|turn| turn.room > 0);
-        ServiceTurns {
-            turns: turns.collect(),
-        }
+        let turns = with_demand.map(turn);
+        turns.filter(|turn| turn.room > 0).collect()
     }
 
     /// Counts the permits that each entry holds for a service.
@@ -330,15 +326,15 @@
         held
     }
 
+    /// Forgets all servers: no limit is in force.
+    pub fn clear(&mut self) {
+        self.servers.clear();
+        self.given.clear();
+    }
+
     /// Forgets servers whose limit is over.
     fn keep(&mut self, limited: &[LimitedServer]) {
-        if limited.is_empty() {
-            self.servers.clear();
-            self.given.clear();
-            return;
-        }
-        let ids: std::collections::HashSet<&BackendId> =
-            limited.iter().map(|server| &server.id).collect();
+        let ids: HashSet<&BackendId> = limited.iter().map(|server| &server.id).collect();
         self.servers.retain(|id, _| ids.contains(id));
     }
 }
--- a/lib/src/gateway/send_permits.rs
+++ b/lib/src/gateway/send_permits.rs
@@ -33,7 +33,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct LimitedServer {
+struct HeldPermits {
     /// When each permit in hand ends.
     permits: Vec<Timestamp>,
     sent: u64,
@@ -43,7 +43,7 @@
 /// The permits in hand, and what was sent.
 #[derive(Clone, Debug, Default)]
 pub struct SendPermits {
-    servers: BTreeMap<BackendId, LimitedServer>,
+    servers: BTreeMap<BackendId, HeldPermits>,
 }
 
 impl SendPermits {
@@ -79,8 +79,7 @@
 
     /// Returns what was sent to each server that got a request a moment ago.
     pub fn sends(&self, now: Timestamp) -> Vec<LimitedSends> {
-        let lately =
-            |server: &LimitedServer| server.sent > 0 && now.since(server.sent_at) < TOLD_FOR;
+        let lately = |server: &HeldPermits| server.sent > 0 && now.since(server.sent_at) < TOLD_FOR;
         let sent = self.servers.iter().filter(|(_, server)| lately(server));
         sent.map(|(id, server)| LimitedSends {
             id: id.clone(),
--- a/lib/src/gateway/server_limits.rs
+++ b/lib/src/gateway/server_limits.rs
@@ -84,7 +84,11 @@
         self.book.sweep(now, |id| backends.get(id).is_some());
         let book = &self.book;
         self.permits.keep(|id| book.limit(id).is_some());
-        book.limits().next().is_some()
+        let any = book.limits().next().is_some();
+        if !any {
+            self.issuer.clear();
+        }
+        any
     }
 
     /// Gives out permits of `part` of each limit to the entries that this one
