--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -9,8 +9,10 @@
 use crate::gateway::vm_strength::VmStrength;
 use crate::id::EntryName;
 use crate::id::ZoneName;
+use crate::setting_reader::LOG_LEVEL;
 use crate::setting_reader::SettingKey;
 use crate::setting_reader::SettingReader;
+use crate::setting_reader::log_format;
 use crate::setting_reader::setting;
 use crate::settings::LogFormat;
 use crate::settings::LogLevel;
@@ -199,20 +201,8 @@
         Some("5"),
         "the length of a window of usage",
     ),
-    setting(
-        "log",
-        "format",
-        "text or json",
-        Some("json"),
-        "form of log lines",
-    ),
-    setting(
-        "log",
-        "level",
-        "error, warning, info or debug",
-        Some("info"),
-        "least severe level logged",
-    ),
+    log_format("json"),
+    LOG_LEVEL,
 ];
 
 /// Times and rates that operators are promised.
--- a/lib/src/quantity.rs
+++ b/lib/src/quantity.rs
@@ -32,6 +32,16 @@
     text.parse().map_err(error)
 }
 
+macro_rules! show_number {
+    ($name:ident) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
 macro_rules! count_type {
     ($(#[$doc:meta])* $name:ident, $expected:literal) => {
         $(#[$doc])*
@@ -41,11 +51,7 @@
         #[serde(transparent)]
         pub struct $name(pub u64);
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(f, "{}", self.0)
-            }
-        }
+        show_number!($name);
 
         impl FromStr for $name {
             type Err = QuantityError;
@@ -64,11 +70,7 @@
         #[serde(transparent)]
         pub struct $name(pub f64);
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(f, "{}", self.0)
-            }
-        }
+        show_number!($name);
 
         impl FromStr for $name {
             type Err = QuantityError;
--- a/lib/src/setting_reader.rs
+++ b/lib/src/setting_reader.rs
@@ -44,6 +44,21 @@
     }
 }
 
+/// Builds the row of the form of log lines.
+pub const fn log_format(default: &'static str) -> SettingKey {
+    let unit = "text or json";
+    setting("log", "format", unit, Some(default), "form of log lines")
+}
+
+/// The row of the least severe level that is logged.
+pub const LOG_LEVEL: SettingKey = setting(
+    "log",
+    "level",
+    "error, warning, info or debug",
+    Some("info"),
+    "least severe level logged",
+);
+
 fn syntax_finding(file: &str, error: &ini::ParseError) -> FindingList {
     let mut findings = FindingList::default();
     let place = InputPlace {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -15,8 +15,10 @@
 use crate::id::VmId;
 use crate::id::ZoneName;
 use crate::quantity::ByteCount;
+use crate::setting_reader::LOG_LEVEL;
 use crate::setting_reader::SettingKey;
 use crate::setting_reader::SettingReader;
+use crate::setting_reader::log_format;
 use crate::setting_reader::setting;
 
 /// The form of log lines.
@@ -205,20 +207,8 @@
         None,
         "the cloud API, for reclaim notices; required",
     ),
-    setting(
-        "log",
-        "format",
-        "text or json",
-        Some("text"),
-        "form of log lines",
-    ),
-    setting(
-        "log",
-        "level",
-        "error, warning, info or debug",
-        Some("info"),
-        "least severe level logged",
-    ),
+    log_format("text"),
+    LOG_LEVEL,
     setting(
         "limits",
         "workers",
