--- a/lib/src/answer_follower.rs
+++ b/lib/src/answer_follower.rs
@@ -8,7 +8,7 @@
 use crate::answer::AnswerEnd;
 use crate::answer::AnswerHead;
 use crate::entry_context::EntryContext;
-use crate::holder::HolderEnd;
+use crate::holder_action::HolderEnd;
 use crate::id::ChunkPosition;
 use crate::id::Incarnation;
 use crate::pair::RequestKey;
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -18,7 +18,7 @@
 use crate::api::build_api;
 use crate::config_task;
 use crate::entry_context::EntryContext;
-use crate::holder::HolderPhase;
+use crate::holder_action::HolderPhase;
 use crate::http_server::serve_router;
 use crate::member_record::MemberState;
 use crate::member_task;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod gateway;
 pub mod gossip_wire;
 pub mod holder;
+pub mod holder_action;
 pub mod http_client;
 pub mod http_server;
 pub mod id;
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -8,8 +8,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer::AnswerLog;
-use crate::holder::HolderEnd;
 use crate::holder::RequestHolder;
+use crate::holder_action::HolderEnd;
 use crate::id::AccountName;
 use crate::id::ChunkPosition;
 use crate::id::Incarnation;
--- a/testutils/src/histories.rs
+++ b/testutils/src/histories.rs
@@ -9,10 +9,10 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::pair_model::BrokenRule;
-use crate::pair_model::FaultBudget;
 use crate::pair_model::PairWorld;
-use crate::pair_model::WorldStep;
+use crate::pair_step::BrokenRule;
+use crate::pair_step::FaultBudget;
+use crate::pair_step::WorldStep;
 
 /// What a history broke.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod member_world;
 pub mod pair_explorer;
 pub mod pair_model;
+pub mod pair_step;
 pub mod plain_standin;
 pub mod processes;
 pub mod sample;
--- a/testutils/src/load_model.rs
+++ b/testutils/src/load_model.rs
@@ -4,6 +4,8 @@
 //! [`EngineTable`], one for each entry, with load reports and cache events
 //! that lag and have gaps, as in the daemon. Everything is drawn from a seed.
 
+mod reclaims;
+
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -35,7 +37,6 @@
 use crate::load_run::DemandKind;
 use crate::load_run::LoadFigures;
 use crate::load_run::LoadRun;
-use crate::load_run::MoveRule;
 use crate::load_run::Scenario;
 
 /// The time between load reports of an engine.
@@ -529,95 +530,6 @@
         self.after(REPORT_PERIOD, LoadEvent::Report(index));
     }
 
-    fn in_lost_zone(&self) -> Vec<usize> {
-        let lost = |index: &usize| self.engines[*index].zone == 0;
-        (0..self.engines.len()).filter(lost).collect()
-    }
-
-    fn notice(&mut self) {
-        for index in self.in_lost_zone() {
-            let vm = self.engines[index].vm.clone();
-            for table in &mut self.tables {
-                table.set_leaving(&vm);
-            }
-            if self.run.moves != MoveRule::Stay {
-                self.move_work(index);
-            }
-        }
-        self.after(NOTICE, LoadEvent::Reclaim);
-    }
-
-    fn move_work(&mut self, index: usize) {
-        let mut ids: Vec<u64> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.engine == index)
-            .map(|(id, _)| *id)
-            .collect();
-        ids.sort_unstable();
-        for id in ids {
-            self.engines[index].model.cancel(id);
-            let mut imported = 0;
-            if let Some(request) = self.requests.get_mut(&id) {
-                request.moves = (request.moves & 0x7fff_ffff) + 1;
-                if self.run.moves == MoveRule::MoveKv {
-                    imported = request.position;
-                }
-            }
-            self.moved += 1;
-            self.send(id, imported);
-            if self.run.moves == MoveRule::MoveKv {
-                self.import_prompt(id);
-            }
-        }
-    }
-
-    /// Brings the prompt's KV cache along with a moved request that had begun.
-    fn import_prompt(&mut self, id: u64) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        if request.position > 0 {
-            let blocks = request.blocks.clone();
-            self.engines[request.engine].model.import(&blocks);
-        }
-    }
-
-    fn reclaim(&mut self) {
-        for index in self.in_lost_zone() {
-            let vm = self.engines[index].vm.clone();
-            for table in &mut self.tables {
-                table.remove(&vm);
-            }
-            if self.run.moves == MoveRule::Stay {
-                let rule = self.run.moves;
-                self.run.moves = MoveRule::Recompute;
-                self.move_work(index);
-                self.run.moves = rule;
-            }
-            let engine = &mut self.engines[index];
-            engine.up = false;
-            engine.generation += 1;
-            engine.stepping = false;
-            engine.pending.clear();
-        }
-        if self.run.scenario == Scenario::ZoneReclaim {
-            self.after(REPLACEMENT, LoadEvent::Replace);
-        }
-    }
-
-    fn replace(&mut self) {
-        let lost = self.in_lost_zone();
-        for index in lost {
-            let name = format!("engine-{index}-new");
-            let engine = &mut self.engines[index];
-            engine.model = EngineModel::new(self.run.shape);
-            engine.vm = name.parse().expect("a valid name");
-            engine.up = true;
-            self.add_to_tables(index);
-        }
-    }
-
     fn figures(&self) -> LoadFigures {
         let millis =
             |histogram: &Histogram<u64>, q: f64| histogram.value_at_quantile(q) as f64 / 1_000.0;
--- a/testutils/src/pair_explorer.rs
+++ b/testutils/src/pair_explorer.rs
@@ -9,8 +9,8 @@
 use twox_hash::XxHash64;
 
 use crate::pair_model::PairWorld;
-use crate::pair_model::WorldStep;
-use crate::pair_model::WorldViolation;
+use crate::pair_step::WorldStep;
+use crate::pair_step::WorldViolation;
 
 /// What an exploration found.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/testutils/tests/test_at_most_once.rs
+++ b/testutils/tests/test_at_most_once.rs
@@ -4,9 +4,9 @@
 
 use cloverbend::configuration::RepeatRule;
 use cloverbend_testutils::pair_explorer::explore;
-use cloverbend_testutils::pair_model::BrokenRule;
-use cloverbend_testutils::pair_model::FaultBudget;
 use cloverbend_testutils::pair_model::PairWorld;
+use cloverbend_testutils::pair_step::BrokenRule;
+use cloverbend_testutils::pair_step::FaultBudget;
 use rstest::rstest;
 
 const STATE_LIMIT: usize = 1_000_000;
--- a/testutils/tests/test_histories.rs
+++ b/testutils/tests/test_histories.rs
@@ -3,7 +3,7 @@
 use cloverbend_testutils::histories::HistoryCounts;
 use cloverbend_testutils::histories::HistoryShape;
 use cloverbend_testutils::histories::run_history;
-use cloverbend_testutils::pair_model::BrokenRule;
+use cloverbend_testutils::pair_step::BrokenRule;
 use rstest::rstest;
 
 const HISTORIES: u64 = 60_000;
