read_schedule: entries that restart take turns at the store

Cause: an entry that restarted without a first start read the list of backend servers from the store at once. With 9,998 servers that is 50 pages and 3 MB, and after the loss of all 986 entries 49,000 calls at a store that serves 16,000 a second: what grows is entries times servers. Ruled out: a longer wait for all, which a deployment of a few entries would feel. Change: an entry without a copy reads in the turn of its rank, 64 entries a second, as at a first start, and those of later turns usually have a copy from a hub by then. Up to 64 entries restart as before, but for the read of the list of entries that tells the rank.

--- a/lib/src/gateway/read_schedule.rs
+++ b/lib/src/gateway/read_schedule.rs
@@ -9,7 +9,8 @@
 //! If those reads take more bandwidth than the store has, entries take turns. If
 //! hundreds of entries read a long list at once, the reads of the hubs would wait
 //! behind them, the data that hubs send would stay old, and the entries would never
-//! stop reading.
+//! stop reading. Entries that restart take turns as well, since all of them may have
+//! been lost at once.
 
 use std::time::Duration;
 
@@ -37,11 +38,14 @@
 /// How long the entries of a new deployment wait for data from a hub before they
 /// read the store themselves. Callers connect later than that.
 const FIRST_START_WAIT: Duration = Duration::from_millis(3_000);
-/// The time between two turns of such reads.
-const FIRST_START_TURN: Duration = Duration::from_millis(1_000);
+/// How long an entry that restarts waits for the list of entries, without which it does
+/// not know its rank.
+const ENTRY_LIST_WAIT: Duration = Duration::from_millis(500);
+/// The time between two turns in which entries without a copy read the store.
+const FIRST_READ_TURN: Duration = Duration::from_millis(1_000);
 /// How many entries read in one such turn. They don't know the length of the list
 /// yet; the store serves this many within a second if it lists 3,000 servers.
-const FIRST_START_MAX_READERS: usize = 64;
+const FIRST_READ_MAX_READERS: usize = 64;
 
 /// When to read a topic so that no copy of it becomes older than a bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,12 +113,24 @@
 impl ReaderState {
     /// Returns whether to read the store now.
     pub fn should_read_store(self, schedule: ReadSchedule) -> bool {
-        let Some(age) = self.view_age else {
-            let is_hub = self.has_entry_list && self.rank < HUB_COUNT;
-            let turn = (self.rank / FIRST_START_MAX_READERS) as u32;
-            let waited = self.uptime >= FIRST_START_WAIT + FIRST_START_TURN * turn;
-            return !self.first_start || is_hub || waited;
-        };
-        self.holds_lease || age >= schedule.direct_read_age(self.rank, self.max_readers)
+        match self.view_age {
+            None => self.uptime >= self.first_read_at(),
+            Some(age) => {
+                self.holds_lease || age >= schedule.direct_read_age(self.rank, self.max_readers)
+            }
+        }
+    }
+
+    /// Returns the uptime at which this entry reads a topic of which it has no copy.
+    /// When hundreds of entries restart at once, those of later turns usually receive
+    /// a copy from a hub first.
+    fn first_read_at(self) -> Duration {
+        let turn = (self.rank / FIRST_READ_MAX_READERS) as u32;
+        match (self.first_start, self.has_entry_list) {
+            (true, true) if self.rank < HUB_COUNT => Duration::ZERO,
+            (true, _) => FIRST_START_WAIT + FIRST_READ_TURN * turn,
+            (false, true) => FIRST_READ_TURN * turn,
+            (false, false) => ENTRY_LIST_WAIT,
+        }
     }
 }
