replica_planner: limit needs that no demand shows

Cause: the replicas present at the start count as needed, all of them for 15 s and two fifths for ever. On a deployment with 9,770 replicas and callers that need about 100, the plan orders 14,655 reclaimable ones and later 5,862, and every entry is told of each. Ruled out: another share of the present replicas in place of two fifths. It would still grow with what is there, and it holds on the deployments whose size fits their demand. Change: three seconds after the first demand, what no demand shows counts for at most four times the highest need that it showed.

--- a/lib/src/gateway/replica_planner.rs
+++ b/lib/src/gateway/replica_planner.rs
@@ -26,6 +26,13 @@
 /// planner starts. It is below 1 because operators size a service for its busiest
 /// times.
 const MIN_INITIAL_SHARE: f64 = 0.4;
+/// How many times the highest measured need the replicas present at the start may count
+/// for. Operators size a service for its busiest times, which may be a multiple of the
+/// present demand; beyond that, replicas that no caller needs would only cost.
+const MAX_UNPROVEN_RATIO: f64 = 4.0;
+/// How long demand must have been measured before it limits the replicas present at the
+/// start: until the average of the offered work has risen and all entries have sent it.
+const DEMAND_MEASURED_AFTER: Duration = Duration::from_secs(3);
 /// The price of a reclaimable replica, relative to an on-demand one, up to which enough
 /// reclaimable replicas are kept for the loss of two zones. With four zones, this takes
 /// reclaimable replicas for another 0.67 of the demand, compared with the loss of one
@@ -144,6 +151,13 @@
         self.values.retain(|(at, _)| now.since(*at) <= window);
     }
 
+    /// Lowers the values above a limit.
+    fn limit(&mut self, limit: u32) {
+        for (_, value) in &mut self.values {
+            *value = limit.min(*value);
+        }
+    }
+
     fn highest(&self) -> u32 {
         let values = self.values.iter().map(|(_, value)| *value);
         values.max().unwrap_or(0)
@@ -163,6 +177,13 @@
     since: Timestamp,
 }
 
+/// The need that the demand of callers showed.
+#[derive(Clone, Copy, Debug)]
+struct ProvenNeed {
+    since: Timestamp,
+    highest: u32,
+}
+
 /// Plans the replicas of one service over time.
 #[derive(Clone, Debug)]
 pub struct ReplicaPlanner {
@@ -171,6 +192,8 @@
     /// The replicas present when the planner started, without the spare ones for the loss
     /// of zones.
     initial: u32,
+    /// Since when there is demand, and the highest need that it showed.
+    proven: Option<ProvenNeed>,
     /// The needed replicas within [`SCALE_DOWN_DELAY`], to order reclaimable ones.
     recent: RecentValues,
     /// The needed replicas within [`STEADY_WINDOW`], to order on-demand ones.
@@ -204,6 +227,7 @@
         Self {
             min_needed,
             initial,
+            proven: None,
             recent: RecentValues::new(SCALE_DOWN_DELAY),
             steady: RecentValues::new(STEADY_WINDOW),
             latest: RecentValues::new(LOSS_NEED_WINDOW),
@@ -323,22 +347,47 @@
     /// callers yet and the need is unknown. Reclaimable replicas are then ordered as if
     /// all initial replicas were needed, and on-demand ones only for the lower bound.
     fn note_demand(&mut self, now: Timestamp, demand: ReplicaDemand) {
-        let (needed, needed_on_demand) = if demand == ReplicaDemand::default() {
-            (self.initial, self.min_needed)
-        } else {
-            let needed = (demand.replicas().ceil() as u32).max(self.min_needed);
-            (needed, needed)
-        };
+        let shown = (demand != ReplicaDemand::default()).then(|| demand.replicas().ceil() as u32);
+        if let Some(shown) = shown {
+            self.note_proven(now, shown);
+        }
+        let limit = self.unproven_limit(now);
+        for values in [&mut self.recent, &mut self.steady, &mut self.latest] {
+            values.limit(limit);
+        }
+        let initial = self.initial.min(limit);
+        let min_needed = self.min_needed.min(limit);
+        let needed = shown.map_or(initial, |shown| shown.max(min_needed));
+        let needed_on_demand = shown.map_or(min_needed, |shown| shown.max(min_needed));
         if self.recent.values.is_empty() {
             // The demand before this planner started is unknown. The initial replicas are
             // taken as the need at that time.
-            self.recent.note(now, self.initial);
+            self.recent.note(now, initial);
         }
         self.recent.note(now, needed);
         self.steady.note(now, needed_on_demand);
         self.latest.note(now, needed_on_demand);
     }
 
+    fn note_proven(&mut self, now: Timestamp, shown: u32) {
+        let first = ProvenNeed {
+            since: now,
+            highest: shown,
+        };
+        let proven = self.proven.get_or_insert(first);
+        proven.highest = proven.highest.max(shown);
+    }
+
+    /// Returns the most replicas that may count as needed although no demand shows it.
+    fn unproven_limit(&self, now: Timestamp) -> u32 {
+        match self.proven {
+            Some(proven) if now.since(proven.since) >= DEMAND_MEASURED_AFTER => {
+                (f64::from(proven.highest) * MAX_UNPROVEN_RATIO) as u32
+            }
+            _ => u32::MAX,
+        }
+    }
+
     /// Remembers zones that lost at least half of their reclaimable replicas without an
     /// order. Further losses often follow within seconds, and no new reclaimable replicas
     /// are available then. Smaller losses are crashes of single replicas, after which no
--- a/lib/tests/test_gateway_duties.rs
+++ b/lib/tests/test_gateway_duties.rs
@@ -278,6 +278,75 @@
     );
 }
 
+/// The replicas in the order of the planner, over all zones.
+fn ordered_in(shown: &str) -> u32 {
+    reclaimable_in(shown) + on_demand_in(shown)
+}
+
+fn large_supply(reclaimable: u32, on_demand: u32) -> ZoneSupply {
+    let zone = ReplicaSupply {
+        reclaimable,
+        on_demand,
+    };
+    let zones = ["a", "b", "c", "d"];
+    zones.map(|name| (name.parse().unwrap(), zone)).into()
+}
+
+fn large_rule() -> ScaleRule {
+    ScaleRule {
+        max: 3_000,
+        ..scale_rule()
+    }
+}
+
+fn plan_large(planner: &mut ReplicaPlanner, now: u64, demand: f64, present: &ZoneSupply) -> u32 {
+    let demand = ReplicaDemand {
+        slots: 0.0,
+        prefill: demand,
+    };
+    let service = "pool".parse().unwrap();
+    let orders = planner.plan(at(now), &service, &large_rule(), demand, present);
+    orders.iter().map(|order| order.count).sum()
+}
+
+/// An operator runs ten thousand replicas for callers that need a hundred. The others are
+/// given back within seconds of the first requests, and a rise of the demand to its
+/// fourfold still finds replicas.
+#[test]
+fn replicas_that_no_demand_shows_to_be_needed_are_given_back() {
+    const NEEDED: u32 = 100;
+    let demand = f64::from(NEEDED) * 0.6;
+    let present = large_supply(0, 2_500);
+    let mut planner = ReplicaPlanner::new(&large_rule(), &present, true);
+    for second in 4..24 {
+        plan_large(&mut planner, second * 1_000, 0.0, &present);
+    }
+    let present = large_supply(2_500, 0);
+    let mut ordered = 0;
+    for second in 24..30 {
+        ordered = plan_large(&mut planner, second * 1_000, demand, &present);
+    }
+    assert!((4 * NEEDED..=10 * NEEDED).contains(&ordered), "{ordered}");
+    // Callers that stop for a while do not bring the others back.
+    for second in 30..50 {
+        ordered = plan_large(&mut planner, second * 1_000, 0.0, &present);
+    }
+    assert!(ordered <= 10 * NEEDED, "{ordered}");
+}
+
+/// Where demand is as high as the operator expected, nothing is given back before the
+/// delay of all decreases is over.
+#[test]
+fn replicas_of_a_well_sized_deployment_are_kept_at_first() {
+    let present = supply([6; 4], [0; 4]);
+    let mut planner = ReplicaPlanner::new(&scale_rule(), &present, false);
+    let orders = |second: u64| (second * 1_000, 3.0);
+    for (now, demand) in (0..14).map(orders) {
+        let shown = plan(&mut planner, now, demand, &present);
+        assert_eq!(ordered_in(&shown), 24, "{shown}");
+    }
+}
+
 #[test]
 fn a_new_holder_starts_from_the_present_replicas() {
     let present = supply([3; 4], [0, 1, 0, 0]);
