entry_discovery: read the list of entries less often

Cause: each of 986 entries appended its listing and read the list twice, and did the same after each restart, though its listing still held. The store takes the appends of a topic one by one, 2 ms each, so that a restart of all would wait 2 s for them. Calls grow with the entries, and so does the length of each read. Ruled out: leaving the second read out for all. Entries that read before the hubs were on the list would follow each other only; those that take themselves for hubs read on, and their gossip names the hubs. Change: only entries that take themselves for hubs read again soon after the start. An entry that restarts reads first, and appends only if the list does not name it at its address. The code is a module of its own, and so is the monitor of the store's responses.

--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -23,6 +23,7 @@
 
 use crate::gateway::call_service::serve_call;
 use crate::gateway::duty_task::run_duties;
+use crate::gateway::entry_discovery::discover_entries;
 use crate::gateway::fatal_sync::read_without_lease;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::gateway_context::PlatformAdapters;
@@ -33,7 +34,6 @@
 use crate::gateway::gossip_task::run_gossip;
 use crate::gateway::lease_task::maintain_lease;
 use crate::gateway::state_sizes::SizeReporter;
-use crate::gateway::store_task::discover_entries;
 use crate::gateway::store_task::follow_backends;
 use crate::gateway::store_task::follow_config;
 use crate::http_server::serve_connections;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 //! Background tasks keep the state of the entry up to date:
 //!
 //! - [`store_task`] follows the configuration and the backend servers in the log
-//!   store.
+//!   store, and [`entry_discovery`] finds the other entries there.
 //! - [`gossip_task`] exchanges gossip with other entries and fetches the
 //!   configuration from them with [`document_transfer`].
 //! - [`lease_task`] claims and renews the lease ([`lease_state`], [`duty_log`]).
@@ -64,6 +64,7 @@
 pub mod crash_frames;
 pub mod crash_ledger;
 pub mod crash_verdict;
+pub mod dependency_monitor;
 pub mod document_parts;
 pub mod document_transfer;
 pub mod draining_backends;
@@ -72,6 +73,7 @@
 pub mod duty_record;
 pub mod duty_task;
 pub mod ended_incarnations;
+pub mod entry_discovery;
 pub mod event_relay;
 pub mod event_splitter;
 pub mod fatal_sync;
--- a/lib/src/gateway/platform_interface.rs
+++ b/lib/src/gateway/platform_interface.rs
@@ -170,6 +170,18 @@
     pub fn is_truncated(&self) -> bool {
         self.read_end < self.end
     }
+
+    /// Returns whether the store no longer keeps the record at offset `from`.
+    pub fn misses_first(&self, from: LogOffset) -> bool {
+        self.oldest > from
+    }
+
+    /// Returns whether the slice lacks records after offset `next`, because the store no
+    /// longer keeps them or truncated its response. The caller then reads the latest
+    /// record of each key instead, since only those count in a keyed topic.
+    pub fn misses_records(&self, next: Option<LogOffset>) -> bool {
+        self.is_truncated() || next.is_some_and(|from| self.misses_first(from))
+    }
 }
 
 /// Why a call to the store or the cloud failed.
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -1,15 +1,12 @@
-//! Reads the configuration, the backend servers and the list of entries from the
-//! platform's store and keeps them up to date.
+//! Reads the configuration and the backend servers from the platform's store and keeps
+//! them up to date.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use metrics::counter;
-use serde::Deserialize;
-use serde::Serialize;
 use slog::info;
 use slog::warn;
 
@@ -18,9 +15,9 @@
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_set::BackendChange;
 use crate::gateway::backend_set::BackendSet;
+use crate::gateway::dependency_monitor::DependencyMonitor;
 use crate::gateway::document_transfer::ReceivedDocument;
 use crate::gateway::gateway_context::GatewayContext;
-use crate::gateway::hub_capacity::HubCapacity;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::packed_document::PackedDocument;
@@ -31,99 +28,11 @@
 use crate::gateway::platform_interface::PlatformError;
 use crate::gateway::read_schedule::ReadSchedule;
 use crate::gateway::read_schedule::ReaderState;
-use crate::id::EntryName;
 use crate::id::LogOffset;
 use crate::quantity::Timestamp;
 
 /// How often an entry checks whether a topic has to be read.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// The delay after a first failed call to the store. It doubles with each failure.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// The longest such delay, for an entry that receives the store's changes from
-/// other entries. Calls that the store refuses cost as much as others: with five calls
-/// a second by each of 87 entries, an outage of five seconds cost 1.6 % of a day's value.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
-/// The delay after a failed call to the store about the list of entries.
-const LISTING_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// The delay before the list of entries is read a second time. Entries of one
-/// deployment that start together do so within a third of a second.
-const FIRST_RELIST_DELAY: Duration = Duration::from_millis(1_000);
-/// The longest delay between reads of the list while no other entry is reachable.
-const MAX_RELIST_DELAY: Duration = Duration::from_millis(8_000);
-/// How often an entry checks whether other entries are reachable.
-const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// Tracks whether a dependency responds, and logs each change once.
-struct DependencyMonitor {
-    name: &'static str,
-    is_up: bool,
-    retry_delay: Duration,
-}
-
-impl DependencyMonitor {
-    fn new(name: &'static str) -> Self {
-        Self {
-            name,
-            is_up: true,
-            retry_delay: MIN_RETRY_DELAY,
-        }
-    }
-
-    /// Waits after a failed call. The delay grows with each failure, unless this entry
-    /// has to notice early that the store responds again.
-    async fn wait_after_failure(&mut self, context: &GatewayContext) {
-        let reaches_others = context.peers.lock().entry_counts(context.now()).reachable > 1;
-        let longest = if reaches_others && !always_reads(context) {
-            MAX_RETRY_DELAY
-        } else {
-            MIN_RETRY_DELAY
-        };
-        tokio::time::sleep(self.retry_delay.min(longest)).await;
-        self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
-    }
-
-    /// Returns how long the store may delay its response to a read until a record
-    /// arrives. After a failure it has to respond at once, so that this entry soon
-    /// knows the newest record.
-    fn poll_timeout(&self, default: Duration) -> Duration {
-        if self.is_up { default } else { Duration::ZERO }
-    }
-
-    /// Records the result of a call. Returns whether it ended an outage.
-    fn record<T>(&mut self, context: &GatewayContext, result: &Result<T, PlatformError>) -> bool {
-        let up = match result {
-            Ok(_) | Err(PlatformError::OffsetOutOfRange(_) | PlatformError::Conflict(_)) => true,
-            Err(
-                PlatformError::NotApplied(_)
-                | PlatformError::NotSent(_)
-                | PlatformError::OutcomeUnknown(_)
-                | PlatformError::Fenced,
-            ) => false,
-        };
-        if up {
-            context.note_store_response();
-            self.retry_delay = MIN_RETRY_DELAY;
-        }
-        let changed = up != self.is_up;
-        self.is_up = up;
-        if let (true, Err(error)) = (changed, result) {
-            counter!("cloverbend_dependency_losses_total").increment(1);
-            warn!(context.log, "dependency lost"; "dependency" => self.name, "error" => %error);
-        }
-        if changed && up {
-            info!(context.log, "dependency regained"; "dependency" => self.name);
-        }
-        changed && up
-    }
-}
-
-/// Returns whether this entry has to read the store itself, whatever it receives
-/// from others. The first hub does because the others get the changes from it, and
-/// the lease holder because it has to know whether the store responds to it.
-fn always_reads(context: &GatewayContext) -> bool {
-    let rank = context.peers.lock().hub_rank(context.now());
-    rank == 0 || context.lease.lock().is_holder()
-}
 
 /// Waits until this entry has to read a topic itself. It does not as long as the
 /// messages of other entries keep its copy fresh.
@@ -197,7 +106,7 @@
         };
         monitor.record(&context, &result);
         match result {
-            Ok(slice) if misses_records(&slice, next) => context.config.lock().reset_log_end(),
+            Ok(slice) if slice.misses_records(next) => context.config.lock().reset_log_end(),
             Ok(slice) => {
                 apply_config(&context, &slice);
                 let mut config = context.config.lock();
@@ -211,13 +120,6 @@
     }
 }
 
-/// Returns whether a slice lacks records after offset `next`, because the store no
-/// longer keeps them or truncated its response. The caller then reads the latest
-/// record of each key instead, since only those count in a keyed topic.
-fn misses_records(slice: &LogSlice, next: Option<LogOffset>) -> bool {
-    slice.is_truncated() || next.is_some_and(|from| slice.oldest > from)
-}
-
 /// Adopts the newest configuration of a slice and ignores earlier ones.
 fn apply_config(context: &GatewayContext, slice: &LogSlice) {
     let key = context.platform.format.config_key();
@@ -314,7 +216,7 @@
             context.backends.lock().note_store_recovered(now);
         }
         match result {
-            Ok(slice) if misses_records(&slice, next) => next = None,
+            Ok(slice) if slice.misses_records(next) => next = None,
             Ok(slice) => {
                 let is_full_list = next.is_none();
                 next = Some(slice.end);
@@ -483,109 +385,3 @@
         }
     }
 }
-
-/// An entry in the store's list of entries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryListing {
-    /// Where it listens for other entries.
-    pub address: SocketAddr,
-    /// Its [`HubCapacity`]; 0 in listings that older versions wrote.
-    #[serde(default)]
-    pub strength: u32,
-}
-
-/// Adds this entry to the list of entries, then reads the list: at once, again when
-/// all entries that started together are on it, and whenever no other entry is
-/// reachable.
-///
-/// The topic is read as a log, from the last offset read on. That takes one call for
-/// any number of entries, as long as the store still keeps their records. Reading
-/// the latest record of each key takes one call per page. When 295 entries start
-/// together, that is 12 calls by each of them.
-pub async fn discover_entries(context: Arc<GatewayContext>) {
-    let listing = EntryListing {
-        address: context.settings.peer_advertised,
-        strength: context.settings.hub_capacity.0,
-    };
-    // An address and a number can always be serialized as JSON.
-    let Ok(value) = serde_json::to_vec(&listing) else {
-        return;
-    };
-    let value = Bytes::from(value);
-    let mut monitor = DependencyMonitor::new("store: entries");
-    let store = &context.platform.store;
-    let name = context.settings.name.as_str();
-    loop {
-        let appended = store
-            .append(LogTopic::Entries, Some(name), value.clone(), None)
-            .await;
-        monitor.record(&context, &appended);
-        if appended.is_ok() {
-            break;
-        }
-        tokio::time::sleep(LISTING_RETRY_DELAY).await;
-    }
-    let mut relist_delay = FIRST_RELIST_DELAY;
-    let mut next = Some(LogOffset(0));
-    loop {
-        let listed = match next {
-            None => store.read_latest(LogTopic::Entries).await,
-            Some(from) => store.read(LogTopic::Entries, from, Duration::ZERO).await,
-        };
-        monitor.record(&context, &listed);
-        let slice = match listed {
-            Ok(slice) if misses_records(&slice, next) => {
-                next = None;
-                continue;
-            }
-            Ok(slice) => slice,
-            Err(PlatformError::OffsetOutOfRange(_)) => {
-                next = None;
-                continue;
-            }
-            Err(_) => {
-                tokio::time::sleep(LISTING_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        next = Some(slice.end);
-        note_listings(&context, &slice);
-        tokio::time::sleep(relist_delay).await;
-        // The second read finds the entries that started together with this one.
-        // Without it, two entries that read the list before the others were on it
-        // would only reach each other.
-        if relist_delay > FIRST_RELIST_DELAY {
-            wait_until_alone(&context).await;
-        }
-        relist_delay = (relist_delay * 2).min(MAX_RELIST_DELAY);
-    }
-}
-
-/// Waits until no other entry is reachable. Entries exchange messages with hubs
-/// only, so an entry that is no hub and read the list before the hubs were on it
-/// receives none.
-async fn wait_until_alone(context: &GatewayContext) {
-    while context.peers.lock().entry_counts(context.now()).reachable > 1 {
-        tokio::time::sleep(PEER_CHECK_INTERVAL).await;
-    }
-}
-
-fn note_listings(context: &GatewayContext, slice: &LogSlice) {
-    let now = context.now();
-    let mut peers = context.peers.lock();
-    for record in &slice.records {
-        let name = record
-            .key
-            .as_deref()
-            .and_then(|key| key.parse::<EntryName>().ok());
-        let listing = serde_json::from_slice::<EntryListing>(&record.value);
-        match (name, listing) {
-            (Some(name), Ok(listing)) => {
-                let capacity = HubCapacity(listing.strength);
-                peers.note_listed(now, name, listing.address, capacity);
-            }
-            _ => warn!(context.log, "entry's listing refused"; "key" => record.key.as_deref()),
-        }
-    }
-    peers.note_list_read();
-}
