store_task: read on where the store truncates the log of backend servers

Cause: the reader of the list reads the log every 0.3 of the drain bound, 1.5 s. In that time 9,998 servers write 2.4 MB, more than the megabyte of a response, and the reader then read the full list, 50 pages and 3 MB, every time: 34 calls a second for each of two readers, growing with the servers. Ruled out: reading more often, which costs calls on every deployment; longer responses, which the store need not give. Change: the reader reads on at the end of a truncated response, up to eight times, and applies all of it at once, since records in the middle may be older than what other entries sent. Twice as many servers need six responses. Computed for the fleet: 3 calls every 1.5 s in place of 51.

--- a/lib/src/gateway/platform_interface.rs
+++ b/lib/src/gateway/platform_interface.rs
@@ -182,6 +182,20 @@
     pub fn misses_records(&self, next: Option<LogOffset>) -> bool {
         self.is_truncated() || next.is_some_and(|from| self.misses_first(from))
     }
+
+    /// Adds the slice that was read from the end of this one on. Returns false, and adds
+    /// nothing, if records between the two are gone or the store was restored meanwhile.
+    pub fn extend(&mut self, following: Self) -> bool {
+        let is_adjacent = !following.misses_first(self.read_end)
+            && following.generation == self.generation
+            && following.read_end > self.read_end;
+        if is_adjacent {
+            self.records.extend(following.records);
+            self.read_end = following.read_end;
+            self.end = following.end;
+        }
+        is_adjacent
+    }
 }
 
 /// Why a call to the store or the cloud failed.
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -33,6 +33,9 @@
 
 /// How often an entry checks whether a topic has to be read.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How many truncated responses in a row a reader of the backend list reads on from.
+/// A longer backlog has more bytes than the full list.
+const MAX_CONTINUED_READS: usize = 8;
 
 /// Waits until this entry has to read a topic itself. It does not as long as the
 /// messages of other entries keep its copy fresh.
@@ -209,7 +212,7 @@
         let topic = LogTopic::Backends;
         let result = match next {
             None => store.read_latest(topic).await,
-            Some(from) => store.read(topic, from, Duration::ZERO).await,
+            Some(from) => read_on(&context, topic, from).await,
         };
         if monitor.record(&context, &result) {
             let now = context.now();
@@ -230,6 +233,28 @@
     }
 }
 
+/// Reads a topic from an offset to its end, where the store truncates long responses.
+/// The slice is returned as a whole: records in the middle of the topic may be older
+/// than what other entries sent.
+async fn read_on(
+    context: &GatewayContext,
+    topic: LogTopic,
+    from: LogOffset,
+) -> Result<LogSlice, PlatformError> {
+    let store = &context.platform.store;
+    let mut slice = store.read(topic, from, Duration::ZERO).await?;
+    for _ in 0..MAX_CONTINUED_READS {
+        if !slice.is_truncated() || slice.misses_first(from) {
+            break;
+        }
+        let following = store.read(topic, slice.read_end, Duration::ZERO).await?;
+        if !slice.extend(following) {
+            break;
+        }
+    }
+    Ok(slice)
+}
+
 /// Adopts the backend list of another entry, which was up to date at `known_at`, if
 /// the list of this entry is older. Points in time are compared rather than ages:
 /// an age in a message grows while the message is on its way.
