list_frames: send packed updates of the backend list, built once for all receivers

Cause: a list of 10,000 servers is a frame of 696 KB, built anew for each of 986 receivers. The queue of an entry takes 16 MB, so that a hub sends it to 20 entries at a time and counts the others as told for 600 ms; those that wait for 3 s read the store. And a history of 600 changes does not cover a list from which thousands go at once: then every entry gets the full list, four times a second. Ruled out: a longer queue, of which a weak VM has no room; more hubs, which would each build as much. Change: an update, full or changes, is compressed and kept for all receivers whose list is the same. The history covers as many changes as servers were listed at once, so that changes are never longer than the full list. An entry says that it accepts packed updates; earlier versions get the earlier fields. Model of 300 entries and 1,000 servers: busiest entry at the start 269 KB/s for 1,718, with ten changes a second 94 for 290, after the loss of a zone 82 for 183.

--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -16,10 +16,12 @@
 use crate::gateway::backend_state::BackendState;
 use crate::gateway::draining_backends::DrainingBackends;
 use crate::gateway::ended_incarnations::EndedIncarnations;
+use crate::gateway::list_frames::PackedList;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::list_history::ListHistory;
 use crate::gateway::list_history::ListUpdate;
 use crate::gateway::list_history::record_digest;
+use crate::gateway::list_update_cache::ListUpdateCache;
 use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -69,6 +71,7 @@
     back_offs: HashMap<BackendId, Timestamp>,
     digest: u64,
     history: ListHistory,
+    updates: ListUpdateCache,
     times: BTreeMap<ServiceName, ServiceTimes>,
     store_recovered_at: Option<Timestamp>,
     confirmed_at: Option<Timestamp>,
@@ -135,7 +138,7 @@
         if before == after {
             return;
         }
-        self.history.note(self.digest, name);
+        self.history.note(self.digest, name, self.backends.len());
         for listing in [before, after].into_iter().flatten() {
             self.digest ^= listing;
         }
@@ -160,6 +163,16 @@
         }
     }
 
+    /// Returns the packed form of [`Self::list_update`] for an entry whose list has the
+    /// digest `known`. Receivers with the same list get the same bytes.
+    pub fn packed_update(&mut self, known: u64) -> Option<PackedList> {
+        let known = self.history.contains(known).then_some(known);
+        let mut updates = std::mem::take(&mut self.updates);
+        let update = updates.get_or_pack(self.digest, known, || self.list_update(known));
+        self.updates = updates;
+        update
+    }
+
     /// Returns the changes since the list had the digest `digest`, or `None` if the
     /// history does not go back to that state.
     fn changes_since(&self, digest: u64) -> Option<ListChanges> {
--- a/lib/src/gateway/gossip_frame.rs
+++ b/lib/src/gateway/gossip_frame.rs
@@ -1,12 +1,21 @@
 //! The `prost` frame of gossip messages between gateway entries.
 
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use prost::Message;
+
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_record::BackendId;
-use crate::gateway::backend_record::BackendName;
-use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::crash_frames::CrashReportFrame;
 use crate::gateway::hub_capacity::HubCapacity;
-use crate::gateway::list_history::ListChanges;
+use crate::gateway::list_frames::BackendListFrame;
+use crate::gateway::list_frames::ListChangesFrame;
+use crate::gateway::list_frames::PackedList;
+use crate::gateway::list_frames::read_changes;
+use crate::gateway::list_frames::read_list;
+use crate::gateway::list_frames::write_changes;
+use crate::gateway::list_frames::write_list;
 use crate::gateway::peer_gossip::BackendLoad;
 use crate::gateway::peer_gossip::FreshnessEcho;
 use crate::gateway::peer_gossip::GatewayGossip;
@@ -24,8 +33,6 @@
 use crate::id::RevisionNumber;
 use crate::wire_error::WireError;
 use crate::wire_error::read_field;
-use prost::Message;
-use std::net::SocketAddr;
 
 #[derive(Clone, PartialEq, Eq, Message)]
 struct EchoFrame {
@@ -75,26 +82,6 @@
     strength: u32,
 }
 
-#[derive(Clone, PartialEq, Eq, Message)]
-struct BackendFrame {
-    #[prost(string, tag = "1")]
-    id: String,
-    #[prost(string, tag = "2")]
-    service: String,
-    #[prost(string, tag = "3")]
-    address: String,
-    #[prost(string, tag = "4")]
-    zone: String,
-    #[prost(uint32, tag = "5")]
-    slots: u32,
-    #[prost(bool, tag = "6")]
-    leaving: bool,
-    #[prost(bool, tag = "7")]
-    reclaimable: bool,
-    #[prost(uint64, tag = "8")]
-    start: u64,
-}
-
 /// One incarnation of a backend server.
 #[derive(Clone, PartialEq, Eq, Message)]
 struct IncarnationFrame {
@@ -104,20 +91,6 @@
     start: u64,
 }
 
-#[derive(Clone, PartialEq, Eq, Message)]
-struct BackendListFrame {
-    #[prost(message, repeated, tag = "1")]
-    backends: Vec<BackendFrame>,
-}
-
-#[derive(Clone, PartialEq, Eq, Message)]
-struct ListChangesFrame {
-    #[prost(message, repeated, tag = "1")]
-    records: Vec<BackendFrame>,
-    #[prost(string, repeated, tag = "2")]
-    gone: Vec<String>,
-}
-
 #[derive(Clone, PartialEq, Eq, Message)]
 struct SummaryFrame {
     #[prost(message, repeated, tag = "1")]
@@ -134,6 +107,8 @@
     notices: Vec<RelayedReportFrame>,
     #[prost(message, repeated, tag = "8")]
     permits: Vec<ServerCountFrame>,
+    #[prost(bytes = "bytes", optional, tag = "9")]
+    packed_list: Option<Bytes>,
 }
 
 /// The frame of [`GatewayGossip`].
@@ -189,6 +164,8 @@
     sends: Vec<ServerCountFrame>,
     #[prost(uint64, tag = "26")]
     duties_end: u64,
+    #[prost(bool, tag = "27")]
+    accepts_packed_lists: bool,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -230,46 +207,6 @@
     frames.into_iter().map(read).collect()
 }
 
-fn write_backend(record: BackendRecord) -> BackendFrame {
-    BackendFrame {
-        id: record.id.name.0,
-        service: record.service.into(),
-        address: record.address.to_string(),
-        zone: record.zone.into(),
-        slots: record.slots,
-        leaving: record.draining,
-        reclaimable: record.reclaimable,
-        start: record.id.start.0,
-    }
-}
-
-fn read_backend(frame: BackendFrame) -> Result<BackendRecord, WireError> {
-    Ok(BackendRecord {
-        id: BackendId::with_start(frame.id, frame.start),
-        service: read_field("service", &frame.service)?,
-        address: read_field("address", &frame.address)?,
-        zone: read_field("zone", &frame.zone)?,
-        slots: frame.slots,
-        draining: frame.leaving,
-        reclaimable: frame.reclaimable,
-    })
-}
-
-fn write_changes(changes: ListChanges) -> ListChangesFrame {
-    ListChangesFrame {
-        records: changes.records.into_iter().map(write_backend).collect(),
-        gone: changes.gone.into_iter().map(|name| name.0).collect(),
-    }
-}
-
-fn read_changes(frame: ListChangesFrame) -> Result<ListChanges, WireError> {
-    let records = frame.records.into_iter().map(read_backend);
-    Ok(ListChanges {
-        records: records.collect::<Result<_, _>>()?,
-        gone: frame.gone.into_iter().map(BackendName).collect(),
-    })
-}
-
 fn write_summary(summary: HubSummary) -> SummaryFrame {
     let hub = |(name, address, capacity): (EntryName, SocketAddr, HubCapacity)| HubFrame {
         name: name.into(),
@@ -280,17 +217,15 @@
         name: id.name.0,
         start: id.start.0,
     };
-    let list = |records: Vec<BackendRecord>| BackendListFrame {
-        backends: records.into_iter().map(write_backend).collect(),
-    };
     SummaryFrame {
         admitted: write_admitted(summary.admitted),
         hubs: summary.hubs.into_iter().map(hub).collect(),
-        backends: summary.backends.map(list),
+        backends: summary.backends.map(write_list),
         leaving: summary.draining.into_iter().map(incarnation).collect(),
         changes: summary.changes.map(write_changes),
         notices: summary.reports.into_iter().map(Into::into).collect(),
         permits: summary.permits.into_iter().map(Into::into).collect(),
+        packed_list: summary.packed_list.map(|list| list.bytes().clone()),
     }
 }
 
@@ -301,15 +236,15 @@
         Ok((name, address, HubCapacity(hub.strength)))
     };
     let incarnation = |frame: IncarnationFrame| BackendId::with_start(frame.name, frame.start);
-    let list = |list: BackendListFrame| list.backends.into_iter().map(read_backend).collect();
     Ok(HubSummary {
         admitted: read_admitted(frame.admitted)?,
         hubs: frame.hubs.into_iter().map(hub).collect::<Result<_, _>>()?,
-        backends: frame.backends.map(list).transpose()?,
+        backends: frame.backends.map(read_list).transpose()?,
         draining: frame.leaving.into_iter().map(incarnation).collect(),
         changes: frame.changes.map(read_changes).transpose()?,
         reports: read_reports(frame.notices),
         permits: frame.permits.into_iter().map(Into::into).collect(),
+        packed_list: frame.packed_list.map(PackedList::from_bytes),
     })
 }
 
@@ -325,6 +260,7 @@
             revision: gossip.revision.0,
             answers_pulls: gossip.answers_pulls,
             takes_changes: gossip.accepts_changes,
+            accepts_packed_lists: gossip.accepts_packed_lists,
             echo: gossip.echo.map(|echo| EchoFrame {
                 incarnation: echo.incarnation.0,
                 sent_at: echo.sent_at,
@@ -370,6 +306,7 @@
             revision: RevisionNumber(frame.revision),
             answers_pulls: frame.answers_pulls,
             accepts_changes: frame.takes_changes,
+            accepts_packed_lists: frame.accepts_packed_lists,
             echo: frame.echo.map(|echo| FreshnessEcho {
                 incarnation: Incarnation(echo.incarnation),
                 sent_at: echo.sent_at,
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -7,11 +7,13 @@
 
 use metrics::counter;
 use slog::info;
+use slog::warn;
 
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::account_limits::ShareView;
 use crate::gateway::backend_record::BackendId;
+use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::crash_detector::merge_crash_reports;
 use crate::gateway::document_parts::DocumentPart;
 use crate::gateway::document_parts::DocumentPull;
@@ -21,6 +23,8 @@
 use crate::gateway::limit_exchange::apply_server_gossip;
 use crate::gateway::limit_exchange::issue_permits;
 use crate::gateway::limit_exchange::reports_for;
+use crate::gateway::list_frames::PackedList;
+use crate::gateway::list_history::ListChanges;
 use crate::gateway::list_history::ListUpdate;
 use crate::gateway::peer_gossip::BackendLoad;
 use crate::gateway::peer_gossip::FreshnessEcho;
@@ -30,6 +34,7 @@
 use crate::gateway::peer_gossip::ServiceDemand;
 use crate::gateway::peer_gossip::WindowCount;
 use crate::gateway::peer_table::DueMessage;
+use crate::gateway::peer_table::PeerState;
 use crate::gateway::peer_table::SenderIncarnation;
 use crate::gateway::peer_table::add_loads;
 use crate::gateway::store_task::adopt_backend_changes;
@@ -239,7 +244,7 @@
     let receiver = peers.get(&message.name);
     let incarnation = receiver.and_then(|peer| peer.incarnation);
     let peer_digest = receiver.map_or(0, |peer| peer.backends_digest);
-    let accepts_changes = receiver.is_some_and(|peer| peer.accepts_changes);
+    let list_format = receiver.map_or(ListFormat::Full, ListFormat::of);
     gossip.view = Some(HubView {
         entries: source.entry_counts.entries,
         reachable: source.entry_counts.reachable,
@@ -249,18 +254,16 @@
     let differs = peer_digest != gossip.backends_digest;
     let is_due = differs && peers.should_send_list(now, &message.name, gossip.backends_digest);
     drop(peers);
-    let known_digest = accepts_changes.then_some(peer_digest);
-    let update = is_due.then(|| context.backends.lock().list_update(known_digest));
-    let (backends, changes) = match update {
-        None | Some(ListUpdate::Nothing) => (None, None),
-        Some(ListUpdate::Full(records)) => (Some(records), None),
-        Some(ListUpdate::Changes(changes)) => (None, Some(changes)),
+    let list = match is_due {
+        true => list_for(context, list_format, peer_digest),
+        false => SentList::default(),
     };
     gossip.summary = Some(HubSummary {
         admitted: context.account_limits.lock().totals_without(incarnation),
         hubs: source.hubs.clone(),
-        backends,
-        changes,
+        packed_list: list.packed,
+        backends: list.full,
+        changes: list.changes,
         draining: draining_backends(context, differs),
         reports: reports_for(context, now, &message.name, gossip.reports_digest),
         permits: source
@@ -271,6 +274,58 @@
     });
 }
 
+/// The form in which an entry accepts the list of backend servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListFormat {
+    /// Packed updates.
+    Packed,
+    /// Changes, or the full list if they are unknown.
+    Changes,
+    /// The full list.
+    Full,
+}
+
+impl ListFormat {
+    fn of(peer: &PeerState) -> Self {
+        match (peer.accepts_packed_lists, peer.accepts_changes) {
+            (true, _) => Self::Packed,
+            (false, true) => Self::Changes,
+            (false, false) => Self::Full,
+        }
+    }
+}
+
+/// The fields of a summary that carry the list of backend servers.
+#[derive(Debug, Default)]
+struct SentList {
+    packed: Option<PackedList>,
+    full: Option<Vec<BackendRecord>>,
+    changes: Option<ListChanges>,
+}
+
+/// Returns the update for an entry whose list has the digest `peer_digest`.
+fn list_for(context: &GatewayContext, format: ListFormat, peer_digest: u64) -> SentList {
+    let mut backends = context.backends.lock();
+    if format == ListFormat::Packed {
+        return SentList {
+            packed: backends.packed_update(peer_digest),
+            ..SentList::default()
+        };
+    }
+    let known_digest = (format == ListFormat::Changes).then_some(peer_digest);
+    match backends.list_update(known_digest) {
+        ListUpdate::Nothing => SentList::default(),
+        ListUpdate::Full(records) => SentList {
+            full: Some(records),
+            ..SentList::default()
+        },
+        ListUpdate::Changes(changes) => SentList {
+            changes: Some(changes),
+            ..SentList::default()
+        },
+    }
+}
+
 /// Pulls the next part of the configuration from an entry with a newer revision,
 /// unless this entry is up to date or a pull is pending.
 fn pull_document(context: &GatewayContext, now: Timestamp) {
@@ -526,15 +581,39 @@
     let start = Timestamp(0);
     let or_start = |age, sent_at| confirmation_time(sent_at, age).unwrap_or(start);
     let confirmed_at = echo.and_then(|echo| Some(or_start(echo.backends_age?, echo.sent_at)));
-    if let (Some(records), Some(confirmed_at)) = (&summary.backends, confirmed_at) {
-        adopt_backend_list(context, records, confirmed_at);
-    }
-    if let (Some(changes), Some(confirmed_at)) = (&summary.changes, confirmed_at) {
-        adopt_backend_changes(context, changes, gossip.backends_digest, confirmed_at);
+    if let Some(confirmed_at) = confirmed_at {
+        adopt_sent_list(context, gossip, summary, confirmed_at);
     }
     note_draining(context, &summary.draining);
 }
 
+/// Adopts the list of backend servers in a summary, in whichever form it was sent.
+fn adopt_sent_list(
+    context: &GatewayContext,
+    gossip: &GatewayGossip,
+    summary: &HubSummary,
+    confirmed_at: Timestamp,
+) {
+    let update = match (&summary.packed_list, &summary.backends, &summary.changes) {
+        (Some(packed), _, _) => packed.unpack(),
+        (None, Some(records), _) => Ok(ListUpdate::Full(records.clone())),
+        (None, None, Some(changes)) => Ok(ListUpdate::Changes(changes.clone())),
+        (None, None, None) => Ok(ListUpdate::Nothing),
+    };
+    match update {
+        Ok(ListUpdate::Nothing) => {}
+        Ok(ListUpdate::Full(records)) => adopt_backend_list(context, records, confirmed_at),
+        Ok(ListUpdate::Changes(changes)) => {
+            adopt_backend_changes(context, changes, gossip.backends_digest, confirmed_at);
+        }
+        Err(error) => {
+            counter!("cloverbend_backend_lists_unreadable_total").increment(1);
+            warn!(context.log, "backend server list refused"; "from" => %gossip.name,
+                "error" => %error);
+        }
+    }
+}
+
 fn update_peer_loads(context: &GatewayContext, now: Timestamp) {
     let sums = context.peers.lock().backend_loads(now);
     let mut backends = context.backends.lock();
--- a/lib/src/gateway/list_history.rs
+++ b/lib/src/gateway/list_history.rs
@@ -15,9 +15,9 @@
 use crate::gateway::backend_record::BackendName;
 use crate::gateway::backend_record::BackendRecord;
 
-/// The most changes remembered: those of a minute in which ten servers come or go
-/// each second. An entry further behind gets the full list.
-const MAX_CHANGES: usize = 600;
+/// The least number of changes remembered: those of a minute in which ten servers come
+/// or go each second. An entry further behind gets the full list.
+const MIN_CHANGES: usize = 600;
 
 /// The changes from an earlier state of the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -65,17 +65,28 @@
 pub struct ListHistory {
     /// The digest of the list before each change, and the server that changed.
     changes: VecDeque<(u64, BackendName)>,
+    /// The most servers that were listed at once. As many changes are remembered, since
+    /// they are no longer than the full list: when most servers of a long list come or
+    /// go at once, hundreds of entries would get the full list several times a second.
+    most_listed: usize,
 }
 
 impl ListHistory {
-    /// Remembers that a server changed in the list with the digest `before`.
-    pub fn note(&mut self, before: u64, name: &BackendName) {
+    /// Remembers that a server changed in the list with the digest `before`, which has
+    /// `listed` servers now.
+    pub fn note(&mut self, before: u64, name: &BackendName, listed: usize) {
+        self.most_listed = self.most_listed.max(listed);
         self.changes.push_back((before, name.clone()));
-        if self.changes.len() > MAX_CHANGES {
+        if self.changes.len() > self.most_listed.max(MIN_CHANGES) {
             self.changes.pop_front();
         }
     }
 
+    /// Returns whether the changes since the list had the digest `digest` are remembered.
+    pub fn contains(&self, digest: u64) -> bool {
+        self.changes.iter().any(|(before, _)| *before == digest)
+    }
+
     /// Returns the servers that changed since the list had the digest `digest`, or `None`
     /// if that state is no longer remembered or never existed.
     pub fn changed_since(&self, digest: u64) -> Option<BTreeSet<&BackendName>> {
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -9,6 +9,7 @@
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::crash_ledger::CrashReport;
 use crate::gateway::hub_capacity::HubCapacity;
+use crate::gateway::list_frames::PackedList;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::report_table::RelayedReport;
 use crate::gateway::send_permits::LimitedSends;
@@ -116,10 +117,13 @@
     pub admitted: Vec<AdmittedUnits>,
     /// The hubs to which the sender itself sends its state.
     pub hubs: Vec<(EntryName, SocketAddr, HubCapacity)>,
-    /// All backend servers, if the receiver has another list and the changes
-    /// between the two are unknown.
+    /// The update from the list of backend servers of the receiver to the one of the
+    /// sender.
+    pub packed_list: Option<PackedList>,
+    /// The same for a receiver of an earlier version: all backend servers, if the
+    /// changes between the two lists are unknown.
     pub backends: Option<Vec<BackendRecord>>,
-    /// The changes from the list of the receiver to the one of the sender.
+    /// The same for a receiver of an earlier version: the changes between the two lists.
     pub changes: Option<ListChanges>,
     /// Draining backend servers, while the sender cannot send its list.
     pub draining: Vec<BackendId>,
@@ -153,6 +157,9 @@
     /// Whether the sender accepts incremental changes of the list of backend
     /// servers. Earlier versions ignore them.
     pub accepts_changes: bool,
+    /// Whether the sender accepts packed updates of that list. Earlier versions ignore
+    /// them.
+    pub accepts_packed_lists: bool,
     /// The echo of the receiver's last message.
     pub echo: Option<FreshnessEcho>,
     /// The fencing token, if the sender holds a valid lease.
@@ -205,6 +212,7 @@
             revision: RevisionNumber(0),
             answers_pulls: true,
             accepts_changes: true,
+            accepts_packed_lists: true,
             echo: None,
             fencing_token: None,
             duty_log_end: LogOffset(0),
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -72,6 +72,8 @@
     answers_pulls: bool,
     /// Whether it accepts incremental changes of the list of backend servers.
     pub accepts_changes: bool,
+    /// Whether it accepts packed updates of that list.
+    pub accepts_packed_lists: bool,
     /// Whether this entry has received gossip from it.
     has_gossiped: bool,
     /// When it sent its last message, by its own clock, in microseconds.
@@ -109,6 +111,7 @@
             backends_digest: 0,
             answers_pulls: false,
             accepts_changes: false,
+            accepts_packed_lists: false,
             has_gossiped: false,
             peer_sent_at: 0,
             draining: false,
@@ -300,6 +303,7 @@
         peer.revision = gossip.revision;
         peer.answers_pulls = gossip.answers_pulls;
         peer.accepts_changes = gossip.accepts_changes;
+        peer.accepts_packed_lists = gossip.accepts_packed_lists;
         peer.backends_digest = gossip.backends_digest;
         peer.reports_digest = gossip.reports_digest;
         peer.draining = gossip.draining;
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -260,12 +260,12 @@
 /// an age in a message grows while the message is on its way.
 pub fn adopt_backend_list(
     context: &GatewayContext,
-    records: &[BackendRecord],
+    records: Vec<BackendRecord>,
     known_at: Timestamp,
 ) {
     let now = context.now();
     let mut backends = context.backends.lock();
-    let changes = backends.replace_if_newer(now, known_at, records.to_vec());
+    let changes = backends.replace_if_newer(now, known_at, records);
     drop(backends);
     note_received_changes(context, &changes);
 }
@@ -274,13 +274,13 @@
 /// entry, which was up to date at `known_at` and has the digest `target`.
 pub fn adopt_backend_changes(
     context: &GatewayContext,
-    changes: &ListChanges,
+    changes: ListChanges,
     target: u64,
     known_at: Timestamp,
 ) {
     let now = context.now();
     let mut backends = context.backends.lock();
-    let applied = backends.apply_changes(now, known_at, target, changes.clone());
+    let applied = backends.apply_changes(now, known_at, target, changes);
     drop(backends);
     note_received_changes(context, &applied);
 }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -15,7 +15,9 @@
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::gossip_frame::GatewayGossipFrame;
 use cloverbend::gateway::hub_capacity::HubCapacity;
+use cloverbend::gateway::list_frames::PackedList;
 use cloverbend::gateway::list_history::ListChanges;
+use cloverbend::gateway::list_history::ListUpdate;
 use cloverbend::gateway::peer_gossip::BackendLoad;
 use cloverbend::gateway::peer_gossip::FreshnessEcho;
 use cloverbend::gateway::peer_gossip::GatewayGossip;
@@ -466,6 +468,7 @@
     full.summary = Some(HubSummary {
         admitted: vec![units],
         hubs: vec![(name(4), "127.0.0.1:9".parse().unwrap(), HubCapacity(7))],
+        packed_list: PackedList::pack(ListUpdate::Full(Vec::new())),
         backends: Some(vec![BackendRecord {
             id: backend_id("b"),
             service: "pool".parse().unwrap(),
--- a/lib/tests/test_gateway_size.rs
+++ b/lib/tests/test_gateway_size.rs
@@ -8,6 +8,7 @@
 use cloverbend::gateway::backend_set::BackendSet;
 use cloverbend::gateway::gossip_frame::GatewayGossipFrame;
 use cloverbend::gateway::hub_capacity::HubCapacity;
+use cloverbend::gateway::list_frames::PackedList;
 use cloverbend::gateway::list_history::ListUpdate;
 use cloverbend::gateway::peer_gossip::GatewayGossip;
 use cloverbend::gateway::peer_gossip::HubSummary;
@@ -194,10 +195,9 @@
         let is_due = message.has_summary
             && known_digest != digest
             && entry.table.should_send_list(now, &message.name, digest);
-        let (backends, changes) = match is_due.then(|| entry.list.list_update(Some(known_digest))) {
-            None | Some(ListUpdate::Nothing) => (None, None),
-            Some(ListUpdate::Full(records)) => (Some(records), None),
-            Some(ListUpdate::Changes(changes)) => (None, Some(changes)),
+        let packed_list = match is_due {
+            true => entry.list.packed_update(known_digest),
+            false => None,
         };
         GatewayGossip {
             sent_at: now.0,
@@ -211,8 +211,9 @@
             summary: message.has_summary.then(|| HubSummary {
                 admitted: Vec::new(),
                 hubs: Vec::new(),
-                backends,
-                changes,
+                packed_list,
+                backends: None,
+                changes: None,
                 draining: Vec::new(),
                 reports: Vec::new(),
                 permits: Vec::new(),
@@ -243,15 +244,15 @@
         let confirmed_at = Timestamp(echo.sent_at.saturating_add_signed(age.saturating_neg()));
         let digest = gossip.backends_digest;
         if let Some(summary) = &gossip.summary {
-            if let Some(records) = &summary.backends {
-                entry
-                    .list
-                    .replace_if_newer(now, confirmed_at, records.clone());
-            }
-            if let Some(changes) = &summary.changes {
-                entry
-                    .list
-                    .apply_changes(now, confirmed_at, digest, changes.clone());
+            let list = summary.packed_list.as_ref().map(PackedList::unpack);
+            match list.transpose().unwrap() {
+                None | Some(ListUpdate::Nothing) => {}
+                Some(ListUpdate::Full(records)) => {
+                    entry.list.replace_if_newer(now, confirmed_at, records);
+                }
+                Some(ListUpdate::Changes(changes)) => {
+                    entry.list.apply_changes(now, confirmed_at, digest, changes);
+                }
             }
         }
         if entry.list.list_digest() == digest {
@@ -318,8 +319,8 @@
     SizeFigures {
         calls: 64,
         oldest_ms: 1650,
-        hub_bytes_per_s: 1718220,
-        median_bytes_per_s: 973,
+        hub_bytes_per_s: 268646,
+        median_bytes_per_s: 1009,
     }
     ");
 }
@@ -339,14 +340,14 @@
         SizeFigures {
             calls: 16,
             oldest_ms: 1850,
-            hub_bytes_per_s: 290039,
-            median_bytes_per_s: 1018,
+            hub_bytes_per_s: 94252,
+            median_bytes_per_s: 1054,
         },
         SizeFigures {
             calls: 3,
             oldest_ms: 1850,
-            hub_bytes_per_s: 183098,
-            median_bytes_per_s: 1027,
+            hub_bytes_per_s: 81599,
+            median_bytes_per_s: 1063,
         },
     )
     ");
@@ -365,8 +366,8 @@
     SizeFigures {
         calls: 7,
         oldest_ms: 2250,
-        hub_bytes_per_s: 175580,
-        median_bytes_per_s: 1168,
+        hub_bytes_per_s: 81499,
+        median_bytes_per_s: 1209,
     }
     ");
 }
--- a/lib/tests/test_permit_issuer.rs
+++ b/lib/tests/test_permit_issuer.rs
@@ -452,6 +452,7 @@
     let summary = |permits: Vec<PermitGrant>| HubSummary {
         admitted: Vec::new(),
         hubs: Vec::new(),
+        packed_list: None,
         backends: None,
         changes: None,
         draining: Vec::new(),
