backend_set: touch only loaded servers in a round of gossip

Cause: four times a second every entry copied the names of all 9,998 servers and wrote the load that others put on each, and each message of a hub or follower asked all servers whether a record is missing: at a hub 4,000 times a second. Both grow with the servers, the second with entries times servers. Ruled out: fewer rounds, which delay limits and loads on all deployments. Change: the load of others is replaced for the servers that had or have some, and missing records are counted.

--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -72,6 +72,10 @@
     digest: u64,
     history: ListHistory,
     updates: ListUpdateCache,
+    /// The number of listed servers whose record is missing.
+    missing: usize,
+    /// The servers on which other entries put load.
+    peer_loaded: Vec<BackendId>,
     times: BTreeMap<ServiceName, ServiceTimes>,
     store_recovered_at: Option<Timestamp>,
     confirmed_at: Option<Timestamp>,
@@ -208,7 +212,7 @@
 
     /// Returns whether there are servers whose record is missing.
     pub fn has_missing(&self) -> bool {
-        self.backends.values().any(BackendState::is_missing)
+        self.missing > 0
     }
 
     /// Notes that the store responds to this entry again, which starts the grace for
@@ -254,7 +258,8 @@
         let before = self.listing_digest(&name);
         let merged = self.merge_record(&record);
         if let Some(backend) = self.backends.get_mut(&name) {
-            backend.missing_since = None;
+            let was_missing = backend.missing_since.take().is_some();
+            self.missing -= usize::from(was_missing);
         }
         let merged = merged?;
         if merged.draining {
@@ -304,6 +309,7 @@
         if in_grace && !backend.record.draining {
             let is_new = backend.missing_since.is_none();
             backend.missing_since.get_or_insert(now);
+            self.missing += usize::from(is_new);
             return is_new.then(|| BackendChange::Missing(backend.record.id.clone()));
         }
         self.remove(name)
@@ -318,7 +324,9 @@
 
     fn remove(&mut self, name: &BackendName) -> Option<BackendChange> {
         let before = self.listing_digest(name);
-        let id = self.backends.remove(name)?.record.id;
+        let removed = self.backends.remove(name)?;
+        self.missing -= usize::from(removed.is_missing());
+        let id = removed.record.id;
         self.ended.note(&id);
         self.note_listing(name, before, None);
         Some(BackendChange::Gone(id))
@@ -489,6 +497,19 @@
         }
     }
 
+    /// Replaces the load that other entries put on servers: the requests in flight and
+    /// the pending prompt tokens of each. It touches only servers with load, which are
+    /// few among thousands.
+    pub fn replace_peer_loads(&mut self, loads: impl IntoIterator<Item = (BackendId, u32, u64)>) {
+        for id in std::mem::take(&mut self.peer_loaded) {
+            self.note_peer_load(&id, 0, 0);
+        }
+        for (id, in_flight, pending_tokens) in loads {
+            self.note_peer_load(&id, in_flight, pending_tokens);
+            self.peer_loaded.push(id);
+        }
+    }
+
     /// Updates a server's failure share and its connection failures after a request.
     /// Returns the duration of the ejection if this outcome ejects the server.
     pub fn note_outcome(
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -616,14 +616,7 @@
 
 fn update_peer_loads(context: &GatewayContext, now: Timestamp) {
     let sums = context.peers.lock().backend_loads(now);
-    let mut backends = context.backends.lock();
-    let ids: Vec<BackendId> = backends
-        .iter()
-        .map(|backend| backend.record.id.clone())
-        .collect();
-    for id in ids {
-        let sum = sums.get(&id);
-        let (in_flight, pending_tokens) = sum.map_or((0, 0), |sum| (sum.in_flight, sum.unread));
-        backends.note_peer_load(&id, in_flight, pending_tokens);
-    }
+    let loads = sums.into_iter();
+    let loads = loads.map(|(id, sum)| (id, sum.in_flight, sum.unread));
+    context.backends.lock().replace_peer_loads(loads);
 }
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -434,6 +434,19 @@
     assert!(!set.get(&first).unwrap().is_ejected(at(600)));
 }
 
+/// Each round brings the load of the servers that have some. The others have none.
+#[test]
+fn a_server_that_others_no_longer_load_has_no_load_of_others() {
+    let mut set = set_of(&["a", "b", "c"]);
+    set.replace_peer_loads([(id("a"), 2, 300), (id("b"), 1, 50)]);
+    set.replace_peer_loads([(id("b"), 3, 70), (id("unknown"), 9, 900)]);
+    let loads: Vec<(u32, u64)> = set
+        .iter()
+        .map(|backend| (backend.peer_in_flight, backend.peer_pending_tokens))
+        .collect();
+    assert_eq!(loads, [(0, 0), (3, 70), (0, 0)]);
+}
+
 #[test]
 fn retries_stay_below_the_bound_over_all_entries() {
     let rule = RetryBudgetRule {
