backend_choice: spread requests without a prompt over equal servers

Cause: among servers of equal cost and load an entry chose the first by name. Ruled out: a random part of the cost as for prompts. It would outweigh the load of servers with few slots. Change: each request has its own order of the servers that are equal in cost and load. Result: a new test, 1,000 entries with one request each and 20 idle servers: one server got all of them on the code before; now 20 servers are used, none by more than 100.

--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -58,6 +58,8 @@
     pub service: &'a ServiceName,
     /// The entry's own availability zone.
     pub zone: &'a ZoneName,
+    /// A hash of the request's identifier, different for each request.
+    pub request_hash: u64,
     /// The blocks of the prompt. The last one is the request's own; other requests may
     /// share the blocks before it.
     pub prompt_blocks: &'a [PromptBlock],
@@ -118,8 +120,16 @@
             (cost, utilization(backend, now), prefill_tokens, backend)
         })
         // If costs are equal, the least utilized server is chosen, since replicas
-        // generate faster if they run fewer requests.
-        .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))
+        // generate faster if they run fewer requests. If several are, each request has
+        // its own order of them: hundreds of entries with the same gossip would all
+        // choose the first one.
+        .min_by(|a, b| {
+            let order =
+                |backend: &BackendState| random_share(query.request_hash, &backend.record.id);
+            a.0.total_cmp(&b.0)
+                .then(a.1.total_cmp(&b.1))
+                .then_with(|| order(a.3).total_cmp(&order(b.3)))
+        })
         .map(|(cost, _, prefill_tokens, backend)| {
             let slot_wait = estimate_slot_wait(backend, now, times.total_time);
             let tokens_ahead = backend.pending_tokens + backend.peer_pending_tokens;
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -283,6 +283,7 @@
     ChoiceQuery {
         service: &call.service,
         zone: &context.settings.zone,
+        request_hash: request_hash(call),
         prompt_blocks: &call.head.prompt_blocks,
         tried: &retry_state.tried,
         limits,
@@ -434,15 +435,19 @@
     }
 }
 
+/// Returns a hash of the request's identifier.
+fn request_hash(call: &AdmittedCall) -> u64 {
+    XxHash64::oneshot(2, call.head.id.0.as_bytes())
+}
+
 fn shedding_query(call: &AdmittedCall, choice: &BackendChoice) -> SheddingQuery {
-    let hash = XxHash64::oneshot(2, call.head.id.0.as_bytes());
     SheddingQuery {
         expected_latency: choice.first_event,
         slot_wait: choice.slot_wait,
         target_latency: call.route.target_latency.min(call.time_left()),
         shortest_target: call.shortest_target,
         urgency: call.priority(),
-        draw: hash as f64 / u64::MAX as f64,
+        draw: request_hash(call) as f64 / u64::MAX as f64,
     }
 }
 
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -244,14 +244,24 @@
         tried: &[BackendId],
     ) -> Option<String> {
         let query = ChoiceQuery {
-            service: &self.service,
-            zone: &self.zone,
             prompt_blocks,
             tried,
-            limits: &self.limits,
+            ..self.plain_query(0)
         };
         choose_backend(set, now, &query).map(|choice| choice.id.name.0)
     }
+
+    /// Returns the query of a request without a prompt.
+    fn plain_query(&self, request_hash: u64) -> ChoiceQuery<'_> {
+        ChoiceQuery {
+            service: &self.service,
+            zone: &self.zone,
+            request_hash,
+            prompt_blocks: &[],
+            tried: &[],
+            limits: &self.limits,
+        }
+    }
 }
 
 #[test]
@@ -341,6 +351,33 @@
     );
 }
 
+/// A thousand entries get one request without a prompt each between two gossip messages.
+/// By their gossip, half of the servers of the zone are idle.
+#[test]
+fn entries_with_the_same_gossip_spread_plain_requests_over_all_idle_servers() {
+    let chooser = Chooser::new();
+    let names: Vec<String> = (0..40).map(|number| format!("s-{number:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut set = set_of(&names);
+    for name in &names[20..] {
+        set.note_peer_load(&id(name), 1, 0);
+    }
+    let mut chosen: std::collections::BTreeMap<String, usize> = Default::default();
+    for request in 0..1_000 {
+        let choice = choose_backend(&set, at(1_000), &chooser.plain_query(request)).unwrap();
+        *chosen.entry(choice.id.name.0).or_default() += 1;
+    }
+    let most = chosen.values().max().copied().unwrap_or(0);
+    let idle = chosen
+        .keys()
+        .all(|name| names[..20].contains(&name.as_str()));
+    assert!(
+        idle && chosen.len() == 20 && most < 2 * 1_000 / 20,
+        "one of {} chosen servers got {most} of 1,000 requests",
+        chosen.len()
+    );
+}
+
 #[test]
 fn sessions_that_share_only_their_first_block_are_spread() {
     let set = set_of(&["a", "b", "c", "d"]);
