interim_counts: save only the counts that changed

Cause: the lease holder saved all counts of the open usage windows four times a second. At 986 entries a record grows to 161 KB, at twice the size to 323 KB, over the 256 KB that the store takes, so that nothing would be saved any more and a loss of all entries would lose the windows. The bytes grow with entries times their accounts, whatever changed. Ruled out: saving less often. Half a second more before a loss of all entries misses the window. Readers merge records as before.

--- a/lib/src/gateway/duty_record.rs
+++ b/lib/src/gateway/duty_record.rs
@@ -73,8 +73,9 @@
         #[serde(default)]
         tenure: Option<TenureInfo>,
     },
-    /// The counts so far of windows that are not decided yet. The next holder restores
-    /// them if all entries are lost at once.
+    /// The counts so far of windows that are not decided yet, as far as they changed since
+    /// the record before. The next holder restores them from all records if all entries
+    /// are lost at once.
     Interim {
         /// The counts by window, and by the incarnation of the entry that counted.
         windows: IncarnationCounts,
--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -16,12 +16,12 @@
 use crate::gateway::duty_record::DutyRecord;
 use crate::gateway::fatal_sync::FatalSync;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::interim_counts::InterimCounts;
 use crate::gateway::lease_state::ValidLease;
 use crate::gateway::lease_task::give_up;
 use crate::gateway::peer_table::HUB_COUNT;
 use crate::gateway::platform_interface::PlatformError;
 use crate::gateway::replica_scaler::ReplicaScaler;
-use crate::gateway::usage_table::IncarnationCounts;
 use crate::gateway::usage_table::WindowCounts;
 use crate::gateway::usage_table::WindowNumber;
 use crate::id::FenceToken;
@@ -56,8 +56,8 @@
     /// The fencing token of the tenure to which this state belongs.
     fencing_token: Option<FenceToken>,
     reported: BTreeSet<WindowNumber>,
-    /// The last saved counts of windows that are not decided yet.
-    interim: IncarnationCounts,
+    /// What is saved of the windows that are not decided yet.
+    interim: InterimCounts,
     /// After a failure, the earliest time at which interim counts are saved again.
     interim_retry_at: Timestamp,
     replica_scaler: ReplicaScaler,
@@ -69,7 +69,7 @@
         Self {
             fencing_token: None,
             reported: BTreeSet::new(),
-            interim: IncarnationCounts::new(),
+            interim: InterimCounts::new(),
             interim_retry_at: Timestamp(0),
             replica_scaler: ReplicaScaler::new(),
             fatal_sync: FatalSync::default(),
@@ -80,7 +80,7 @@
     fn reset(&mut self, fencing_token: FenceToken) {
         self.fencing_token = Some(fencing_token);
         self.reported.clear();
-        self.interim.clear();
+        self.interim = InterimCounts::new();
         self.fatal_sync.reset();
         self.replica_scaler.forget_orders();
     }
@@ -130,22 +130,27 @@
         Ok(())
     }
 
-    /// Saves the counts of windows that are not decided yet, if they changed. If all
-    /// entries are lost at once, the next holder restores these counts.
+    /// Saves the counts of windows that are not decided yet, as far as they changed. If
+    /// all entries are lost at once, the next holder restores these counts.
     async fn save_interim(&mut self, context: &Arc<GatewayContext>) {
+        let now = context.now();
+        if now < self.interim_retry_at {
+            return;
+        }
         let oldest = context.usage_window().saturating_sub(1);
-        let mut windows = context.usage.lock().since(oldest);
-        windows.retain(|window, _| !self.reported.contains(window));
-        if context.now() < self.interim_retry_at || windows == self.interim {
+        let mut current = context.usage.lock().since(oldest);
+        current.retain(|window, _| !self.reported.contains(window));
+        let record = self.interim.next_record(now, &current);
+        if record.is_empty() {
             return;
         }
-        let saved = windows.clone();
+        let windows = record.clone();
         let appended = append_duty(context, |tenure| DutyRecord::Interim {
             windows,
             tenure: Some(tenure),
         });
         match appended.await {
-            Ok(()) => self.interim = saved,
+            Ok(()) => self.interim.note_saved(record),
             // Reports and orders must not wait for a store that is unreachable.
             Err(_) => self.interim_retry_at = context.now().after(INTERIM_RETRY_DELAY),
         }
