entry_discovery: restarted entries read the latest listings at once

Cause: an entry that restarts read the log of listings from its start, which the store keeps for 20 s only, got 410 and then read the latest listings: one call in vain for each restart. Change: the log is read from its start only when the deployment starts for the first time.

--- a/lib/src/gateway/entry_discovery.rs
+++ b/lib/src/gateway/entry_discovery.rs
@@ -60,7 +60,7 @@
 /// Lists this entry and reads the list until the entry stops.
 pub async fn discover_entries(context: Arc<GatewayContext>) {
     let own = EntryListing::of(&context.settings);
-    let mut reader = ListingReader::new();
+    let mut reader = ListingReader::new(context.settings.first_start);
     let mut is_listed = false;
     if context.settings.first_start {
         append_listing(&context, &mut reader.monitor, &own).await;
@@ -127,10 +127,12 @@
 }
 
 impl ListingReader {
-    fn new() -> Self {
+    /// Returns a reader that has read nothing. The log has all listings only if the
+    /// deployment starts for the first time.
+    fn new(first_start: bool) -> Self {
         Self {
             monitor: DependencyMonitor::new("store: entries"),
-            next: Some(LogOffset(0)),
+            next: first_start.then_some(LogOffset(0)),
         }
     }
 
