read_schedule: entries of a large deployment that restart wait for a hub

Logs of a trial (all killed after two seconds): 986 entries read the list of entries, which takes more than the half second after which those without it read on; all of them then read the configuration and the 50 pages of servers, no read ended within its 0.9 s, the hubs among them had no list to send, and 1,208 of 2,468 refusals logged by 187 entries were for want of servers. The configuration came from hubs within 1.5 s. Ruled out: the hubs' queues (they had nothing to send), the list of entries alone (it is read after about a second). Change: an entry without a copy waits 3 s for a hub, as at the first start, then for its turn; without the list of entries as long. Deployments of up to 128 entries read at once as before, but for knowing the others first. Result: test_store_jam has the loss of all, at 9 to 1,972 entries and 22 to 20,000 servers: all have a list after 4.5 s. With the earlier rule the cases of 302, 986 and 1,972 entries fail. Reads of the same moment now reach the model's store in any order and not in that of the hubs, with which no case failed.

--- a/lib/src/gateway/read_schedule.rs
+++ b/lib/src/gateway/read_schedule.rs
@@ -9,8 +9,8 @@
 //! If those reads take more bandwidth than the store has, entries take turns. If
 //! hundreds of entries read a long list at once, the reads of the hubs would wait
 //! behind them, the data that hubs send would stay old, and the entries would never
-//! stop reading. Entries that restart take turns as well, since all of them may have
-//! been lost at once.
+//! stop reading. Entries that restart wait for a hub as at the first start, since all of
+//! them may have been lost at once.
 
 use std::time::Duration;
 
@@ -35,17 +35,18 @@
 /// The bytes that one record takes in a read of the full list: about 190 bytes, in
 /// base64, with key and offset.
 const LISTED_RECORD_BYTES: f64 = 310.0;
-/// How long the entries of a new deployment wait for data from a hub before they
-/// read the store themselves. Callers connect later than that.
-const FIRST_START_WAIT: Duration = Duration::from_millis(3_000);
-/// How long an entry that restarts waits for the list of entries, without which it does
-/// not know its rank.
-const ENTRY_LIST_WAIT: Duration = Duration::from_millis(500);
-/// The time between two turns in which entries without a copy read the store.
+/// How long entries without a copy wait for one from a hub before they read the store
+/// themselves, and for the list of entries, without which they don't know their rank.
+/// At the first start callers connect later than that.
+const HUB_WAIT: Duration = Duration::from_millis(3_000);
+/// The time between two turns of such reads.
 const FIRST_READ_TURN: Duration = Duration::from_millis(1_000);
 /// How many entries read in one such turn. They don't know the length of the list
 /// yet; the store serves this many within a second if it lists 3,000 servers.
 const FIRST_READ_MAX_READERS: usize = 64;
+/// The largest deployment whose entries all read at once when they restart. Callers
+/// wait for them then, and the store serves so few readers in time.
+const SMALL_DEPLOYMENT: usize = 128;
 
 /// When to read a topic so that no copy of it becomes older than a bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,6 +96,8 @@
 pub struct ReaderState {
     /// Its rank as a hub: 0 for the first hub.
     pub rank: usize,
+    /// How many entries it knows, itself included.
+    pub entries: usize,
     /// How many entries may read the topic at the same time.
     pub max_readers: usize,
     /// Whether it holds the lease. The holder always reads: it has to know whether
@@ -122,15 +125,17 @@
     }
 
     /// Returns the uptime at which this entry reads a topic of which it has no copy.
-    /// When hundreds of entries restart at once, those of later turns usually receive
-    /// a copy from a hub first.
+    /// Hubs read at once, and others usually receive a copy from one of them first. If
+    /// hundreds of entries read a long list at once, none of the reads ends in time.
     fn first_read_at(self) -> Duration {
-        let turn = (self.rank / FIRST_READ_MAX_READERS) as u32;
-        match (self.first_start, self.has_entry_list) {
-            (true, true) if self.rank < HUB_COUNT => Duration::ZERO,
-            (true, _) => FIRST_START_WAIT + FIRST_READ_TURN * turn,
-            (false, true) => FIRST_READ_TURN * turn,
-            (false, false) => ENTRY_LIST_WAIT,
+        if !self.has_entry_list {
+            return HUB_WAIT;
+        }
+        let is_small = self.entries <= SMALL_DEPLOYMENT;
+        if self.rank < HUB_COUNT || (is_small && !self.first_start) {
+            return Duration::ZERO;
         }
+        let turn = (self.rank / FIRST_READ_MAX_READERS) as u32;
+        HUB_WAIT + FIRST_READ_TURN * turn
     }
 }
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -80,6 +80,7 @@
     let peers = context.peers.lock();
     ReaderState {
         rank: peers.hub_rank(now),
+        entries: peers.direct_entry_counts(now).entries,
         max_readers: view.max_readers,
         holds_lease: context.lease.lock().is_holder(),
         view_age: view.confirmed_at.map(|at| now.since(at)),
--- a/lib/tests/test_gateway_size.rs
+++ b/lib/tests/test_gateway_size.rs
@@ -156,6 +156,7 @@
         let schedule = ReadSchedule::with_bound(BOUND);
         let state = ReaderState {
             rank: entry.table.hub_rank(now),
+            entries: ENTRIES,
             max_readers: schedule.max_readers(80.0, entry.list.iter().count()),
             holds_lease: false,
             view_age: entry.list.confirmed_at().map(|at| now.since(at)),
--- a/lib/tests/test_read_schedule.rs
+++ b/lib/tests/test_read_schedule.rs
@@ -12,6 +12,7 @@
 fn state(rank: usize, age_ms: Option<u64>) -> ReaderState {
     ReaderState {
         rank,
+        entries: 1_000,
         max_readers: usize::MAX,
         holds_lease: false,
         view_age: age_ms.map(Duration::from_millis),
@@ -88,26 +89,29 @@
     assert!(holder.should_read_store(schedule));
 }
 
-/// Hundreds of entries may restart at once. The first ones read the store, and the
-/// others get a copy from a hub unless none has one to send.
+/// Hundreds of entries may restart at once. Then hubs read the store, and the others get
+/// a copy from a hub unless none has one to send.
 #[rstest]
-#[case::the_entry_list_is_not_read_yet(0, false, 0, false)]
-#[case::the_entry_list_cannot_be_read(0, false, 500, true)]
-#[case::a_hub(0, true, 0, true)]
-#[case::an_entry_of_a_small_deployment(8, true, 0, true)]
-#[case::the_last_of_the_first_turn(63, true, 0, true)]
-#[case::second_turn_waits(64, true, 990, false)]
-#[case::second_turn(64, true, 1_000, true)]
-#[case::the_last_of_a_thousand_waits(985, true, 14_900, false)]
-#[case::the_last_of_a_thousand(985, true, 15_000, true)]
-fn restarted_entries_without_a_copy_take_turns(
+#[case::the_entry_list_is_not_read_yet(0, 1, false, 2_990, false)]
+#[case::the_entry_list_cannot_be_read(0, 1, false, 3_000, true)]
+#[case::a_hub(2, 986, true, 0, true)]
+#[case::an_entry_of_a_small_deployment(8, 9, true, 0, true)]
+#[case::the_last_of_a_small_deployment(127, 128, true, 0, true)]
+#[case::no_hub_waits(3, 129, true, 2_990, false)]
+#[case::first_turn(63, 986, true, 3_000, true)]
+#[case::second_turn_waits(64, 986, true, 3_990, false)]
+#[case::second_turn(64, 986, true, 4_000, true)]
+#[case::the_last_of_a_thousand_waits(985, 986, true, 17_900, false)]
+fn restarted_entries_without_a_copy_wait_for_a_hub(
     #[case] rank: usize,
+    #[case] entries: usize,
     #[case] has_entry_list: bool,
     #[case] uptime_ms: u64,
     #[case] reads: bool,
 ) {
     let schedule = ReadSchedule::with_bound(BOUND);
     let restarted = ReaderState {
+        entries,
         has_entry_list,
         uptime: Duration::from_millis(uptime_ms),
         ..state(rank, None)
--- a/lib/tests/test_store_jam.rs
+++ b/lib/tests/test_store_jam.rs
@@ -37,6 +37,11 @@
 /// The time during which the hubs send nothing.
 const HUB_OUTAGE: std::ops::Range<Timestamp> =
     Timestamp::from_millis(5_000)..Timestamp::from_millis(8_000);
+/// When entries that start together have read the list of entries.
+const ENTRY_LIST_READ_AT: Timestamp = Timestamp::from_millis(1_200);
+/// From when on all entries must have a list after all were lost. The bound on the
+/// recovery of the service is three times that.
+const RESTARTED_AT: Timestamp = Timestamp::from_millis(4_500);
 /// From when on all entries must have a fresh list. They receive one a second after
 /// the hubs are back.
 const RECOVERED_AT: Timestamp = Timestamp::from_millis(12_000);
@@ -52,8 +57,8 @@
 
 #[derive(Clone, Copy)]
 struct ModelEntry {
-    /// When its copy of the list was last known to be the newest.
-    confirmed_at: Timestamp,
+    /// When its copy of the list was last known to be the newest, if it has one.
+    confirmed_at: Option<Timestamp>,
     /// When it sent its last successful read, if there was one.
     last_read_at: Option<Timestamp>,
     reading: ReadState,
@@ -68,9 +73,9 @@
 }
 
 impl StoreModel {
-    fn new(entries: usize, servers: usize) -> Self {
+    fn new(entries: usize, servers: usize, confirmed_at: Option<Timestamp>) -> Self {
         let entry = ModelEntry {
-            confirmed_at: Timestamp(0),
+            confirmed_at,
             last_read_at: None,
             reading: ReadState::Idle(Timestamp(0)),
         };
@@ -102,7 +107,11 @@
     fn step(&mut self) {
         self.now = self.now.after(STEP);
         let schedule = ReadSchedule::with_bound(BOUND);
-        for rank in 0..self.entries.len() {
+        let entries = self.entries.len();
+        // Reads of the same moment reach the store in any order.
+        let shift = (self.now.0 / 1_000) as usize;
+        for position in 0..entries {
+            let rank = (position + shift) % entries;
             let mut entry = self.entries[rank];
             match entry.reading {
                 ReadState::Pending { responded_at, .. } if self.now < responded_at => {}
@@ -117,7 +126,7 @@
                         RETRY_DELAY
                     };
                     if in_time {
-                        entry.confirmed_at = entry.confirmed_at.max(requested_at);
+                        entry.confirmed_at = entry.confirmed_at.max(Some(requested_at));
                         entry.last_read_at = Some(requested_at);
                     }
                     entry.reading = ReadState::Idle(self.now.after(pause));
@@ -133,11 +142,12 @@
     fn try_read(&mut self, rank: usize, entry: &mut ModelEntry, schedule: ReadSchedule) {
         let state = ReaderState {
             rank,
+            entries: self.entries.len(),
             max_readers: schedule.max_readers(STORE_BYTES_PER_S / 1e6, self.servers),
             holds_lease: false,
-            view_age: Some(self.now.since(entry.confirmed_at)),
+            view_age: entry.confirmed_at.map(|at| self.now.since(at)),
             first_start: false,
-            has_entry_list: true,
+            has_entry_list: self.now >= ENTRY_LIST_READ_AT,
             uptime: self.now.since(Timestamp(0)),
         };
         if !state.should_read_store(schedule) {
@@ -160,19 +170,21 @@
         if HUB_OUTAGE.contains(&self.now) {
             return;
         }
-        let hub_confirmed_at = self.entries[0].confirmed_at;
+        let Some(hub_confirmed_at) = self.entries[0].confirmed_at else {
+            return;
+        };
         let has_arrived = self.now.since(hub_confirmed_at) >= GOSSIP_DELAY;
         for entry in self.entries.iter_mut().filter(|_| has_arrived) {
-            entry.confirmed_at = entry.confirmed_at.max(hub_confirmed_at);
+            entry.confirmed_at = entry.confirmed_at.max(Some(hub_confirmed_at));
         }
     }
 
     fn stale_count(&self) -> usize {
-        let ages = self
-            .entries
-            .iter()
-            .map(|entry| self.now.since(entry.confirmed_at));
-        ages.filter(|age| *age > MAX_COPY_AGE).count()
+        let is_stale = |entry: &&ModelEntry| {
+            let age = entry.confirmed_at.map(|at| self.now.since(at));
+            age.is_none_or(|age| age > MAX_COPY_AGE)
+        };
+        self.entries.iter().filter(is_stale).count()
     }
 }
 
@@ -185,7 +197,7 @@
     #[case] entries: usize,
     #[case] servers: usize,
 ) {
-    let mut model = StoreModel::new(entries, servers);
+    let mut model = StoreModel::new(entries, servers, Some(Timestamp(0)));
     let mut stale_count = 0;
     while model.now < Timestamp(0).after(RUN_TIME) {
         model.step();
@@ -195,3 +207,22 @@
     }
     assert_eq!(stale_count, 0, "{:.1} GB read", model.read_bytes / 1e9);
 }
+
+/// All entries are lost at once and restart without any copy of the list.
+#[rstest]
+#[case::ten_thousand_servers(986, 10_000)]
+#[case::twice_as_many(1_972, 20_000)]
+#[case::three_thousand_servers(302, 3_000)]
+#[case::a_hundred_entries(102, 1_000)]
+#[case::a_small_deployment(9, 22)]
+fn all_entries_have_a_list_soon_after_all_were_lost(
+    #[case] entries: usize,
+    #[case] servers: usize,
+) {
+    let mut model = StoreModel::new(entries, servers, None);
+    while model.now < RESTARTED_AT {
+        model.step();
+    }
+    let read = model.read_bytes / 1e9;
+    assert_eq!(model.stale_count(), 0, "{read:.1} GB read");
+}
