--- a/lib/tests/test_list_updates.rs
+++ b/lib/tests/test_list_updates.rs
@@ -51,7 +51,7 @@
         zone: ZONES[number % ZONES.len()].parse().unwrap(),
         slots: 12,
         draining: false,
-        reclaimable: number % 2 == 0,
+        reclaimable: number.is_multiple_of(2),
     }
 }
 
