--- a/lib/src/gateway/entry_discovery.rs
+++ b/lib/src/gateway/entry_discovery.rs
@@ -70,8 +70,6 @@
     loop {
         let slice = reader.read(&context).await;
         note_listings(&context, &slice);
-        // The hubs are known now, and may have what this entry lacks.
-        context.gossip_due.notify_one();
         // The listing of an earlier incarnation usually still holds. Hundreds of
         // appends in a row would take seconds.
         if !is_listed && !names_entry(&slice, &context.settings.name, &own) {
