gateway_settings: a section for decisions under load

The parts are built side by side, so their switches come first. Change: the section [load] with one switch for each part, all off. Nothing reads them yet. Result: no behaviour changes.

--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -208,6 +208,48 @@
         Some("5"),
         "length of a usage window",
     ),
+    setting(
+        "load",
+        "server_pace",
+        "true or false",
+        Some("false"),
+        "whether servers are weighed by how fast they work, for services whose servers report it",
+    ),
+    setting(
+        "load",
+        "prompt_pacing",
+        "true or false",
+        Some("false"),
+        "whether prompts go to servers whose streams have time for them, for services whose servers report how fast they work",
+    ),
+    setting(
+        "load",
+        "work_estimates",
+        "true or false",
+        Some("false"),
+        "whether the time of a request is estimated by its route and length",
+    ),
+    setting(
+        "load",
+        "shared_admission",
+        "true or false",
+        Some("false"),
+        "whether all entries share one level of admission by urgency and account",
+    ),
+    setting(
+        "load",
+        "entry_queue",
+        "true or false",
+        Some("false"),
+        "whether a request may wait at the entry for a slot that is free soon",
+    ),
+    setting(
+        "load",
+        "return_promises",
+        "true or false",
+        Some("false"),
+        "whether callers that return when a refusal asked them to are served first",
+    ),
     log_format("json"),
     LOG_LEVEL,
 ];
@@ -235,6 +277,23 @@
     pub usage_window_s: u64,
 }
 
+/// Which decisions under load are in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadSettings {
+    /// Whether servers are weighed by how fast they work.
+    pub server_pace: bool,
+    /// Whether prompts go to servers whose streams have time for them.
+    pub prompt_pacing: bool,
+    /// Whether the time of a request is estimated by its route and length.
+    pub work_estimates: bool,
+    /// Whether all entries share one level of admission by urgency and account.
+    pub shared_admission: bool,
+    /// Whether a request may wait at the entry for a slot that is free soon.
+    pub entry_queue: bool,
+    /// Whether callers that return as asked are served first.
+    pub return_promises: bool,
+}
+
 /// The checked settings of one gateway entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -267,6 +326,8 @@
     pub cloud_address: SocketAddr,
     /// The guarantees to operators.
     pub bounds: GatewayBounds,
+    /// Which decisions under load are in use.
+    pub load: LoadSettings,
     /// The format of log lines.
     pub log_format: LogFormat,
     /// The least severe level that is logged.
@@ -300,6 +361,7 @@
     let store_read_mb_s = reader.defaulted("store", "read_mb_s");
     let cloud_address = reader.required("cloud", "address");
     let bounds = read_bounds(reader);
+    let load = read_load(reader);
     let log_format = reader.defaulted("log", "format");
     let log_level = reader.defaulted("log", "level");
     Some(GatewaySettings {
@@ -317,6 +379,7 @@
         store_read_mb_s: store_read_mb_s?,
         cloud_address: cloud_address?,
         bounds: bounds?,
+        load: load?,
         log_format: log_format?,
         log_level: log_level?,
     })
@@ -356,3 +419,20 @@
         usage_window_s: usage_window_s?.max(1),
     })
 }
+
+fn read_load(reader: &mut SettingReader<'_>) -> Option<LoadSettings> {
+    let server_pace = reader.defaulted("load", "server_pace");
+    let prompt_pacing = reader.defaulted("load", "prompt_pacing");
+    let work_estimates = reader.defaulted("load", "work_estimates");
+    let shared_admission = reader.defaulted("load", "shared_admission");
+    let entry_queue = reader.defaulted("load", "entry_queue");
+    let return_promises = reader.defaulted("load", "return_promises");
+    Some(LoadSettings {
+        server_pace: server_pace?,
+        prompt_pacing: prompt_pacing?,
+        work_estimates: work_estimates?,
+        shared_admission: shared_admission?,
+        entry_queue: entry_queue?,
+        return_promises: return_promises?,
+    })
+}
