server_pace, prompt_pacing: place prompts by the pace of servers

Cause: servers of a service may differ in speed by a factor of 2.7, but all got the same share of the prompts. Change: entries sample the event times of their streams and add them up over gossip; a server's pace scales the cost of reading and waiting there, and its share of prompt prefixes. Prompts are weighed by the streams that they delay and by what they make late. Only for services whose servers report how long work takes there.

--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -19,6 +19,9 @@
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::backend_state::BackendState;
 use crate::gateway::call_head::PromptBlock;
+use crate::gateway::prefill_speed::PrefillSpeed;
+use crate::gateway::prompt_pacing::ReadingQuery;
+use crate::gateway::prompt_pacing::StreamTargets;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
@@ -50,6 +53,13 @@
 /// Cost in milliseconds of a server that is ejected or whose record is missing. Such
 /// a server is used only if there is no other.
 const UNHEALTHY_COST_MS: f64 = 100_000.0;
+/// One in this many slots is expected to be taken by requests of other entries that this
+/// entry has no news of yet.
+const CROWDED_SLOT_DIVISOR: u32 = 4;
+/// The bounds of a hash as a fraction of all hashes, within which its logarithm is finite
+/// and not zero.
+const MIN_HASH: f64 = f64::MIN_POSITIVE;
+const MAX_HASH: f64 = 1.0 - f64::EPSILON;
 
 /// The inputs of a choice besides the backend servers.
 #[derive(Clone, Debug)]
@@ -65,6 +75,8 @@
     pub prompt_blocks: &'a [PromptBlock],
     /// The backend servers to which this request was already sent.
     pub tried: &'a [BackendId],
+    /// What the caller of a stream expects, if prompts are paced.
+    pub targets: Option<StreamTargets>,
     /// The limits of backend servers, and the permits of this entry.
     pub limits: &'a ServerLimits,
 }
@@ -117,7 +129,8 @@
         .map(|backend| {
             let prefill_tokens = estimate_prefill_tokens(backend, now, query.prompt_blocks, home);
             let cost = estimate_cost(backend, now, query, times, prefill_tokens);
-            (cost, utilization(backend, now), prefill_tokens, backend)
+            let relative_load = utilization(backend, now) * backend.pace().0;
+            (cost, relative_load, prefill_tokens, backend)
         })
         // If costs are equal, the least utilized server is chosen, since replicas
         // generate faster if they run fewer requests. If several are, each request has
@@ -131,17 +144,16 @@
                 .then_with(|| order(a.3).total_cmp(&order(b.3)))
         })
         .map(|(cost, _, prefill_tokens, backend)| {
-            let slot_wait = estimate_slot_wait(backend, now, times.total_time);
+            let pace = backend.pace();
+            let slot_wait = pace.scale(estimate_slot_wait(backend, now, times.total_time));
             let tokens_ahead = backend.pending_tokens + backend.peer_pending_tokens;
+            let tokens = pace.scale_tokens(tokens_ahead + prefill_tokens);
             BackendChoice {
                 id: backend.record.id.clone(),
                 cost,
                 prefill_tokens,
                 slot_wait,
-                first_event: slot_wait
-                    + times
-                        .prefill_speed
-                        .first_event(tokens_ahead + prefill_tokens),
+                first_event: slot_wait + times.prefill_speed.first_event(tokens),
                 candidates: count,
             }
         })
@@ -191,21 +203,34 @@
 ) -> Option<&'a BackendId> {
     let last_shared = query.prompt_blocks.len().checked_sub(2)?;
     let block = query.prompt_blocks[last_shared].id;
-    let ids = candidates.iter().map(|backend| &backend.record.id);
-    let unlimited = ids.clone().filter(|id| !query.limits.is_limited(id));
-    rendezvous_hash(unlimited, block).or_else(|| rendezvous_hash(ids, block))
+    let all = candidates.iter().copied();
+    let unlimited = all
+        .clone()
+        .filter(|backend| !query.limits.is_limited(&backend.record.id));
+    rendezvous_hash(unlimited, block).or_else(|| rendezvous_hash(all, block))
 }
 
-/// Returns the candidate whose hash, seeded with a prompt block, is the highest.
+/// Returns the candidate that rendezvous hashing assigns to a prompt block. If the paces of
+/// the candidates are known, each gets blocks in proportion to its share of the work, and
+/// a change of one share moves only blocks of that candidate.
 fn rendezvous_hash<'a>(
-    candidates: impl Iterator<Item = &'a BackendId>,
+    candidates: impl Iterator<Item = &'a BackendState> + Clone,
     block: u64,
 ) -> Option<&'a BackendId> {
-    candidates.max_by_key(|id| {
+    let hash = |backend: &&BackendState| {
         let mut hasher = XxHash64::with_seed(block);
-        write_id(&mut hasher, id);
+        write_id(&mut hasher, &backend.record.id);
         hasher.finish()
-    })
+    };
+    let weighted_hash = |backend: &&BackendState| {
+        let fraction = (hash(backend) as f64 / u64::MAX as f64).clamp(MIN_HASH, MAX_HASH);
+        -backend.pace().work_share() / fraction.ln()
+    };
+    let best = match candidates.clone().any(BackendState::is_paced) {
+        true => candidates.max_by(|a, b| weighted_hash(a).total_cmp(&weighted_hash(b))),
+        false => candidates.max_by_key(hash),
+    };
+    best.map(|backend| &backend.record.id)
 }
 
 /// Estimates the tokens that a backend server has to prefill. A block is cached only
@@ -248,6 +273,18 @@
     total_time.mul_f64(f64::from(waiting) / f64::from(slots))
 }
 
+/// Returns the delay that a request has to expect at a server that is nearly full. The
+/// gossip of other entries is some hundred milliseconds old, in which their requests take
+/// the last free slots.
+fn crowding_delay(backend: &BackendState, now: Timestamp, total_time: Duration) -> Duration {
+    let slots = backend.record.slots.max(1);
+    let uncrowded = slots - slots / CROWDED_SLOT_DIVISOR;
+    let crowding = (backend.occupancy(now) + 1)
+        .min(slots)
+        .saturating_sub(uncrowded);
+    total_time.mul_f64(f64::from(crowding) / f64::from(slots))
+}
+
 /// Returns a pseudorandom number from 0 to 1 for a request and a server.
 fn random_share(request: u64, id: &BackendId) -> f64 {
     let mut hasher = XxHash64::with_seed(request);
@@ -260,6 +297,40 @@
     f64::from(backend.occupancy(now)) / f64::from(backend.record.slots.max(1))
 }
 
+/// Estimates the cost of reading the prompt of a request at a backend server, in
+/// milliseconds.
+fn reading_cost(
+    backend: &BackendState,
+    now: Timestamp,
+    query: &ChoiceQuery<'_>,
+    speed: PrefillSpeed,
+    prefill_tokens: u64,
+) -> f64 {
+    let pace = backend.pace();
+    let read_ms = |tokens| speed.prefill_millis(tokens) * pace.0;
+    let queued_ms = read_ms(backend.pending_tokens + backend.peer_pending_tokens);
+    let utilization = utilization(backend, now).min(1.0);
+    match (backend.event_time(), query.targets) {
+        (Some(event_time), Some(targets)) => {
+            let own_block = query.prompt_blocks.last();
+            let own_tokens = own_block.map_or(0, |block| block.tokens.0.min(prefill_tokens));
+            let reading = ReadingQuery {
+                event_time,
+                queued_ms,
+                own_ms: read_ms(own_tokens),
+                repeated_ms: read_ms(prefill_tokens - own_tokens),
+                utilization,
+                targets,
+            };
+            reading.cost_ms()
+        }
+        _ => {
+            let prefill_ms = read_ms(prefill_tokens);
+            queued_ms + prefill_ms * PREFILL_WEIGHT + stream_delay_cost(prefill_ms, utilization)
+        }
+    }
+}
+
 /// Estimates the cost of sending a request to a backend server, in milliseconds.
 fn estimate_cost(
     backend: &BackendState,
@@ -268,14 +339,14 @@
     times: ServiceTimes,
     prefill_tokens: u64,
 ) -> f64 {
-    let queued_ms = times
-        .prefill_speed
-        .prefill_millis(backend.pending_tokens + backend.peer_pending_tokens);
-    let prefill_ms = times.prefill_speed.prefill_millis(prefill_tokens);
-    let own_cost = prefill_ms * PREFILL_WEIGHT;
-    let mut cost = queued_ms + own_cost;
-    cost += stream_delay_cost(prefill_ms, utilization(backend, now).min(1.0));
-    cost += estimate_slot_wait(backend, now, times.total_time).as_secs_f64() * 1_000.0;
+    let mut cost = reading_cost(backend, now, query, times.prefill_speed, prefill_tokens);
+    let slot_wait = estimate_slot_wait(backend, now, times.total_time);
+    let crowding_delay = match backend.is_paced() {
+        true => crowding_delay(backend, now, times.total_time),
+        false => Duration::ZERO,
+    };
+    let wait = backend.pace().scale(slot_wait + crowding_delay);
+    cost += wait.as_secs_f64() * 1_000.0;
     cost += backend.failure_share * FAILURE_COST_MS;
     if backend.record.zone != *query.zone {
         cost += ZONE_COST_MS;
--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -22,6 +22,10 @@
 use crate::gateway::list_history::ListUpdate;
 use crate::gateway::list_history::record_digest;
 use crate::gateway::list_update_cache::ListUpdateCache;
+use crate::gateway::server_pace::PaceCounts;
+use crate::gateway::server_pace::PaceSpread;
+use crate::gateway::server_pace::pace_factors;
+use crate::gateway::server_pace::usual_event_time;
 use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -77,6 +81,8 @@
     /// The servers on which other entries put load.
     peer_loaded: Vec<BackendId>,
     times: BTreeMap<ServiceName, ServiceTimes>,
+    /// The services whose servers report how long work takes there.
+    paced_services: BTreeSet<ServiceName>,
     store_recovered_at: Option<Timestamp>,
     confirmed_at: Option<Timestamp>,
 }
@@ -510,6 +516,58 @@
         }
     }
 
+    /// Notes that a server reports how long work takes there. The paces of the servers of
+    /// its service are estimated from then on.
+    pub fn note_reports_pace(&mut self, id: &BackendId) {
+        let Some(backend) = self.get(id) else {
+            return;
+        };
+        if !self.paced_services.contains(&backend.record.service) {
+            self.paced_services.insert(backend.record.service.clone());
+        }
+    }
+
+    /// Adds a sample of the time of one event in a stream of a server.
+    pub fn note_event_time(&mut self, now: Timestamp, id: &BackendId, event_time: Duration) {
+        let Some(backend) = self.backends.get_mut(&id.name) else {
+            return;
+        };
+        let is_paced = self.paced_services.contains(&backend.record.service);
+        if is_paced && backend.record.id == *id {
+            backend.pace_samples.note(now, event_time);
+        }
+    }
+
+    /// Updates the paces of all servers, from the samples of this entry and from those of
+    /// all other entries. Returns how far the paces of each service differ.
+    pub fn update_paces(
+        &mut self,
+        now: Timestamp,
+        peer_counts: impl IntoIterator<Item = (BackendId, PaceCounts)>,
+    ) -> Vec<(ServiceName, PaceSpread)> {
+        if self.paced_services.is_empty() {
+            return Vec::new();
+        }
+        for backend in self.backends.values_mut() {
+            backend.peer_pace = PaceCounts::default();
+        }
+        for (id, counts) in peer_counts {
+            if let Some(backend) = self.get_mut(&id) {
+                backend.peer_pace = counts;
+            }
+        }
+        let backends = &mut self.backends;
+        let services = self.paced_services.iter();
+        let spreads = services.filter_map(|service| {
+            let servers = backends.values_mut();
+            let mut servers: Vec<&mut BackendState> = servers
+                .filter(|backend| backend.record.service == *service)
+                .collect();
+            Some((service.clone(), set_paces(now, &mut servers)?))
+        });
+        spreads.collect()
+    }
+
     /// Updates a server's failure share and its connection failures after a request.
     /// Returns the duration of the ejection if this outcome ejects the server.
     pub fn note_outcome(
@@ -540,3 +598,22 @@
         None
     }
 }
+
+/// Sets the paces of the servers of one service, and returns how far they differ.
+fn set_paces(now: Timestamp, servers: &mut [&mut BackendState]) -> Option<PaceSpread> {
+    let counts: Vec<PaceCounts> = servers
+        .iter()
+        .map(|backend| backend.pace_counts(now).plus(backend.peer_pace))
+        .collect();
+    let factors = pace_factors(&counts);
+    let all_counts = counts
+        .iter()
+        .copied()
+        .fold(PaceCounts::default(), PaceCounts::plus);
+    let service_time = usual_event_time(all_counts);
+    for ((backend, counts), factor) in servers.iter_mut().zip(counts).zip(&factors) {
+        backend.pace = *factor;
+        backend.event_time = usual_event_time(counts).or(service_time);
+    }
+    PaceSpread::of(&factors)
+}
--- a/lib/src/gateway/backend_state.rs
+++ b/lib/src/gateway/backend_state.rs
@@ -8,6 +8,9 @@
 
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_record::LoadReport;
+use crate::gateway::server_pace::PaceCounts;
+use crate::gateway::server_pace::PaceEvidence;
+use crate::gateway::server_pace::PaceFactor;
 use crate::quantity::Timestamp;
 
 /// The most prompt blocks remembered for a backend server.
@@ -42,6 +45,14 @@
     pub(super) back_off_until: Timestamp,
     /// When this entry last sent each prompt block there.
     sent_blocks: HashMap<u64, Timestamp>,
+    /// Samples of event times in streams of this entry.
+    pub(super) pace_samples: PaceEvidence,
+    /// The same of all other entries, by their last gossip.
+    pub(super) peer_pace: PaceCounts,
+    /// How fast the server works, relative to its service.
+    pub(super) pace: PaceFactor,
+    /// The usual time of one event, if it is known.
+    pub(super) event_time: Option<Duration>,
 }
 
 impl BackendState {
@@ -60,6 +71,10 @@
             reported_draining: false,
             back_off_until: Timestamp(0),
             sent_blocks: HashMap::new(),
+            pace_samples: PaceEvidence::default(),
+            peer_pace: PaceCounts::default(),
+            pace: PaceFactor::default(),
+            event_time: None,
         }
     }
 
@@ -84,12 +99,32 @@
         let counted = self.in_flight + self.peer_in_flight;
         match self.load {
             Some((at, load)) if now.since(at) < LOAD_REPORT_LIFETIME => {
-                counted.max(load.running + load.waiting)
+                counted.max(load.running.saturating_add(load.waiting))
             }
             _ => counted,
         }
     }
 
+    /// Returns whether the server's pace is estimated.
+    pub fn is_paced(&self) -> bool {
+        self.event_time.is_some()
+    }
+
+    /// Returns how fast the server works, relative to its service.
+    pub fn pace(&self) -> PaceFactor {
+        self.pace
+    }
+
+    /// Returns the usual time of one event of a stream there, if it is known.
+    pub fn event_time(&self) -> Option<Duration> {
+        self.event_time
+    }
+
+    /// Returns the samples of event times in streams of this entry.
+    pub fn pace_counts(&self, now: Timestamp) -> PaceCounts {
+        self.pace_samples.counts(now)
+    }
+
     /// Returns when this entry last sent a prompt block to the server.
     pub fn block_sent_at(&self, block: u64) -> Option<Timestamp> {
         self.sent_blocks.get(&block).copied()
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -32,6 +32,7 @@
 use crate::gateway::load_shedding::shed_request;
 use crate::gateway::platform_interface::ForwardedHead;
 use crate::gateway::platform_interface::ResponseHead;
+use crate::gateway::prompt_pacing::StreamTargets;
 use crate::gateway::report_handler::handle_report;
 use crate::gateway::send_guard::CONNECTION_LOST;
 use crate::gateway::send_guard::SERVER_RESTARTED;
@@ -286,10 +287,20 @@
         request_hash: request_hash(call),
         prompt_blocks: &call.head.prompt_blocks,
         tried: &retry_state.tried,
+        targets: stream_targets(context, call),
         limits,
     }
 }
 
+/// Returns what the caller of a stream expects, if prompts are paced.
+fn stream_targets(context: &GatewayContext, call: &AdmittedCall) -> Option<StreamTargets> {
+    let is_paced = context.settings.load.prompt_pacing && call.route.streaming;
+    is_paced.then_some(StreamTargets {
+        latency: call.route.target_latency,
+        pause: call.route.target_pause,
+    })
+}
+
 /// Decodes the head of a response and determines whether it belongs to the request
 /// and whether the request ran.
 fn classify_response(
@@ -303,7 +314,11 @@
     let head = context.platform.format.decode_response(status, headers);
     if let Some(load) = head.load {
         let now = context.now();
-        context.backends.lock().note_load(now, backend, load);
+        let mut backends = context.backends.lock();
+        backends.note_load(now, backend, load);
+        if head.reports_pace && context.settings.load.server_pace {
+            backends.note_reports_pace(backend);
+        }
     }
     if head.request_id.as_ref() != Some(&call.head.id.0) {
         // A late response to an earlier request arrived instead; the connection
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -23,6 +23,7 @@
 
 use crate::boot_clock::TimeOver;
 use crate::gateway::backend_pool::PooledConnection;
+use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::byte_budget::ByteReservation;
 use crate::gateway::call_admission::AdmittedCall;
@@ -34,6 +35,7 @@
 use crate::gateway::call_log::count_usage;
 use crate::gateway::call_log::log_send_failed;
 use crate::gateway::call_log::note_outcome;
+use crate::gateway::event_pauses::EventPauses;
 use crate::gateway::event_splitter::EventBatch;
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::gateway_context::CallGuard;
@@ -85,6 +87,7 @@
     events: usize,
     first_event_delay: Option<Duration>,
     stall_detector: StallDetector,
+    pauses: EventPauses,
     /// Whether the retry that resumes the stream was already taken out of the
     /// budget.
     has_resume_budget: bool,
@@ -111,6 +114,7 @@
         let now = Instant::now();
         let relay = Self {
             stall_detector: StallDetector::new(now, &call.route),
+            pauses: EventPauses::new(),
             has_resume_budget: false,
             _call_guard: context.track_call(),
             last_event: call.head.last_event,
@@ -204,13 +208,37 @@
             self.first_event_delay = Some(delay);
             histogram!("cloverbend_first_event_seconds").record(delay.as_secs_f64());
         }
+        let event_time = self.pauses.note_event(Instant::now());
         if let Some(response) = self.response.as_mut() {
             response.guard.note_first_event();
+            if let Some(event_time) = event_time {
+                response.guard.note_event_time(event_time);
+            }
         }
         self.events += batch.count;
         self.last_event = batch.last_id.or(self.last_event);
     }
 
+    /// Counts and logs a stream that paused for longer than its route allows.
+    fn record_longest_pause(&self, backend: &BackendId) {
+        let longest = self.pauses.longest();
+        histogram!("cloverbend_longest_pause_seconds").record(longest.as_secs_f64());
+        if longest <= self.call.route.target_pause {
+            return;
+        }
+        counter!("cloverbend_late_pauses_total").increment(1);
+        if self.may_log(LineClass::Failure) {
+            let backends = self.context.backends.lock();
+            let state = backends.get(backend);
+            info!(self.context.log, "stream paused for too long"; "request" => %self.call.head.id,
+                "route" => &self.call.route.name, "backend" => %backend,
+                "longest_pause_ms" => longest.as_millis() as u64,
+                "target_pause_ms" => self.call.route.target_pause.as_millis() as u64,
+                "pace" => state.map(|state| state.pace().to_string()),
+                "unread_tokens" => state.map(|state| state.pending_tokens + state.peer_pending_tokens));
+        }
+    }
+
     /// Drops a stalled response if the stream may resume at another backend
     /// server. Otherwise keeps waiting: the stalled response may still continue.
     fn handle_stall(&mut self) {
@@ -267,6 +295,7 @@
                 counter!("cloverbend_streams_resumed_total").increment(1);
                 self.response = Some(open_response(backend_response));
                 self.stall_detector.note_resumed(Instant::now());
+                self.pauses.note_resumed();
                 let empty = Frame::data(Bytes::new());
                 Some((Ok(empty), self))
             }
@@ -302,9 +331,11 @@
             .return_connection(guard.backend(), connection, keep_alive);
         guard.note_completed();
         counter!("cloverbend_calls_answered_total").increment(1);
+        self.record_longest_pause(guard.backend());
         if self.may_log(LineClass::Step) {
             info!(self.context.log, "request answered"; "request" => %self.call.head.id,
                 "backend" => %guard.backend(), "events" => self.events,
+                "longest_pause_ms" => self.pauses.longest().as_millis() as u64,
                 "first_event_ms" => self.first_event_delay.map(|delay| delay.as_millis() as u64),
                 "after_ms" => self.call.elapsed().as_millis() as u64);
         }
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use metrics::counter;
+use metrics::gauge;
 use slog::info;
 use slog::warn;
 
@@ -14,6 +15,7 @@
 use crate::gateway::account_limits::ShareView;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::backend_state::BackendState;
 use crate::gateway::crash_detector::merge_crash_reports;
 use crate::gateway::document_parts::DocumentPart;
 use crate::gateway::document_parts::DocumentPull;
@@ -37,6 +39,7 @@
 use crate::gateway::peer_table::PeerState;
 use crate::gateway::peer_table::SenderIncarnation;
 use crate::gateway::peer_table::add_loads;
+use crate::gateway::server_pace::PaceCounts;
 use crate::gateway::store_task::adopt_backend_changes;
 use crate::gateway::store_task::adopt_backend_list;
 use crate::gateway::store_task::adopt_received;
@@ -220,14 +223,22 @@
             let excluded = excluded.get(id);
             let in_flight = excluded.map_or(0, |load| load.in_flight);
             let pending_tokens = excluded.map_or(0, |load| load.unread);
-            BackendLoad {
+            let excluded_pace =
+                excluded.map_or_else(PaceCounts::default, |load| load.pace_counts());
+            let sum_pace = PaceCounts {
+                weight_milli: sum.pace_weight,
+                log_milli: sum.pace_log,
+            };
+            let mut remainder = BackendLoad {
                 in_flight: sum.in_flight.saturating_sub(in_flight),
                 unread: sum.unread.saturating_sub(pending_tokens),
                 ..sum.clone()
-            }
+            };
+            remainder.set_pace(sum_pace.minus(excluded_pace));
+            remainder
         };
         let remainders = self.loads.iter().map(remainder);
-        remainders.filter(|load| load.in_flight > 0).collect()
+        remainders.filter(|load| !load.is_empty()).collect()
     }
 }
 
@@ -395,17 +406,21 @@
 }
 
 fn own_loads(context: &GatewayContext) -> Vec<BackendLoad> {
+    let now = context.now();
     let backends = context.backends.lock();
-    backends
-        .iter()
-        .filter(|backend| backend.in_flight > 0)
-        .map(|backend| BackendLoad {
+    let own_load = |backend: &BackendState| {
+        let pace_counts = backend.pace_counts(now);
+        BackendLoad {
             backend: backend.record.id.name.0.clone(),
             start: backend.record.id.start.0,
             in_flight: backend.in_flight,
             unread: backend.pending_tokens,
-        })
-        .collect()
+            pace_weight: pace_counts.weight_milli,
+            pace_log: pace_counts.log_milli,
+        }
+    };
+    let loads = backends.iter().map(own_load);
+    loads.filter(|load| !load.is_empty()).collect()
 }
 
 /// Returns the demand of the callers of this entry for each service.
@@ -616,6 +631,18 @@
 
 fn update_peer_loads(context: &GatewayContext, now: Timestamp) {
     let sums = context.peers.lock().backend_loads(now);
+    if context.settings.load.server_pace {
+        let paces = sums.iter().filter(|(_, sum)| sum.pace_weight > 0);
+        let paces = paces.map(|(id, sum)| (id.clone(), sum.pace_counts()));
+        let spreads = context.backends.lock().update_paces(now, paces);
+        for (service, spread) in spreads {
+            for (bound, pace) in [("fastest", spread.fastest), ("slowest", spread.slowest)] {
+                let service = service.to_string();
+                gauge!("cloverbend_server_pace", "service" => service, "bound" => bound)
+                    .set(pace.0);
+            }
+        }
+    }
     let loads = sums.into_iter();
     let loads = loads.map(|(id, sum)| (id, sum.in_flight, sum.unread));
     context.backends.lock().replace_peer_loads(loads);
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -14,6 +14,7 @@
 use crate::gateway::report_table::RelayedReport;
 use crate::gateway::send_permits::LimitedSends;
 use crate::gateway::send_permits::PermitGrant;
+use crate::gateway::server_pace::PaceCounts;
 use crate::id::AccountName;
 use crate::id::EntryName;
 use crate::id::FenceToken;
@@ -59,9 +60,35 @@
     /// its own clock; 0 if the server does not report it.
     #[prost(uint64, tag = "4")]
     pub start: u64,
+    /// The weight of the samples of event times there, in thousandths.
+    #[prost(uint32, tag = "5")]
+    pub pace_weight: u32,
+    /// The weighted sum of the logarithms of these times in milliseconds, in thousandths.
+    #[prost(sint64, tag = "6")]
+    pub pace_log: i64,
 }
 
 impl BackendLoad {
+    /// Returns the samples of event times, bounded.
+    pub fn pace_counts(&self) -> PaceCounts {
+        let counts = PaceCounts {
+            weight_milli: self.pace_weight,
+            log_milli: self.pace_log,
+        };
+        counts.bounded()
+    }
+
+    /// Sets the samples of event times.
+    pub fn set_pace(&mut self, counts: PaceCounts) {
+        self.pace_weight = counts.weight_milli;
+        self.pace_log = counts.log_milli;
+    }
+
+    /// Returns whether it reports anything.
+    pub fn is_empty(&self) -> bool {
+        self.in_flight == 0 && self.pace_weight == 0
+    }
+
     /// Returns the incarnation of the server that has the requests.
     pub fn id(&self) -> BackendId {
         BackendId::with_start(self.backend.clone(), self.start)
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -23,6 +23,7 @@
 use crate::gateway::peer_gossip::GatewayGossip;
 use crate::gateway::peer_gossip::HubView;
 use crate::gateway::peer_gossip::ServiceDemand;
+use crate::gateway::server_pace::PaceCounts;
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::id::Incarnation;
@@ -685,11 +686,18 @@
     for load in loads {
         match sums.get_mut(&load.id()) {
             Some(sum) => {
-                sum.in_flight += load.in_flight;
-                sum.unread += load.unread;
+                sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+                sum.unread = sum.unread.saturating_add(load.unread);
+                let sum_counts = PaceCounts {
+                    weight_milli: sum.pace_weight,
+                    log_milli: sum.pace_log,
+                };
+                sum.set_pace(sum_counts.plus(load.pace_counts()));
             }
             None => {
-                sums.insert(load.id(), load.clone());
+                let mut sum = load.clone();
+                sum.set_pace(load.pace_counts());
+                sums.insert(load.id(), sum);
             }
         }
     }
--- a/lib/src/gateway/platform_interface.rs
+++ b/lib/src/gateway/platform_interface.rs
@@ -70,6 +70,8 @@
     pub not_executed: bool,
     /// The load of the backend server, if it reports it.
     pub load: Option<LoadReport>,
+    /// Whether the backend server reports how long work takes there now.
+    pub reports_pace: bool,
     /// What else the backend server reports of itself.
     pub report: ServerReport,
     /// How long the backend server keeps an idle connection open.
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 
@@ -100,6 +101,13 @@
         }
     }
 
+    /// Notes the time that the server took for an event, while it did little else.
+    pub fn note_event_time(&self, event_time: Duration) {
+        let now = self.context.now();
+        let mut backends = self.context.backends.lock();
+        backends.note_event_time(now, &self.request.backend, event_time);
+    }
+
     /// Notes that the first event has arrived, which means that the prefill of the
     /// prompt is done.
     pub fn note_first_event(&mut self) {
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -259,6 +259,7 @@
             request_hash,
             prompt_blocks: &[],
             tried: &[],
+            targets: None,
             limits: &self.limits,
         }
     }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -432,6 +432,8 @@
         in_flight: 2,
         unread: 300,
         start: 12,
+        pace_weight: 7,
+        pace_log: -9,
     };
     full.backend_loads = vec![load.clone()];
     full.service_demand = vec![ServiceDemand {
