call_work: estimate the work of each request, and the wait for a slot by the runs there

One mean time for a whole service stood for a tag of three events and a report of a hundred. It also included the queue, so the wait for a slot, which is that mean times the queue, counted the queue twice.

With [load] work_estimates, a request's generation is estimated from the caller's length hint times the pace of its route and from the usual time of the route, each weighed by how far off it usually is (call_work, in logarithms; a route without a history is estimated like its service, a service without one by its mean time). The entry keeps the expected ends of its own runs at each server (slot_forecast, at most 64), and the mean time in a slot without the queue (service_times). The wait for a slot is the time until enough runs have ended: own ones by how far they are, those of other entries evenly over the mean. Without own runs and without a known slot time, as with the switch off, it is the formula from before.

--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -21,6 +21,8 @@
 use crate::gateway::call_head::PromptBlock;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::service_times::ServiceTimes;
+use crate::gateway::slot_forecast::SlotQuery;
+use crate::gateway::slot_forecast::forecast_slot_wait;
 use crate::id::ServiceName;
 use crate::id::ZoneName;
 use crate::quantity::Timestamp;
@@ -131,7 +133,7 @@
                 .then_with(|| order(a.3).total_cmp(&order(b.3)))
         })
         .map(|(cost, _, prefill_tokens, backend)| {
-            let slot_wait = estimate_slot_wait(backend, now, times.total_time);
+            let slot_wait = estimate_slot_wait(backend, now, times.mean_slot_time());
             let tokens_ahead = backend.pending_tokens + backend.peer_pending_tokens;
             BackendChoice {
                 id: backend.record.id.clone(),
@@ -240,12 +242,15 @@
     }
 }
 
-/// Estimates the wait for a slot, on the assumption that the slots become free one after
-/// another, evenly over the time that a request takes.
-fn estimate_slot_wait(backend: &BackendState, now: Timestamp, total_time: Duration) -> Duration {
-    let slots = backend.record.slots.max(1);
-    let waiting = (backend.occupancy(now) + 1).saturating_sub(slots);
-    total_time.mul_f64(f64::from(waiting) / f64::from(slots))
+/// Estimates the wait for a slot by the runs at a backend server. `mean_time` is the mean
+/// time of a request in a slot.
+fn estimate_slot_wait(backend: &BackendState, now: Timestamp, mean_time: Duration) -> Duration {
+    let query = SlotQuery {
+        slots: backend.record.slots,
+        occupancy: backend.occupancy(now),
+        mean_time,
+    };
+    forecast_slot_wait(now, &query, &backend.own_runs)
 }
 
 /// Returns a pseudorandom number from 0 to 1 for a request and a server.
@@ -275,7 +280,7 @@
     let own_cost = prefill_ms * PREFILL_WEIGHT;
     let mut cost = queued_ms + own_cost;
     cost += stream_delay_cost(prefill_ms, utilization(backend, now).min(1.0));
-    cost += estimate_slot_wait(backend, now, times.total_time).as_secs_f64() * 1_000.0;
+    cost += estimate_slot_wait(backend, now, times.mean_slot_time()).as_secs_f64() * 1_000.0;
     cost += backend.failure_share * FAILURE_COST_MS;
     if backend.record.zone != *query.zone {
         cost += ZONE_COST_MS;
--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -23,6 +23,8 @@
 use crate::gateway::list_history::record_digest;
 use crate::gateway::list_update_cache::ListUpdateCache;
 use crate::gateway::service_times::ServiceTimes;
+use crate::gateway::slot_forecast::OwnRun;
+use crate::gateway::slot_forecast::RunId;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
 
@@ -460,6 +462,32 @@
         times.note_finished(elapsed, had_free_slot);
     }
 
+    /// Adds an own run at a backend server.
+    pub fn add_run(&mut self, id: &BackendId, run: OwnRun) -> Option<RunId> {
+        self.get_mut(id)?.own_runs.add(run)
+    }
+
+    /// Notes that the generation of an own run has begun.
+    pub fn note_run_began(&mut self, now: Timestamp, id: &BackendId, run: RunId) {
+        if let Some(backend) = self.get_mut(id) {
+            backend.own_runs.note_began(now, run);
+        }
+    }
+
+    /// Removes an own run that has ended.
+    pub fn remove_run(&mut self, id: &BackendId, run: RunId) {
+        if let Some(backend) = self.get_mut(id) {
+            backend.own_runs.remove(run);
+        }
+    }
+
+    /// Adds the time for which a request occupied a slot to the observed times of the
+    /// service.
+    pub fn note_slot_time(&mut self, service: &ServiceName, took: Duration) {
+        let times = self.times.entry(service.clone()).or_default();
+        times.note_slot_time(took);
+    }
+
     /// Remembers the load that a backend server reported.
     pub fn note_load(&mut self, now: Timestamp, id: &BackendId, load: LoadReport) {
         if let Some(backend) = self.get_mut(id) {
--- a/lib/src/gateway/backend_state.rs
+++ b/lib/src/gateway/backend_state.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_record::LoadReport;
+use crate::gateway::slot_forecast::OwnRuns;
 use crate::quantity::Timestamp;
 
 /// The most prompt blocks remembered for a backend server.
@@ -31,6 +32,8 @@
     pub peer_pending_tokens: u64,
     /// The share of requests that failed, as a moving average.
     pub failure_share: f64,
+    /// This entry's runs there, if work is estimated.
+    pub own_runs: OwnRuns,
     pub(super) load: Option<(Timestamp, LoadReport)>,
     /// Connection failures since the last request that the server served.
     pub(super) connection_failures: u32,
@@ -53,6 +56,7 @@
             peer_in_flight: 0,
             peer_pending_tokens: 0,
             failure_share: 0.0,
+            own_runs: OwnRuns::default(),
             load: None,
             connection_failures: 0,
             ejected_until: Timestamp(0),
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -37,6 +37,8 @@
 use crate::gateway::send_guard::SERVER_RESTARTED;
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::send_guard::SentRequest;
+use crate::gateway::sent_work::SentWork;
+use crate::gateway::sent_work::estimate_work;
 use crate::gateway::server_limits::ServerLimits;
 use crate::quantity::Timestamp;
 
@@ -154,8 +156,9 @@
         {
             SendResult::Responded(exchange, head) => {
                 retry_state.possible_runs += 1;
-                chosen.guard.note_head();
-                log_request_sent(context, call, &backend, chosen.prefill_tokens);
+                chosen.guard.note_head(exchange.response.status());
+                let work = chosen.guard.work_estimate();
+                log_request_sent(context, call, &backend, chosen.prefill_tokens, work);
                 return Ok(BackendResponse {
                     exchange: *exchange,
                     head,
@@ -377,8 +380,10 @@
     let address = backend.record.address;
     let had_free_slot = backend.occupancy(now) < backend.record.slots;
     let tokens_ahead = backend.pending_tokens + backend.peer_pending_tokens;
-    let speed = backends.times(&call.service).prefill_speed;
+    let times = backends.times(&call.service);
+    let speed = times.prefill_speed;
     let expected_first_event = speed.first_event(tokens_ahead + choice.prefill_tokens);
+    let work = estimate_work(context, call, &times, choice.prefill_tokens);
     if retry_state.tried.is_empty() {
         context
             .work
@@ -395,6 +400,9 @@
         .map(|block| block.id)
         .collect();
     backends.note_sent(now, &choice.id, choice.prefill_tokens, &block_ids);
+    let is_first = retry_state.tried.is_empty();
+    let work =
+        work.map(|estimate| SentWork::begin(&mut backends, now, call, &choice, estimate, is_first));
     limits.note_sent(now, &choice.id);
     drop(limits);
     drop(backends);
@@ -406,6 +414,7 @@
         tokens_ahead,
         had_free_slot,
         sent_at: now,
+        work,
     };
     let guard = SendGuard::new(context, sent_request);
     NextStep::Send(Box::new(ChosenBackend {
--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -2,11 +2,15 @@
 
 use http::StatusCode;
 use metrics::counter;
+use slog::KV;
+use slog::Record;
+use slog::Serializer;
 use slog::info;
 
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::call_admission::AdmittedCall;
+use crate::gateway::call_work::WorkEstimate;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
 use crate::id::AccountName;
@@ -30,12 +34,26 @@
     }
 }
 
+/// The keys of a log line about estimated work. There are none without an estimate.
+struct WorkKeys<'a>(Option<&'a WorkEstimate>);
+
+impl KV for WorkKeys<'_> {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let Some(work) = self.0 else {
+            return Ok(());
+        };
+        serializer.emit_u64("slot_ms".into(), work.slot_time().as_millis() as u64)?;
+        serializer.emit_str("estimated_by".into(), work.generation.basis.label())
+    }
+}
+
 /// Logs that a backend server began to respond.
 pub fn log_request_sent(
     context: &GatewayContext,
     call: &AdmittedCall,
     backend: &BackendId,
     prefill_tokens: u64,
+    work: Option<&WorkEstimate>,
 ) {
     if !context.may_log(&call.head.id.0, LineClass::Step) {
         return;
@@ -43,7 +61,7 @@
     info!(context.log, "request sent"; "request" => %call.head.id, "digest" => %call.digest,
         "route" => &call.route.name, "account" => call.account_name().map(AccountName::as_str), "backend" => %backend,
         "unread_tokens" => prefill_tokens, "target_ms" => call.route.target_latency.as_millis() as u64,
-        "left_ms" => call.time_left().as_millis() as u64);
+        "left_ms" => call.time_left().as_millis() as u64, WorkKeys(work));
 }
 
 /// Counts and logs a send that failed.
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -23,6 +23,7 @@
 use crate::gateway::backend_pool::BackendPool;
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::byte_budget::ByteBudget;
+use crate::gateway::call_work::WorkHistory;
 use crate::gateway::change_counts::ChangeCounts;
 use crate::gateway::config_follower::ConfigFollower;
 use crate::gateway::crash_detector::CrashDetector;
@@ -86,6 +87,8 @@
     pub retry_budget: Mutex<RetryBudget>,
     /// The demand for each service.
     pub work: Mutex<WorkMeter>,
+    /// The observed work of requests by route.
+    pub work_history: Mutex<WorkHistory>,
     /// The requests of each account that began to run.
     pub usage: Mutex<UsageTable>,
     /// The other entries.
@@ -156,6 +159,7 @@
             )),
             retry_budget: Mutex::new(RetryBudget::new()),
             work: Mutex::new(WorkMeter::new()),
+            work_history: Mutex::new(WorkHistory::default()),
             usage: Mutex::new(UsageTable::new(incarnation)),
             peers: Mutex::new(PeerTable::new(settings.name.clone(), settings.hub_capacity)),
             lease: Mutex::new(new_lease(&settings, incarnation)),
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -39,8 +39,8 @@
 //! The traits in [`platform_interface`] hide the formats of the platform.
 //!
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
-//! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`. No
-//! lock is held across an await.
+//! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`,
+//! `work_history`. No lock is held across an await.
 
 pub mod account_limits;
 pub mod account_use;
@@ -58,6 +58,7 @@
 pub mod call_log;
 pub mod call_refusal;
 pub mod call_service;
+pub mod call_work;
 pub mod change_counts;
 pub mod config_follower;
 pub mod crash_detector;
@@ -111,14 +112,17 @@
 pub mod retry_budget;
 pub mod send_guard;
 pub mod send_permits;
+pub mod sent_work;
 pub mod server_labels;
 pub mod server_limits;
 pub mod server_report;
 pub mod service_times;
 pub mod site_config;
+pub mod slot_forecast;
 pub mod stall_detector;
 pub mod state_sizes;
 pub mod store_task;
+pub mod time_estimate;
 pub mod usage_table;
 pub mod window_decisions;
 pub mod work_meter;
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -3,15 +3,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use http::StatusCode;
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::call_digest::CallDigest;
+use crate::gateway::call_work::WorkEstimate;
 use crate::gateway::crash_detector::InterruptedRun;
 use crate::gateway::crash_detector::note_completed;
 use crate::gateway::crash_detector::probe_for_crash;
 use crate::gateway::crash_detector::record_crash;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::sent_work::SentWork;
 use crate::quantity::Timestamp;
 
 /// The cause reported when a connection ended before a response.
@@ -38,6 +41,8 @@
     pub had_free_slot: bool,
     /// When the request is sent.
     pub sent_at: Timestamp,
+    /// Its work, if work is estimated.
+    pub work: Option<SentWork>,
 }
 
 /// Counts a request at a backend server until the guard is dropped.
@@ -47,6 +52,8 @@
     /// When the response began, or when the request was sent if there is none yet.
     started_at: Timestamp,
     is_prefilled: bool,
+    /// Whether the response has a status of success.
+    is_success: bool,
     /// Canceled when the server is known to have restarted.
     pub restart_token: CancellationToken,
 }
@@ -59,6 +66,7 @@
             context: Arc::clone(context),
             started_at: request.sent_at,
             is_prefilled: false,
+            is_success: false,
             request,
         }
     }
@@ -68,9 +76,15 @@
         &self.request.backend
     }
 
+    /// Returns the estimated work, if work is estimated.
+    pub fn work_estimate(&self) -> Option<&WorkEstimate> {
+        self.request.work.as_ref().map(SentWork::estimate)
+    }
+
     /// Notes that the head of the response has arrived.
-    pub fn note_head(&mut self) {
+    pub fn note_head(&mut self, status: StatusCode) {
         self.started_at = self.context.now();
+        self.is_success = status.is_success();
     }
 
     /// Handles an interrupted response. The cause may be a crash of the server, which
@@ -90,6 +104,9 @@
     pub fn note_completed(&self) {
         self.context.note_first_response();
         note_completed(&self.context, self.request.digest);
+        if let Some(work) = self.request.work.as_ref().filter(|_| self.is_success) {
+            work.note_completed(&self.context);
+        }
     }
 
     fn run(&self) -> InterruptedRun {
@@ -106,12 +123,19 @@
         if std::mem::replace(&mut self.is_prefilled, true) {
             return;
         }
-        let took = self.context.now().since(self.request.sent_at);
+        let now = self.context.now();
+        let took = now.since(self.request.sent_at);
         let mut backends = self.context.backends.lock();
         backends.note_prefilled(&self.request.backend, self.request.prefill_tokens);
         if self.request.tokens_ahead == 0 {
             backends.note_first_event(&self.request.backend, self.request.prefill_tokens, took);
         }
+        if let Some(work) = &mut self.request.work {
+            work.note_first_event(now);
+            if let Some(run) = work.run() {
+                backends.note_run_began(now, &self.request.backend, run);
+            }
+        }
     }
 }
 
@@ -123,6 +147,9 @@
             backends.note_prefilled(&self.request.backend, self.request.prefill_tokens);
         }
         backends.note_finished(&self.request.backend, elapsed, self.request.had_free_slot);
+        if let Some(run) = self.request.work.as_ref().and_then(SentWork::run) {
+            backends.remove_run(&self.request.backend, run);
+        }
         drop(backends);
         self.context
             .incarnations
--- a/lib/src/gateway/service_times.rs
+++ b/lib/src/gateway/service_times.rs
@@ -26,6 +26,9 @@
     pub processing_time: Duration,
     /// The number of requests in `processing_time`, including the prior.
     processing_count: u32,
+    /// The mean time in a slot, without the queue, and the number of requests in it.
+    /// Unknown unless work is estimated.
+    slot_time: Option<(Duration, u32)>,
 }
 
 impl Default for ServiceTimes {
@@ -35,11 +38,26 @@
             total_time: PRIOR_TIME,
             processing_time: PRIOR_TIME,
             processing_count: 1,
+            slot_time: None,
         }
     }
 }
 
 impl ServiceTimes {
+    /// Returns the mean time for which a request occupies a slot: without the queue if
+    /// that is known, otherwise with it.
+    pub fn mean_slot_time(&self) -> Duration {
+        self.slot_time.map_or(self.total_time, |(mean, _)| mean)
+    }
+
+    /// Adds the time for which a request occupied a slot.
+    pub fn note_slot_time(&mut self, took: Duration) {
+        let (mean, count) = self.slot_time.unwrap_or((self.processing_time, 1));
+        let count = count.saturating_add(1);
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(count));
+        self.slot_time = Some((blend(mean, took, weight), count));
+    }
+
     /// Adds a finished request: its time at a backend server, and whether a slot
     /// seemed free when it was sent.
     pub fn note_finished(&mut self, elapsed: Duration, had_free_slot: bool) {
--- a/lib/src/metrics_export.rs
+++ b/lib/src/metrics_export.rs
@@ -2,6 +2,7 @@
 
 use std::sync::OnceLock;
 
+use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
@@ -12,10 +13,15 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.6, 3.0, 10.0, 60.0,
 ];
 
+/// The upper bounds of histograms of the ratio of a time to its estimate.
+const RATIOS: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.33, 2.0, 4.0, 10.0];
+
 /// Installs the recorder of this process. Later calls do nothing.
 pub fn install_metrics() {
     HANDLE.get_or_init(|| {
         let builder = PrometheusBuilder::new().set_buckets(&SECONDS).ok()?;
+        let ratios = Matcher::Suffix("_ratio".to_owned());
+        let builder = builder.set_buckets_for_metric(ratios, &RATIOS).ok()?;
         builder.install_recorder().ok()
     });
 }
