--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -42,8 +42,8 @@
         let Some(work) = self.0 else {
             return Ok(());
         };
-        serializer.emit_u64("slot_ms".into(), work.slot_time().as_millis() as u64)?;
-        serializer.emit_str("estimated_by".into(), work.generation.basis.label())
+        serializer.emit_u64("slot_ms", work.slot_time().as_millis() as u64)?;
+        serializer.emit_str("estimated_by", work.generation.basis.label())
     }
 }
 
