Merge work estimates

Interfaces as agreed: the wait for a slot is scaled by the server's pace, and the mean time in a slot stands for the service's mean time of a request.

--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -24,6 +24,8 @@
 use crate::gateway::prompt_pacing::StreamTargets;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::service_times::ServiceTimes;
+use crate::gateway::slot_forecast::SlotQuery;
+use crate::gateway::slot_forecast::forecast_slot_wait;
 use crate::id::ServiceName;
 use crate::id::ZoneName;
 use crate::quantity::Timestamp;
@@ -145,7 +147,7 @@
         })
         .map(|(cost, _, prefill_tokens, backend)| {
             let pace = backend.pace();
-            let slot_wait = pace.scale(estimate_slot_wait(backend, now, times.total_time));
+            let slot_wait = pace.scale(estimate_slot_wait(backend, now, times.mean_slot_time()));
             let tokens_ahead = backend.pending_tokens + backend.peer_pending_tokens;
             let tokens = pace.scale_tokens(tokens_ahead + prefill_tokens);
             BackendChoice {
@@ -265,12 +267,15 @@
     }
 }
 
-/// Estimates the wait for a slot, on the assumption that the slots become free one after
-/// another, evenly over the time that a request takes.
-fn estimate_slot_wait(backend: &BackendState, now: Timestamp, total_time: Duration) -> Duration {
-    let slots = backend.record.slots.max(1);
-    let waiting = (backend.occupancy(now) + 1).saturating_sub(slots);
-    total_time.mul_f64(f64::from(waiting) / f64::from(slots))
+/// Estimates the wait for a slot by the runs at a backend server. `mean_time` is the mean
+/// time of a request in a slot.
+fn estimate_slot_wait(backend: &BackendState, now: Timestamp, mean_time: Duration) -> Duration {
+    let query = SlotQuery {
+        slots: backend.record.slots,
+        occupancy: backend.occupancy(now),
+        mean_time,
+    };
+    forecast_slot_wait(now, &query, &backend.own_runs)
 }
 
 /// Returns the delay that a request has to expect at a server that is nearly full. The
@@ -340,9 +345,9 @@
     prefill_tokens: u64,
 ) -> f64 {
     let mut cost = reading_cost(backend, now, query, times.prefill_speed, prefill_tokens);
-    let slot_wait = estimate_slot_wait(backend, now, times.total_time);
+    let slot_wait = estimate_slot_wait(backend, now, times.mean_slot_time());
     let crowding_delay = match backend.is_paced() {
-        true => crowding_delay(backend, now, times.total_time),
+        true => crowding_delay(backend, now, times.mean_slot_time()),
         false => Duration::ZERO,
     };
     let wait = backend.pace().scale(slot_wait + crowding_delay);
