return_promises: callers that return as asked are served first

Callers that are refused together were told a time by chance and came back together: nobody knew them, and they were refused again by chance. With [load] return_promises the entry that refuses a request chooses a time for which slots are not promised yet, remembers it by the request's digest, and tells the other entries through the hubs in at most 4 KB a message. A return at its time is sent unless it would miss its deadline; one before its time is refused with the rest of it. A request has one draw for all its attempts. Without the setting nothing changes but two fields in the log line of a refusal.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -27,6 +27,10 @@
 use crate::gateway::call_log::log_send_failed;
 use crate::gateway::call_log::note_outcome;
 use crate::gateway::call_refusal::CallRefusal;
+use crate::gateway::call_return::ReturnDecision;
+use crate::gateway::call_return::decide_return;
+use crate::gateway::call_return::promise_return;
+use crate::gateway::call_return::shedding_draw;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::load_shedding::SheddingQuery;
 use crate::gateway::load_shedding::shed_request;
@@ -141,7 +145,10 @@
         }
         let mut chosen = match choose_next_step(context, call, retry_state) {
             NextStep::Send(chosen) => chosen,
-            NextStep::Crowded(after) => return Err(CallRefusal::Crowded(after)),
+            NextStep::Crowded { after, slot_wait } => {
+                let retry_time = promise_return(context, call, slot_wait, Some(after));
+                return Err(CallRefusal::Crowded(retry_time));
+            }
             // If an attempt may have run, the refusal has to say so instead.
             NextStep::AllClosed(after) if retry_state.possible_runs == 0 => {
                 return Err(CallRefusal::AllClosed(after));
@@ -192,17 +199,24 @@
             break;
         }
     }
-    Err(final_refusal(call, retry_state, not_executed))
+    Err(final_refusal(context, call, retry_state, not_executed))
 }
 
 /// Returns the refusal of a request that is not sent again.
-fn final_refusal(call: &AdmittedCall, retry_state: &RetryState, not_executed: bool) -> CallRefusal {
+fn final_refusal(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    retry_state: &RetryState,
+    not_executed: bool,
+) -> CallRefusal {
     let is_late = call.time_left() <= MIN_TIME_LEFT;
     match (retry_state.possible_runs > 0, is_late) {
         (true, true) => CallRefusal::TimedOut,
         (true, false) => CallRefusal::Lost,
         (false, true) => CallRefusal::TooLate,
-        (false, false) if not_executed => CallRefusal::AllFull,
+        (false, false) if not_executed => {
+            CallRefusal::AllFull(promise_return(context, call, Duration::ZERO, None))
+        }
         (false, false) => CallRefusal::NoBackend,
     }
 }
@@ -347,7 +361,12 @@
     /// Send it to this backend server.
     Send(Box<ChosenBackend>),
     /// Refuse it for load shedding; the caller may retry after that time.
-    Crowded(Duration),
+    Crowded {
+        /// That time.
+        after: Duration,
+        /// The wait for a slot at the best server.
+        slot_wait: Duration,
+    },
     /// Refuse it because every server backs off or has reached its limit for this
     /// entry; the caller may retry after that time.
     AllClosed(Duration),
@@ -384,8 +403,14 @@
             .work
             .lock()
             .note(now, &call.service, choice.prefill_tokens);
-        if let Some(after) = shed_request(&shedding_query(call, &choice)) {
-            return NextStep::Crowded(after);
+        let slot_wait = choice.slot_wait;
+        let shed_after = match decide_return(context, call, &choice, now) {
+            ReturnDecision::Admit => None,
+            ReturnDecision::Refuse => Some(slot_wait),
+            ReturnDecision::Undecided => shed_request(&shedding_query(context, call, &choice)),
+        };
+        if let Some(after) = shed_after {
+            return NextStep::Crowded { after, slot_wait };
         }
     }
     let block_ids: Vec<u64> = call
@@ -440,14 +465,19 @@
     XxHash64::oneshot(2, call.head.id.0.as_bytes())
 }
 
-fn shedding_query(call: &AdmittedCall, choice: &BackendChoice) -> SheddingQuery {
+fn shedding_query(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    choice: &BackendChoice,
+) -> SheddingQuery {
+    let draw = request_hash(call) as f64 / u64::MAX as f64;
     SheddingQuery {
         expected_latency: choice.first_event,
         slot_wait: choice.slot_wait,
         target_latency: call.route.target_latency.min(call.time_left()),
         shortest_target: call.shortest_target,
         urgency: call.priority(),
-        draw: request_hash(call) as f64 / u64::MAX as f64,
+        draw: shedding_draw(context, call, draw),
     }
 }
 
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -15,6 +15,15 @@
 /// backend servers.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// When the caller of a refused request should retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryTime {
+    /// The time after which it should retry, if that is known.
+    pub after: Option<Duration>,
+    /// Whether the caller was refused before and asked to return.
+    pub is_return: bool,
+}
+
 /// Why a request is not served. With the last two reasons it may have run; with
 /// all others it certainly did not.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,12 +48,12 @@
     NoBackend,
     /// The backend servers are full, and the response would be late; the caller
     /// may retry after that time.
-    Crowded(Duration),
+    Crowded(RetryTime),
     /// Every backend server has reached its limit for this entry or asked for a
     /// back-off; the first one is available after that time.
     AllClosed(Duration),
     /// The backend servers refused the request without running it.
-    AllFull,
+    AllFull(RetryTime),
     /// The request crashes the backend servers that run it.
     CrashesServers,
     /// This entry is draining.
@@ -63,6 +72,14 @@
         matches!(self, Self::Lost | Self::TimedOut)
     }
 
+    /// Returns whether the caller was refused before and asked to return.
+    pub fn is_return(&self) -> bool {
+        match self {
+            Self::Crowded(retry_time) | Self::AllFull(retry_time) => retry_time.is_return,
+            _ => false,
+        }
+    }
+
     /// Returns the reason code for logs, metrics and the response body.
     pub fn code(&self) -> &'static str {
         match self {
@@ -77,7 +94,7 @@
             Self::NoBackend => "no_backend",
             Self::Crowded(_) => "crowded",
             Self::AllClosed(_) => "all_closed",
-            Self::AllFull => "all_full",
+            Self::AllFull(_) => "all_full",
             Self::CrashesServers => "crashes_servers",
             Self::Draining => "leaving",
             Self::TooLate => "too_late",
@@ -99,7 +116,7 @@
             | Self::NoBackend
             | Self::Crowded(_)
             | Self::AllClosed(_)
-            | Self::AllFull
+            | Self::AllFull(_)
             | Self::CrashesServers
             | Self::Draining
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -112,10 +129,18 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::OverLimit(after) => Some((*after).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)),
-            Self::Crowded(after) | Self::AllClosed(after) => {
-                Some((*after).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
-            }
-            Self::NoRoom | Self::NoConfig | Self::NoBackend | Self::AllFull => {
+            Self::AllClosed(after)
+            | Self::Crowded(RetryTime {
+                after: Some(after), ..
+            })
+            | Self::AllFull(RetryTime {
+                after: Some(after), ..
+            }) => Some((*after).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)),
+            Self::NoRoom
+            | Self::NoConfig
+            | Self::NoBackend
+            | Self::Crowded(_)
+            | Self::AllFull(_) => {
                 Some(MIN_RETRY_AFTER + MIN_RETRY_AFTER.mul_f64(rand::rng().random()))
             }
             // The crash ledger keeps a request for this long after its last attempt.
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -74,6 +74,7 @@
 ) -> Response<CallerBody> {
     counter!("cloverbend_calls_refused_total", "reason" => refusal.code()).increment(1);
     let status = refusal.status();
+    let retry_after = refusal.retry_after();
     if context.may_log(id, LineClass::Failure) {
         let config = context.config.lock();
         let (revision, age) = (config.revision(), config.age(context.now()));
@@ -81,11 +82,13 @@
         info!(context.log, "request refused"; "request" => id, "reason" => refusal.code(),
             "status" => status.as_u16(), "revision" => revision.0,
             "revision_age_ms" => age.map(|age| age.as_millis() as u64),
-            "after_ms" => context.now().since(arrived_at).as_millis() as u64);
+            "after_ms" => context.now().since(arrived_at).as_millis() as u64,
+            "retry_after_ms" => retry_after.map(|after| after.as_millis() as u64),
+            "is_return" => refusal.is_return());
     }
     let mut response = Response::new(full_body(Bytes::from(format!("{}\n", refusal.code()))));
     *response.status_mut() = status;
-    if let Some(after) = refusal.retry_after() {
+    if let Some(after) = retry_after {
         let text = format!("{:.3}", after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&text) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/lib/src/gateway/gossip_frame.rs
+++ b/lib/src/gateway/gossip_frame.rs
@@ -23,6 +23,8 @@
 use crate::gateway::peer_gossip::HubView;
 use crate::gateway::peer_gossip::ServiceDemand;
 use crate::gateway::peer_gossip::WindowCount;
+use crate::gateway::promise_frames::PromiseListFrame;
+use crate::gateway::promise_frames::read_promises;
 use crate::gateway::report_frames::RelayedReportFrame;
 use crate::gateway::report_frames::ServerCountFrame;
 use crate::gateway::report_frames::read_reports;
@@ -109,6 +111,8 @@
     permits: Vec<ServerCountFrame>,
     #[prost(bytes = "bytes", optional, tag = "9")]
     packed_list: Option<Bytes>,
+    #[prost(message, repeated, tag = "10")]
+    promises: Vec<PromiseListFrame>,
 }
 
 /// The frame of [`GatewayGossip`].
@@ -166,6 +170,8 @@
     duties_end: u64,
     #[prost(bool, tag = "27")]
     accepts_packed_lists: bool,
+    #[prost(message, repeated, tag = "28")]
+    promises: Vec<PromiseListFrame>,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -226,6 +232,7 @@
         notices: summary.reports.into_iter().map(Into::into).collect(),
         permits: summary.permits.into_iter().map(Into::into).collect(),
         packed_list: summary.packed_list.map(|list| list.bytes().clone()),
+        promises: summary.promises.into_iter().map(Into::into).collect(),
     }
 }
 
@@ -245,6 +252,7 @@
         reports: read_reports(frame.notices),
         permits: frame.permits.into_iter().map(Into::into).collect(),
         packed_list: frame.packed_list.map(PackedList::from_bytes),
+        promises: read_promises(frame.promises)?,
     })
 }
 
@@ -278,6 +286,7 @@
             notices: gossip.reports.into_iter().map(Into::into).collect(),
             notices_hash: gossip.reports_digest,
             sends: gossip.sends.into_iter().map(Into::into).collect(),
+            promises: gossip.promises.into_iter().map(Into::into).collect(),
             tells: gossip.reports_state,
             wants_digest: gossip.wants_summary,
             backends_hash: gossip.backends_digest,
@@ -327,6 +336,7 @@
             reports: read_reports(frame.notices),
             reports_digest: frame.notices_hash,
             sends: frame.sends.into_iter().map(Into::into).collect(),
+            promises: read_promises(frame.promises)?,
             view: frame.view.map(|view| HubView {
                 entries: view.entries as usize,
                 reachable: view.heard as usize,
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -14,6 +14,8 @@
 use crate::gateway::account_limits::ShareView;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::call_return::apply_promises;
+use crate::gateway::call_return::purge_promises;
 use crate::gateway::crash_detector::merge_crash_reports;
 use crate::gateway::document_parts::DocumentPart;
 use crate::gateway::document_parts::DocumentPull;
@@ -37,6 +39,7 @@
 use crate::gateway::peer_table::PeerState;
 use crate::gateway::peer_table::SenderIncarnation;
 use crate::gateway::peer_table::add_loads;
+use crate::gateway::return_promises::PromiseList;
 use crate::gateway::store_task::adopt_backend_changes;
 use crate::gateway::store_task::adopt_backend_list;
 use crate::gateway::store_task::adopt_received;
@@ -66,6 +69,7 @@
             context.account_limits.lock().retire(incarnation);
         }
         update_peer_loads(&context, now);
+        purge_promises(&context, now);
         send_round(&context, now, round);
         pull_document(&context, now);
     }
@@ -135,6 +139,7 @@
         reports,
         reports_digest,
         sends,
+        promises: context.promises.lock().news(now, false),
         ..own_identity(context)
     }
 }
@@ -177,6 +182,7 @@
         gossip.backend_loads = Vec::new();
         gossip.service_demand = Vec::new();
         gossip.reports = Vec::new();
+        gossip.promises = Vec::new();
     }
 }
 
@@ -188,6 +194,7 @@
     hubs: Vec<(EntryName, SocketAddr, HubCapacity)>,
     loads: BTreeMap<BackendId, BackendLoad>,
     granted: GrantedPermits,
+    promises: Vec<PromiseList>,
 }
 
 impl SummarySource {
@@ -208,6 +215,7 @@
             hubs: peers.hub_addresses(now),
             loads,
             granted,
+            promises: context.promises.lock().news(now, true),
         }
     }
 
@@ -271,6 +279,7 @@
             .get(&message.name)
             .cloned()
             .unwrap_or_default(),
+        promises: source.promises.clone(),
     });
 }
 
@@ -487,6 +496,7 @@
         merge_crash_reports(context, &gossip.crashes);
     }
     apply_server_gossip(context, now, &gossip);
+    apply_promises(context, now, &gossip);
     if let Some(summary) = &gossip.summary {
         apply_summary(context, &gossip, summary, now);
     }
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -12,6 +12,7 @@
 use crate::gateway::list_frames::PackedList;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::report_table::RelayedReport;
+use crate::gateway::return_promises::PromiseList;
 use crate::gateway::send_permits::LimitedSends;
 use crate::gateway::send_permits::PermitGrant;
 use crate::id::AccountName;
@@ -131,6 +132,8 @@
     pub reports: Vec<RelayedReport>,
     /// Permits for the receiver to send requests to servers with a limit.
     pub permits: Vec<PermitGrant>,
+    /// Recent return promises of all entries.
+    pub promises: Vec<PromiseList>,
 }
 
 /// The gossip message that an entry sends to another several times a second. It
@@ -188,6 +191,8 @@
     pub reports_digest: u64,
     /// Requests that the sender has sent to servers with a limit.
     pub sends: Vec<LimitedSends>,
+    /// Return promises that the sender made or kept recently.
+    pub promises: Vec<PromiseList>,
     /// What the sender knows about all entries, if it replies as a hub.
     pub view: Option<HubView>,
     /// What the sender adds for the receiver, if it replies as a hub.
@@ -227,6 +232,7 @@
             reports: Vec::new(),
             reports_digest: 0,
             sends: Vec::new(),
+            promises: Vec::new(),
             view: None,
             summary: None,
         }
--- a/lib/tests/test_damaged_input.rs
+++ b/lib/tests/test_damaged_input.rs
@@ -19,6 +19,10 @@
 use cloverbend::gateway::hub_capacity::HubCapacity;
 use cloverbend::gateway::packed_document::PackedDocument;
 use cloverbend::gateway::peer_gossip::GatewayGossip;
+use cloverbend::gateway::return_promises::PromiseKey;
+use cloverbend::gateway::return_promises::PromiseList;
+use cloverbend::gateway::return_promises::PromiseNews;
+use cloverbend::gateway::return_promises::PromiseState;
 use cloverbend::id::Incarnation;
 use cloverbend::id::LogOffset;
 use cloverbend::id::RevisionNumber;
@@ -107,6 +111,21 @@
             },
             idle: Duration::from_millis(8),
         }],
+        promises: vec![PromiseList {
+            service: "chat".parse().unwrap(),
+            news: vec![
+                PromiseNews {
+                    key: PromiseKey(9),
+                    due_in: Duration::from_millis(300),
+                    state: PromiseState::Open,
+                },
+                PromiseNews {
+                    key: PromiseKey(10),
+                    due_in: Duration::ZERO,
+                    state: PromiseState::Kept,
+                },
+            ],
+        }],
         ..GatewayGossip::new(
             Incarnation(1),
             "entry-1".parse().unwrap(),
--- a/lib/tests/test_list_updates.rs
+++ b/lib/tests/test_list_updates.rs
@@ -77,6 +77,7 @@
         draining: Vec::new(),
         reports: Vec::new(),
         permits: Vec::new(),
+        promises: Vec::new(),
     });
     GatewayGossipFrame::from(gossip).encode_to_vec()
 }
