return_schedule: room for four in five slots, and at most two waits

The round trip of whole gossip messages in test_gateway_peers includes promises; three tests name the new field.

--- a/lib/src/gateway/return_schedule.rs
+++ b/lib/src/gateway/return_schedule.rs
@@ -22,9 +22,9 @@
 const BUCKET: Duration = Duration::from_millis(100);
 /// The share of slots that may be promised to the most urgent requests. The remainder is
 /// for requests that arrive for the first time.
-const URGENT_SHARE: f64 = 0.5;
+const URGENT_SHARE: f64 = 0.8;
 /// The decrease of that share for each level of lower urgency.
-const URGENCY_STEP: f64 = 0.1;
+const URGENCY_STEP: f64 = 0.15;
 /// The lower bound of that share.
 const MIN_SHARE: f64 = 0.1;
 /// How long a promise of another entry takes to arrive here: two rounds of gossip.
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -30,6 +30,10 @@
 use cloverbend::gateway::peer_table::PeerTable;
 use cloverbend::gateway::peer_table::SenderIncarnation;
 use cloverbend::gateway::report_table::RelayedReport;
+use cloverbend::gateway::return_promises::PromiseKey;
+use cloverbend::gateway::return_promises::PromiseList;
+use cloverbend::gateway::return_promises::PromiseNews;
+use cloverbend::gateway::return_promises::PromiseState;
 use cloverbend::gateway::send_permits::LimitedSends;
 use cloverbend::gateway::send_permits::PermitGrant;
 use cloverbend::id::EntryName;
@@ -451,6 +455,15 @@
         id: backend_id("b"),
         sent: 16,
     }];
+    let promises = PromiseList {
+        service: "pool".parse().unwrap(),
+        news: vec![PromiseNews {
+            key: PromiseKey(17),
+            due_in: Duration::from_millis(18),
+            state: PromiseState::Deferred,
+        }],
+    };
+    full.promises = vec![promises.clone()];
     full.crashes = vec![CrashReport {
         digest: CallDigest(5),
         record: CrashRecord {
@@ -493,6 +506,7 @@
             id: backend_id("b"),
             count: 2,
         }],
+        promises: vec![promises],
     });
     full
 }
--- a/lib/tests/test_gateway_size.rs
+++ b/lib/tests/test_gateway_size.rs
@@ -218,6 +218,7 @@
                 draining: Vec::new(),
                 reports: Vec::new(),
                 permits: Vec::new(),
+                promises: Vec::new(),
             }),
             ..GatewayGossip::new(
                 Incarnation(number as u64 + 1),
--- a/lib/tests/test_permit_issuer.rs
+++ b/lib/tests/test_permit_issuer.rs
@@ -458,6 +458,7 @@
         draining: Vec::new(),
         reports: Vec::new(),
         permits,
+        promises: Vec::new(),
     };
     let full = GatewayGossip {
         summary: Some(summary(permits.to_vec())),
