entry_queue: requests that would be shed may wait for a slot

In a peak of some tens of milliseconds less urgent requests are shed although slots become free in time. With [load] entry_queue a request that would be shed waits up to an eighth of its target latency, if enough of the entry's own requests are expected to end by then; the most urgent are sent first, of them those due first. Requests that load shedding sends to a replica's queue still go there, since the replica learns of a free slot sooner. Without the setting nothing changes.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -31,6 +31,8 @@
 use crate::gateway::call_return::decide_return;
 use crate::gateway::call_return::promise_return;
 use crate::gateway::call_return::shedding_draw;
+use crate::gateway::entry_wait::QueuedCall;
+use crate::gateway::entry_wait::join_entry_queue;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::load_shedding::SheddingQuery;
 use crate::gateway::load_shedding::shed_request;
@@ -75,6 +77,8 @@
     /// The number of attempts that ran or may have run.
     possible_runs: u32,
     repeatable: bool,
+    /// Whether the request has waited at this entry. Its demand is counted already.
+    pub has_waited: bool,
 }
 
 impl RetryState {
@@ -84,6 +88,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             repeatable: call.route.may_repeat(),
+            has_waited: false,
         }
     }
 
@@ -143,7 +148,14 @@
         {
             break;
         }
-        let mut chosen = match choose_next_step(context, call, retry_state) {
+        let mut step = choose_next_step(context, call, retry_state);
+        if let NextStep::Crowded { slot_wait, .. } = step
+            && let Some(waiter) = join_entry_queue(context, call, retry_state, slot_wait)
+        {
+            retry_state.has_waited = true;
+            step = wait_at_entry(context, call, retry_state, &waiter, step).await;
+        }
+        let mut chosen = match step {
             NextStep::Send(chosen) => chosen,
             NextStep::Crowded { after, slot_wait } => {
                 let retry_time = promise_return(context, call, slot_wait, Some(after));
@@ -202,6 +214,35 @@
     Err(final_refusal(context, call, retry_state, not_executed))
 }
 
+/// Waits until a server with a free slot is chosen or the wait is over. Returns the next
+/// step, which is `refusal` if there is no free slot.
+async fn wait_at_entry(
+    context: &Arc<GatewayContext>,
+    call: &AdmittedCall,
+    retry_state: &RetryState,
+    waiter: &QueuedCall,
+    refusal: NextStep,
+) -> NextStep {
+    while waiter.wait_for_turn().await {
+        let has_slot = has_free_slot(context, call, retry_state);
+        if has_slot && let step @ NextStep::Send(_) = choose_next_step(context, call, retry_state) {
+            waiter.note_sent(call);
+            return step;
+        }
+    }
+    waiter.note_refused(call);
+    refusal
+}
+
+/// Returns whether a server with a free slot would be chosen for the request.
+fn has_free_slot(context: &GatewayContext, call: &AdmittedCall, retry_state: &RetryState) -> bool {
+    let backends = context.backends.lock();
+    let limits = context.server_limits.lock();
+    let query = choice_query(context, call, retry_state, &limits);
+    choose_backend(&backends, context.now(), &query)
+        .is_some_and(|choice| choice.slot_wait.is_zero())
+}
+
 /// Returns the refusal of a request that is not sent again.
 fn final_refusal(
     context: &GatewayContext,
@@ -399,10 +440,12 @@
     let speed = backends.times(&call.service).prefill_speed;
     let expected_first_event = speed.first_event(tokens_ahead + choice.prefill_tokens);
     if retry_state.tried.is_empty() {
-        context
-            .work
-            .lock()
-            .note(now, &call.service, choice.prefill_tokens);
+        if !retry_state.has_waited {
+            context
+                .work
+                .lock()
+                .note(now, &call.service, choice.prefill_tokens);
+        }
         let slot_wait = choice.slot_wait;
         let shed_after = match decide_return(context, call, &choice, now) {
             ReturnDecision::Admit => None,
@@ -449,7 +492,7 @@
     retry_state: &RetryState,
     now: Timestamp,
 ) {
-    if retry_state.tried.is_empty() {
+    if retry_state.tried.is_empty() && !retry_state.has_waited {
         let tokens = call
             .head
             .prompt_blocks
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -28,6 +28,7 @@
 use crate::gateway::crash_detector::CrashDetector;
 use crate::gateway::crash_ledger::CrashLedger;
 use crate::gateway::document_transfer::DocumentFetcher;
+use crate::gateway::entry_queue::EntryQueue;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::incarnation_tracker::IncarnationTracker;
 use crate::gateway::lease_state::LeaseState;
@@ -117,6 +118,10 @@
     pub change_counts: Mutex<ChangeCounts>,
     /// The backend servers that have their own metric labels.
     pub server_labels: ServerLabels,
+    /// Requests that wait at this entry for a slot.
+    pub entry_queue: Mutex<EntryQueue>,
+    /// Wakes requests that wait for a slot when a request of this entry has ended.
+    pub slot_freed: Notify,
     /// Wakes the gossip task.
     pub gossip_due: Notify,
     /// Cancels all tasks.
@@ -174,6 +179,8 @@
             log_budget: Mutex::new(LogBudget::new()),
             change_counts: Mutex::new(ChangeCounts::default()),
             server_labels: ServerLabels::default(),
+            entry_queue: Mutex::new(EntryQueue::new()),
+            slot_freed: Notify::new(),
             gossip_due: Notify::new(),
             stop,
             draining: AtomicBool::new(false),
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -75,6 +75,8 @@
 pub mod duty_task;
 pub mod ended_incarnations;
 pub mod entry_discovery;
+pub mod entry_queue;
+pub mod entry_wait;
 pub mod event_relay;
 pub mod event_splitter;
 pub mod fatal_sync;
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -127,5 +127,6 @@
         self.context
             .incarnations
             .untrack_request(&self.request.backend);
+        self.context.slot_freed.notify_waiters();
     }
 }
