--- a/lib/tests/test_return_promises.rs
+++ b/lib/tests/test_return_promises.rs
@@ -497,3 +497,59 @@
     assert_eq!(book.purge(past), 1);
     assert!(book.is_empty());
 }
+
+fn news_of(digest: CallDigest, due_ms: u64, state: PromiseState) -> PromiseList {
+    PromiseList {
+        service: service(),
+        news: vec![PromiseNews {
+            key: digest.into(),
+            due_in: Duration::from_millis(due_ms),
+            state,
+        }],
+    }
+}
+
+/// Bound: news that is late by some time delays the caller by no more than that time.
+#[rstest]
+#[case::at_once(0)]
+#[case::two_rounds_late(500)]
+#[case::after_the_caller_should_have_returned(1_500)]
+fn late_news_delays_a_caller_by_its_lateness(#[case] late_ms: u64) {
+    let digest = CallDigest(5);
+    let made_at = Timestamp(7_000_000);
+    let heard_at = made_at.after(Duration::from_millis(late_ms));
+    let mut book = ReturnPromises::new();
+    let news = news_of(digest, 1_000, PromiseState::Open);
+    book.merge(heard_at, &[news], PromiseSource::Relayed);
+    let due = made_at.after(Duration::from_millis(1_000));
+    let status = book.status(due.max(heard_at), digest);
+    let lateness = Duration::from_millis(late_ms.min(1_000));
+    match status {
+        ReturnStatus::Early(left) => assert!(left <= lateness, "{left:?}"),
+        status => assert_eq!(status, ReturnStatus::Promised),
+    }
+}
+
+/// Whichever of two promises for a request is heard first, the later one holds, and a
+/// caller that returned has returned.
+#[rstest]
+#[case::two_promises([(300, PromiseState::Open), (900, PromiseState::Open)])]
+#[case::kept([(300, PromiseState::Open), (300, PromiseState::Kept)])]
+#[case::deferred_then_promised([(300, PromiseState::Deferred), (900, PromiseState::Open)])]
+fn the_order_of_news_does_not_matter(#[case] pair: [(u64, PromiseState); 2]) {
+    let digest = CallDigest(5);
+    let now = Timestamp(7_000_000);
+    let statuses = [[0, 1], [1, 0]].map(|order| {
+        let mut book = ReturnPromises::new();
+        for index in order {
+            let (due_ms, state) = pair[index];
+            book.merge(
+                now,
+                &[news_of(digest, due_ms, state)],
+                PromiseSource::Direct,
+            );
+        }
+        [0, 300, 900].map(|ms| book.status(now.after(Duration::from_millis(ms)), digest))
+    });
+    assert_eq!(statuses[0], statuses[1]);
+}
