--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -27,6 +27,12 @@
 use crate::gateway::call_log::log_send_failed;
 use crate::gateway::call_log::note_outcome;
 use crate::gateway::call_refusal::CallRefusal;
+use crate::gateway::call_return::ReturnDecision;
+use crate::gateway::call_return::decide_return;
+use crate::gateway::call_return::promise_return;
+use crate::gateway::call_return::shedding_draw;
+use crate::gateway::entry_wait::QueuedCall;
+use crate::gateway::entry_wait::join_entry_queue;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::load_shedding::SheddingQuery;
 use crate::gateway::load_shedding::shed_request;
@@ -74,6 +80,8 @@
     /// The number of attempts that ran or may have run.
     possible_runs: u32,
     repeatable: bool,
+    /// Whether the request has waited at this entry. Its demand is counted already.
+    pub has_waited: bool,
 }
 
 impl RetryState {
@@ -83,6 +91,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             repeatable: call.route.may_repeat(),
+            has_waited: false,
         }
     }
 
@@ -142,9 +151,19 @@
         {
             break;
         }
-        let mut chosen = match choose_next_step(context, call, retry_state) {
+        let mut step = choose_next_step(context, call, retry_state);
+        if let NextStep::Crowded { slot_wait, .. } = step
+            && let Some(waiter) = join_entry_queue(context, call, retry_state, slot_wait)
+        {
+            retry_state.has_waited = true;
+            step = wait_at_entry(context, call, retry_state, &waiter, step).await;
+        }
+        let mut chosen = match step {
             NextStep::Send(chosen) => chosen,
-            NextStep::Crowded(after) => return Err(CallRefusal::Crowded(after)),
+            NextStep::Crowded { after, slot_wait } => {
+                let retry_time = promise_return(context, call, slot_wait, Some(after));
+                return Err(CallRefusal::Crowded(retry_time));
+            }
             // If an attempt may have run, the refusal has to say so instead.
             NextStep::AllClosed(after) if retry_state.possible_runs == 0 => {
                 return Err(CallRefusal::AllClosed(after));
@@ -196,17 +215,53 @@
             break;
         }
     }
-    Err(final_refusal(call, retry_state, not_executed))
+    Err(final_refusal(context, call, retry_state, not_executed))
+}
+
+/// Waits until a server with a free slot is chosen or the wait is over. Returns the next
+/// step, which is `refusal` if there is no free slot.
+async fn wait_at_entry(
+    context: &Arc<GatewayContext>,
+    call: &AdmittedCall,
+    retry_state: &RetryState,
+    waiter: &QueuedCall,
+    refusal: NextStep,
+) -> NextStep {
+    while waiter.wait_for_turn().await {
+        let has_slot = has_free_slot(context, call, retry_state);
+        if has_slot && let step @ NextStep::Send(_) = choose_next_step(context, call, retry_state) {
+            waiter.note_sent(call);
+            return step;
+        }
+    }
+    waiter.note_refused(call);
+    refusal
+}
+
+/// Returns whether a server with a free slot would be chosen for the request.
+fn has_free_slot(context: &GatewayContext, call: &AdmittedCall, retry_state: &RetryState) -> bool {
+    let backends = context.backends.lock();
+    let limits = context.server_limits.lock();
+    let query = choice_query(context, call, retry_state, &limits);
+    choose_backend(&backends, context.now(), &query)
+        .is_some_and(|choice| choice.slot_wait.is_zero())
 }
 
 /// Returns the refusal of a request that is not sent again.
-fn final_refusal(call: &AdmittedCall, retry_state: &RetryState, not_executed: bool) -> CallRefusal {
+fn final_refusal(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    retry_state: &RetryState,
+    not_executed: bool,
+) -> CallRefusal {
     let is_late = call.time_left() <= MIN_TIME_LEFT;
     match (retry_state.possible_runs > 0, is_late) {
         (true, true) => CallRefusal::TimedOut,
         (true, false) => CallRefusal::Lost,
         (false, true) => CallRefusal::TooLate,
-        (false, false) if not_executed => CallRefusal::AllFull,
+        (false, false) if not_executed => {
+            CallRefusal::AllFull(promise_return(context, call, Duration::ZERO, None))
+        }
         (false, false) => CallRefusal::NoBackend,
     }
 }
@@ -365,7 +420,12 @@
     /// Send it to this backend server.
     Send(Box<ChosenBackend>),
     /// Refuse it for load shedding; the caller may retry after that time.
-    Crowded(Duration),
+    Crowded {
+        /// That time.
+        after: Duration,
+        /// The wait for a slot at the best server.
+        slot_wait: Duration,
+    },
     /// Refuse it because every server backs off or has reached its limit for this
     /// entry; the caller may retry after that time.
     AllClosed(Duration),
@@ -400,12 +460,20 @@
     let expected_first_event = speed.first_event(tokens_ahead + choice.prefill_tokens);
     let work = estimate_work(context, call, &times, choice.prefill_tokens);
     if retry_state.tried.is_empty() {
-        context
-            .work
-            .lock()
-            .note(now, &call.service, choice.prefill_tokens);
-        if let Some(after) = shed_request(&shedding_query(call, &choice)) {
-            return NextStep::Crowded(after);
+        if !retry_state.has_waited {
+            context
+                .work
+                .lock()
+                .note(now, &call.service, choice.prefill_tokens);
+        }
+        let slot_wait = choice.slot_wait;
+        let shed_after = match decide_return(context, call, &choice, now) {
+            ReturnDecision::Admit => None,
+            ReturnDecision::Refuse => Some(slot_wait),
+            ReturnDecision::Undecided => shed_request(&shedding_query(context, call, &choice)),
+        };
+        if let Some(after) = shed_after {
+            return NextStep::Crowded { after, slot_wait };
         }
     }
     let block_ids: Vec<u64> = call
@@ -448,7 +516,7 @@
     retry_state: &RetryState,
     now: Timestamp,
 ) {
-    if retry_state.tried.is_empty() {
+    if retry_state.tried.is_empty() && !retry_state.has_waited {
         let tokens = call
             .head
             .prompt_blocks
@@ -464,14 +532,19 @@
     XxHash64::oneshot(2, call.head.id.0.as_bytes())
 }
 
-fn shedding_query(call: &AdmittedCall, choice: &BackendChoice) -> SheddingQuery {
+fn shedding_query(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    choice: &BackendChoice,
+) -> SheddingQuery {
+    let draw = request_hash(call) as f64 / u64::MAX as f64;
     SheddingQuery {
         expected_latency: choice.first_event,
         slot_wait: choice.slot_wait,
         target_latency: call.route.target_latency.min(call.time_left()),
         shortest_target: call.shortest_target,
         urgency: call.priority(),
-        draw: request_hash(call) as f64 / u64::MAX as f64,
+        draw: shedding_draw(context, call, draw),
     }
 }
 
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -29,6 +29,7 @@
 use crate::gateway::crash_detector::CrashDetector;
 use crate::gateway::crash_ledger::CrashLedger;
 use crate::gateway::document_transfer::DocumentFetcher;
+use crate::gateway::entry_queue::EntryQueue;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::incarnation_tracker::IncarnationTracker;
 use crate::gateway::lease_state::LeaseState;
@@ -40,6 +41,7 @@
 use crate::gateway::platform_interface::LogStore;
 use crate::gateway::platform_interface::PlatformFormat;
 use crate::gateway::retry_budget::RetryBudget;
+use crate::gateway::return_promises::ReturnPromises;
 use crate::gateway::server_labels::ServerLabels;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::usage_table::UsageTable;
@@ -101,6 +103,8 @@
     pub cloud_call_lock: AsyncMutex<()>,
     /// The crashes of backend servers and the requests that ran there.
     pub crashes: Mutex<CrashLedger>,
+    /// Which refused callers were asked to return.
+    pub promises: Mutex<ReturnPromises>,
     /// Probes backend servers that may have crashed.
     pub crash_detector: CrashDetector,
     /// The budget for buffered bodies of requests and responses.
@@ -117,6 +121,10 @@
     pub change_counts: Mutex<ChangeCounts>,
     /// The backend servers that have their own metric labels.
     pub server_labels: ServerLabels,
+    /// Requests that wait at this entry for a slot.
+    pub entry_queue: Mutex<EntryQueue>,
+    /// Wakes requests that wait for a slot when a request of this entry has ended.
+    pub slot_freed: Notify,
     /// Wakes the gossip task.
     pub gossip_due: Notify,
     /// Cancels all tasks.
@@ -166,6 +174,7 @@
             lease_call_lock: AsyncMutex::new(()),
             cloud_call_lock: AsyncMutex::new(()),
             crashes: Mutex::new(CrashLedger::new()),
+            promises: Mutex::new(ReturnPromises::new()),
             crash_detector: CrashDetector::new(),
             byte_budget: Arc::new(ByteBudget::from_memory_mb(settings.memory_mb)),
             incarnations: IncarnationTracker::new(),
@@ -174,6 +183,8 @@
             log_budget: Mutex::new(LogBudget::new()),
             change_counts: Mutex::new(ChangeCounts::default()),
             server_labels: ServerLabels::default(),
+            entry_queue: Mutex::new(EntryQueue::new()),
+            slot_freed: Notify::new(),
             gossip_due: Notify::new(),
             stop,
             draining: AtomicBool::new(false),
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -16,6 +16,8 @@
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_state::BackendState;
+use crate::gateway::call_return::apply_promises;
+use crate::gateway::call_return::purge_promises;
 use crate::gateway::crash_detector::merge_crash_reports;
 use crate::gateway::document_parts::DocumentPart;
 use crate::gateway::document_parts::DocumentPull;
@@ -39,6 +41,7 @@
 use crate::gateway::peer_table::PeerState;
 use crate::gateway::peer_table::SenderIncarnation;
 use crate::gateway::peer_table::add_loads;
+use crate::gateway::return_promises::PromiseList;
 use crate::gateway::server_pace::PaceCounts;
 use crate::gateway::store_task::adopt_backend_changes;
 use crate::gateway::store_task::adopt_backend_list;
@@ -69,6 +72,7 @@
             context.account_limits.lock().retire(incarnation);
         }
         update_peer_loads(&context, now);
+        purge_promises(&context, now);
         send_round(&context, now, round);
         pull_document(&context, now);
     }
@@ -138,6 +142,7 @@
         reports,
         reports_digest,
         sends,
+        promises: context.promises.lock().news(now, false),
         ..own_identity(context)
     }
 }
@@ -180,6 +185,7 @@
         gossip.backend_loads = Vec::new();
         gossip.service_demand = Vec::new();
         gossip.reports = Vec::new();
+        gossip.promises = Vec::new();
     }
 }
 
@@ -191,6 +197,7 @@
     hubs: Vec<(EntryName, SocketAddr, HubCapacity)>,
     loads: BTreeMap<BackendId, BackendLoad>,
     granted: GrantedPermits,
+    promises: Vec<PromiseList>,
 }
 
 impl SummarySource {
@@ -211,6 +218,7 @@
             hubs: peers.hub_addresses(now),
             loads,
             granted,
+            promises: context.promises.lock().news(now, true),
         }
     }
 
@@ -282,6 +290,7 @@
             .get(&message.name)
             .cloned()
             .unwrap_or_default(),
+        promises: source.promises.clone(),
     });
 }
 
@@ -502,6 +511,7 @@
         merge_crash_reports(context, &gossip.crashes);
     }
     apply_server_gossip(context, now, &gossip);
+    apply_promises(context, now, &gossip);
     if let Some(summary) = &gossip.summary {
         apply_summary(context, &gossip, summary, now);
     }
