shared_admission: room, level and share of a crowded service

Pure decisions: the room of a service over all servers, a level of admission that is taken from the least urgent work, and max-min shares of accounts. Not joined to the daemon yet.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -42,8 +42,11 @@
 //! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`. No
 //! lock is held across an await.
 
+pub mod account_demand;
 pub mod account_limits;
+pub mod account_share;
 pub mod account_use;
+pub mod admission_level;
 pub mod backend_choice;
 pub mod backend_pool;
 pub mod backend_record;
@@ -114,7 +117,9 @@
 pub mod server_labels;
 pub mod server_limits;
 pub mod server_report;
+pub mod service_room;
 pub mod service_times;
+pub mod shared_admission;
 pub mod site_config;
 pub mod stall_detector;
 pub mod state_sizes;
