--- a/lib/src/gateway/account_demand.rs
+++ b/lib/src/gateway/account_demand.rs
@@ -16,7 +16,7 @@
 /// The time constant of the average: a burst of an account shows within a second.
 const AVERAGE_TIME: Duration = Duration::from_secs(2);
 /// The smallest demand that is kept, in units per second.
-const MIN_DEMAND: f64 = 0.001;
+const MIN_DEMAND: f64 = 1e-4;
 /// The most items for a service in a message. The smallest others are added up by
 /// urgency, without their accounts.
 pub const MAX_ITEMS: usize = 64;
@@ -76,7 +76,8 @@
         for (index, (class, demand)) in ordered.into_iter().enumerate() {
             let account = class.account.clone().filter(|_| index < kept_accounts);
             let urgency = class.urgency;
-            *kept.entry(DemandClass { urgency, account }).or_default() += demand;
+            let class = DemandClass { urgency, account };
+            *kept.entry(class).or_default() += demand;
         }
         let items = kept.into_iter().map(|(class, demand)| DemandItem {
             urgency: u32::from(class.urgency),
--- a/lib/src/gateway/account_share.rs
+++ b/lib/src/gateway/account_share.rs
@@ -6,7 +6,7 @@
 
 /// The largest demand of one account that counts, as a multiple of the demand of all
 /// others together. It bounds the effect of a false report.
-const MAX_DOMINANCE: f64 = 4.0;
+const MAX_DOMINANCE: f64 = 1.0;
 
 /// Bounds each demand by the demands of all others together. A single one is unchanged.
 pub fn bound_demands(demands: &mut [f64]) {
@@ -37,11 +37,3 @@
     }
     None
 }
-
-/// Returns the share of its requests that an account is admitted.
-pub fn admitted_share(demand: f64, share: Option<f64>) -> f64 {
-    match share {
-        Some(share) if demand > share => share / demand,
-        _ => 1.0,
-    }
-}
--- a/lib/src/gateway/admission_level.rs
+++ b/lib/src/gateway/admission_level.rs
@@ -12,51 +12,72 @@
 /// The wait that the level aims at, as a share of the shortest target latency. It keeps
 /// all slots busy while the news is old.
 const AIMED_WAIT: f64 = 0.15;
-/// The level for each shortest target latency of wait.
-const WAIT_GAIN: f64 = 0.6;
-/// The change of the level per second, for each shortest target latency of distance from
-/// the aimed wait.
-const DISTANCE_GAIN: f64 = 0.8;
-/// The range of the wait relative to the shortest target latency that moves the level.
-const WAIT_RANGE: (f64, f64) = (-1.0, 2.0);
-/// The longest step of the integral term.
+/// The time in seconds over which a distance from the aimed wait is made up. It is twice
+/// the age of the news, or what entries decide meanwhile would overshoot.
+const CORRECTION_TIME_S: f64 = 0.6;
+/// The part of a distance, relative to the correction time, that lasts as shortage after
+/// a second.
+const SHORTAGE_GAIN: f64 = 0.8;
+/// The largest shortage, so that a rare class still gets an answer to a lasting one.
+const MAX_SHORTAGE: f64 = 0.95;
+/// The range of the distance from the aimed wait, relative to the correction time.
+const DISTANCE_RANGE: (f64, f64) = (-2.0, 1.0);
+/// The most that is refused to make up a distance. The rest, the most urgent work, is
+/// refused only for a lasting shortage.
+const MAX_CORRECTION: f64 = 0.8;
+/// The time constant of the mean level.
+const MEAN_TIME_S: f64 = 1.5;
+/// The longest step of the shortage.
 const MAX_STEP: Duration = Duration::from_secs(1);
 
 /// The share of the offered work that is refused, from 0 to 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AdmissionLevel {
-    integral: f64,
+    /// The share of the offered work for which there is lastingly no room.
+    shortage: f64,
     level: f64,
+    /// The level over the last seconds.
+    mean_level: f64,
 }
 
 impl AdmissionLevel {
-    /// Moves the level by an expected wait of `wait_s` seconds, `elapsed` after the last
-    /// move.
-    pub fn update(&mut self, elapsed: Duration, wait_s: f64, shortest_target: Duration) {
-        let target_s = shortest_target.as_secs_f64().max(1e-3);
-        let wait = (wait_s / target_s).clamp(WAIT_RANGE.0, WAIT_RANGE.1);
+    /// Moves the level by an expected backlog of `backlog_s` seconds, `elapsed` after the
+    /// last move. The backlog is negative while slots are free.
+    pub fn update(&mut self, elapsed: Duration, backlog_s: f64, shortest_target: Duration) {
+        let aimed_s = shortest_target.as_secs_f64() * AIMED_WAIT;
+        let distance = (backlog_s - aimed_s) / CORRECTION_TIME_S;
+        let distance = distance.clamp(DISTANCE_RANGE.0, DISTANCE_RANGE.1);
         let step_s = elapsed.min(MAX_STEP).as_secs_f64();
-        let moved = self.integral + (wait - AIMED_WAIT) * DISTANCE_GAIN * step_s;
-        self.integral = moved.clamp(0.0, 1.0);
-        self.level = (self.integral + wait.max(0.0) * WAIT_GAIN).clamp(0.0, 1.0);
+        let moved = self.shortage + distance * SHORTAGE_GAIN * step_s * (1.0 - self.shortage);
+        self.shortage = moved.clamp(0.0, MAX_SHORTAGE);
+        // What is admitted is the room plus or less what makes up the distance.
+        let admitted = (1.0 - self.shortage) * (1.0 - distance);
+        let most = self.shortage.max(MAX_CORRECTION);
+        self.level = (1.0 - admitted).clamp(0.0, most);
+        self.mean_level += (self.level - self.mean_level) * (1.0 - (-step_s / MEAN_TIME_S).exp());
+    }
+
+    /// Keeps the level at its mean of the last seconds, or at the lasting shortage if that
+    /// is higher, while nothing is known of the backlog.
+    pub fn hold(&mut self) {
+        self.level = self.mean_level.max(self.shortage);
     }
 
     /// Returns the share of the offered work that is refused.
     pub fn refused_share(&self) -> f64 {
         self.level
     }
+}
 
-    /// Divides the offered work by urgency, 0 the most urgent, into what is admitted and
-    /// what is refused. Returns the admitted share of each urgency. The least urgent work
-    /// is refused first.
-    pub fn admitted_shares(&self, offered: &BTreeMap<u8, f64>) -> BTreeMap<u8, f64> {
-        let mut refused = self.level * offered.values().sum::<f64>();
-        let mut shares = BTreeMap::new();
-        for (urgency, work) in offered.iter().rev() {
-            let part = refused.min(*work);
-            refused -= part;
-            shares.insert(*urgency, 1.0 - part / work.max(f64::MIN_POSITIVE));
-        }
-        shares
+/// Takes `refused` out of the offered work by urgency, 0 the most urgent, and out of the
+/// least urgent first. Returns the admitted share of each urgency.
+pub fn admitted_shares(offered: &BTreeMap<u8, f64>, refused: f64) -> BTreeMap<u8, f64> {
+    let mut refused = refused;
+    let mut shares = BTreeMap::new();
+    for (urgency, work) in offered.iter().rev() {
+        let part = refused.min(*work);
+        refused -= part;
+        shares.insert(*urgency, 1.0 - part / work.max(f64::MIN_POSITIVE));
     }
+    shares
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -112,6 +112,7 @@
 pub mod response_body;
 pub mod response_passthrough;
 pub mod retry_budget;
+pub mod room_shares;
 pub mod send_guard;
 pub mod send_permits;
 pub mod server_labels;
--- a/lib/src/gateway/shared_admission.rs
+++ b/lib/src/gateway/shared_admission.rs
@@ -5,10 +5,10 @@
 //! room than demand, whatever the cause: lost servers, a burst of one kind, one account
 //! at many times its usual. The room moves the level ([`admission_level`]), the level is
 //! taken from the least urgent work, and what remains of a class that is refused in part
-//! is divided among its accounts ([`account_share`]).
+//! is divided among its accounts ([`room_shares`]).
 //!
 //! [`admission_level`]: crate::gateway::admission_level
-//! [`account_share`]: crate::gateway::account_share
+//! [`room_shares`]: crate::gateway::room_shares
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,10 +17,10 @@
 use crate::gateway::account_demand::DemandClass;
 use crate::gateway::account_demand::DemandMeter;
 use crate::gateway::account_demand::ServiceDemands;
-use crate::gateway::account_share::admitted_share;
-use crate::gateway::account_share::bound_demands;
-use crate::gateway::account_share::fair_share;
 use crate::gateway::admission_level::AdmissionLevel;
+use crate::gateway::room_shares::ClassShare;
+use crate::gateway::room_shares::RoomShares;
+use crate::gateway::room_shares::divide_room;
 use crate::gateway::service_room::RoomTrend;
 use crate::gateway::service_room::ServiceRoom;
 use crate::id::AccountName;
@@ -32,8 +32,15 @@
 const MAX_LATENCY_SHARE: f64 = 0.9;
 /// The shortest time between two updates of a service's level.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
+/// The age of the last news of other entries from which on the level is held, and from
+/// which on it follows what this entry sees alone.
+const NEWS_LIFETIME: Duration = Duration::from_millis(600);
+/// See [`NEWS_LIFETIME`].
+const MAX_HOLD: Duration = Duration::from_secs(5);
 /// How long the demand that other entries reported is used.
 const PEER_DEMAND_LIFETIME: Duration = Duration::from_secs(3);
+/// The room, in seconds of work, with which a slot is free in spite of old news.
+const CERTAIN_ROOM_S: f64 = 0.3;
 /// How long a service counts as crowded after its last wait.
 const CROWDED_TIME: Duration = Duration::from_secs(5);
 
@@ -87,21 +94,8 @@
     pub cause: RefusalCause,
     /// The share of the service's offered work that is refused.
     pub level: f64,
-    /// The share of the request's class that is admitted.
-    pub class_share: f64,
-    /// The most that an account of the class gets, in units per second, if accounts
-    /// share it.
-    pub account_share: Option<f64>,
-    /// What the account asks for in that class, in units per second.
-    pub account_demand: Option<f64>,
-}
-
-/// The room of one class.
-#[derive(Clone, Copy, Debug)]
-struct ClassRoom {
-    admitted_share: f64,
-    /// The max-min share of its accounts, if the class has several and too little room.
-    account_share: Option<f64>,
+    /// What its account has and gets.
+    pub share: ClassShare,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -114,22 +108,26 @@
     peers_noted_at: Timestamp,
     updated_at: Option<Timestamp>,
     waited_at: Option<Timestamp>,
-    demands: ClassDemands,
-    classes: BTreeMap<u8, ClassRoom>,
+    shares: RoomShares,
 }
 
 impl ServiceAdmission {
     fn update(
         &mut self,
         now: Timestamp,
+        news_at: Option<Timestamp>,
         room: ServiceRoom,
         request_time: Duration,
         target: Duration,
     ) {
-        let backlog_s = room.backlog_s(request_time);
-        let elapsed = self.trend.note(now, backlog_s);
-        let expected_s = self.trend.expected_backlog_s();
-        self.level.update(elapsed, expected_s, target);
+        let news_age = news_at.map(|at| now.since(at));
+        if news_age.is_some_and(|age| age >= NEWS_LIFETIME && age < MAX_HOLD) {
+            self.level.hold();
+        } else {
+            let elapsed = self.trend.note(now, room.backlog_s(request_time));
+            let expected_s = self.trend.expected_backlog_s();
+            self.level.update(elapsed, expected_s, target);
+        }
         self.room = room;
         self.updated_at = Some(now);
         if room.waiting > 0 || self.level.refused_share() > 0.0 {
@@ -138,68 +136,38 @@
         self.divide(now);
     }
 
-    /// Computes the room of each class.
+    /// Divides the room among classes and accounts.
     fn divide(&mut self, now: Timestamp) {
-        self.demands = self.meter.demands(now);
+        let mut demands = self.meter.demands(now);
         if now.since(self.peers_noted_at) < PEER_DEMAND_LIFETIME {
             for (class, units) in &self.peer_demands {
-                *self.demands.entry(class.clone()).or_default() += units;
+                *demands.entry(class.clone()).or_default() += units;
             }
         }
-        let mut units: Vec<f64> = self.demands.values().copied().collect();
-        bound_demands(&mut units);
-        for (demand, units) in self.demands.values_mut().zip(units) {
-            *demand = units;
-        }
-        let mut offered: BTreeMap<u8, f64> = BTreeMap::new();
-        for (class, units) in &self.demands {
-            *offered.entry(class.urgency).or_default() += units;
-        }
-        let shares = self.level.admitted_shares(&offered);
-        self.classes = shares
-            .into_iter()
-            .map(|(urgency, admitted_share)| {
-                let accounts = self.account_demands(urgency);
-                let is_shared = accounts.len() > 1 && admitted_share < 1.0;
-                let room = accounts.iter().sum::<f64>() * admitted_share;
-                let account_share = is_shared.then(|| fair_share(&accounts, room)).flatten();
-                let class = ClassRoom {
-                    admitted_share,
-                    account_share,
-                };
-                (urgency, class)
-            })
-            .collect();
+        self.shares = divide_room(&demands, self.level.refused_share());
     }
 
-    fn account_demands(&self, urgency: u8) -> Vec<f64> {
-        let demands = self.demands.iter();
-        let of_class =
-            demands.filter(|(class, _)| class.urgency == urgency && class.account.is_some());
-        of_class.map(|(_, units)| *units).collect()
+    /// Returns whether a slot that seems free will be so when a request arrives there.
+    /// In a crowded service, the entries fill the slots that were free in old news many
+    /// times over.
+    fn has_free_slots(&self) -> bool {
+        self.level.refused_share() <= 0.0 || self.trend.expected_backlog_s() < -CERTAIN_ROOM_S
     }
 
     fn decide(&self, query: &AdmissionQuery<'_>) -> Result<(), AdmissionRefusal> {
-        let class = self.classes.get(&query.urgency);
-        let account_share = class.and_then(|class| class.account_share);
-        let account_demand = query.account.and_then(|account| {
-            let class = DemandClass {
-                urgency: query.urgency,
-                account: Some(account.clone()),
-            };
-            self.demands.get(&class).copied()
-        });
-        let class_share = class.map_or(1.0, |class| class.admitted_share);
+        let class = DemandClass {
+            urgency: query.urgency,
+            account: query.account.cloned(),
+        };
+        let share = self.shares.of(&class);
         let refuse = |cause| {
             Err(AdmissionRefusal {
                 cause,
                 level: self.level.refused_share(),
-                class_share,
-                account_share,
-                account_demand,
+                share,
             })
         };
-        if query.slot_wait.is_zero() {
+        if query.slot_wait.is_zero() && self.has_free_slots() {
             return Ok(());
         }
         if query.expected_latency > query.target_latency.mul_f64(MAX_LATENCY_SHARE) {
@@ -208,14 +176,10 @@
         if query.is_promised {
             return Ok(());
         }
-        let admitted = match (account_share, account_demand) {
-            (Some(share), Some(demand)) => admitted_share(demand, Some(share)),
-            _ => class_share,
-        };
-        if query.draw < admitted {
+        if query.draw < share.admitted {
             return Ok(());
         }
-        refuse(match admitted < class_share {
+        refuse(match share.admitted < share.urgency_admitted {
             true => RefusalCause::Share,
             false => RefusalCause::Level,
         })
@@ -234,6 +198,8 @@
 /// The admission of all services at one entry.
 #[derive(Clone, Debug, Default)]
 pub struct SharedAdmission {
+    /// When other entries were heard; none if there are none.
+    news_at: Option<Timestamp>,
     services: BTreeMap<ServiceName, ServiceAdmission>,
 }
 
@@ -255,6 +221,11 @@
         admission.meter.note(now, class, units);
     }
 
+    /// Records that the state of the other entries arrived.
+    pub fn note_news(&mut self, now: Timestamp) {
+        self.news_at = Some(now);
+    }
+
     /// Returns whether the room of a service is to be updated before a decision.
     pub fn is_update_due(&self, now: Timestamp, service: &ServiceName) -> bool {
         let updated_at = self
@@ -275,7 +246,7 @@
         shortest_target: Duration,
     ) {
         let admission = self.services.entry(service.clone()).or_default();
-        admission.update(now, room, request_time, shortest_target);
+        admission.update(now, self.news_at, room, request_time, shortest_target);
     }
 
     /// Decides about a request.
