shared_admission: decide by room, level and share at all entries

With [load] shared_admission an entry decides by the room of the service over all servers instead of by the wait at one of them. The level corrects the backlog over twice the age of the news, and a lasting shortage is learned; what accounts ask above their max-min share is refused first, then the least urgent class. Entries exchange what callers ask of crowded services (tags 40, 41).

--- a/lib/src/gateway/admission_level.rs
+++ b/lib/src/gateway/admission_level.rs
@@ -25,6 +25,9 @@
 /// The most that is refused to make up a distance. The rest, the most urgent work, is
 /// refused only for a lasting shortage.
 const MAX_CORRECTION: f64 = 0.8;
+/// The part of the room that stays unused while nothing is known of the backlog. What is
+/// served late helps nobody.
+const HOLD_MARGIN: f64 = 0.1;
 /// The time constant of the mean level.
 const MEAN_TIME_S: f64 = 1.5;
 /// The longest step of the shortage.
@@ -36,8 +39,10 @@
     /// The share of the offered work for which there is lastingly no room.
     shortage: f64,
     level: f64,
-    /// The level over the last seconds.
+    /// The level over the last seconds in which it was above 0.
     mean_level: f64,
+    /// How long it has been above 0, in seconds.
+    crowded_s: f64,
 }
 
 impl AdmissionLevel {
@@ -54,13 +59,22 @@
         let admitted = (1.0 - self.shortage) * (1.0 - distance);
         let most = self.shortage.max(MAX_CORRECTION);
         self.level = (1.0 - admitted).clamp(0.0, most);
-        self.mean_level += (self.level - self.mean_level) * (1.0 - (-step_s / MEAN_TIME_S).exp());
+        if self.level <= 0.0 {
+            self.crowded_s = 0.0;
+        }
+        self.crowded_s += step_s;
+        let weight = step_s / self.crowded_s.clamp(1e-3, MEAN_TIME_S);
+        self.mean_level += (self.level - self.mean_level) * weight.min(1.0);
     }
 
     /// Keeps the level at its mean of the last seconds, or at the lasting shortage if that
-    /// is higher, while nothing is known of the backlog.
+    /// is higher, less a margin, while nothing is known of the backlog.
     pub fn hold(&mut self) {
-        self.level = self.mean_level.max(self.shortage);
+        if self.level <= 0.0 {
+            return;
+        }
+        let level = self.mean_level.max(self.shortage);
+        self.level = level + (1.0 - level) * HOLD_MARGIN;
     }
 
     /// Returns the share of the offered work that is refused.
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use twox_hash::XxHash64;
 
+use crate::gateway::admission_exchange::admit_by_room;
 use crate::gateway::backend_choice::BackendChoice;
 use crate::gateway::backend_choice::ChoiceQuery;
 use crate::gateway::backend_choice::choose_backend;
@@ -22,13 +23,16 @@
 use crate::gateway::backend_pool::ExchangeError;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendOutcome;
+use crate::gateway::backend_set::BackendSet;
 use crate::gateway::call_admission::AdmittedCall;
+use crate::gateway::call_log::log_crowded_out;
 use crate::gateway::call_log::log_request_sent;
 use crate::gateway::call_log::log_send_failed;
 use crate::gateway::call_log::note_outcome;
 use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::load_shedding::SheddingQuery;
+use crate::gateway::load_shedding::retry_delay;
 use crate::gateway::load_shedding::shed_request;
 use crate::gateway::platform_interface::ForwardedHead;
 use crate::gateway::platform_interface::ResponseHead;
@@ -384,7 +388,7 @@
             .work
             .lock()
             .note(now, &call.service, choice.prefill_tokens);
-        if let Some(after) = shed_request(&shedding_query(call, &choice)) {
+        if let Some(after) = shed_by_load(context, &backends, now, call, &choice) {
             return NextStep::Crowded(after);
         }
     }
@@ -440,6 +444,25 @@
     XxHash64::oneshot(2, call.head.id.0.as_bytes())
 }
 
+/// Decides whether a request is refused because its service is crowded. Returns the delay
+/// after which the caller may retry.
+fn shed_by_load(
+    context: &GatewayContext,
+    backends: &BackendSet,
+    now: Timestamp,
+    call: &AdmittedCall,
+    choice: &BackendChoice,
+) -> Option<Duration> {
+    let query = shedding_query(call, choice);
+    if !context.settings.load.shared_admission {
+        return shed_request(&query);
+    }
+    let admitted = admit_by_room(context, backends, now, call, choice, query.draw);
+    let refusal = admitted.err()?;
+    log_crowded_out(context, call, &refusal);
+    Some(retry_delay(&query))
+}
+
 fn shedding_query(call: &AdmittedCall, choice: &BackendChoice) -> SheddingQuery {
     SheddingQuery {
         expected_latency: choice.first_event,
--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -9,6 +9,7 @@
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
+use crate::gateway::shared_admission::AdmissionRefusal;
 use crate::id::AccountName;
 
 /// Counts a request that began to run in the usage of its account.
@@ -46,6 +47,21 @@
         "left_ms" => call.time_left().as_millis() as u64);
 }
 
+/// Counts and logs a request for which a service has no room.
+pub fn log_crowded_out(context: &GatewayContext, call: &AdmittedCall, refusal: &AdmissionRefusal) {
+    let cause = refusal.cause.code();
+    counter!("cloverbend_calls_crowded_out_total", "cause" => cause).increment(1);
+    if !context.may_log(&call.head.id.0, LineClass::Failure) {
+        return;
+    }
+    let account = refusal.share.account;
+    info!(context.log, "request crowded out"; "request" => %call.head.id, "cause" => cause,
+        "service" => %call.service, "urgency" => call.priority(),
+        "account" => call.account_name().map(AccountName::as_str),
+        "refused_share" => refusal.level, "admitted_share" => refusal.share.admitted,
+        "account_demand" => account.demand, "account_share" => account.fair_share);
+}
+
 /// Counts and logs a send that failed.
 pub fn log_send_failed(
     context: &GatewayContext,
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -41,6 +41,7 @@
 use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::server_labels::ServerLabels;
 use crate::gateway::server_limits::ServerLimits;
+use crate::gateway::shared_admission::SharedAdmission;
 use crate::gateway::usage_table::UsageTable;
 use crate::gateway::work_meter::WorkMeter;
 use crate::id::Incarnation;
@@ -80,6 +81,8 @@
     pub backends: Mutex<BackendSet>,
     /// The limits that backend servers reported.
     pub server_limits: Mutex<ServerLimits>,
+    /// Who is admitted to services with too little room. Locked last.
+    pub admission: Mutex<SharedAdmission>,
     /// The limits of client accounts.
     pub account_limits: Mutex<AccountLimits>,
     /// The budget for retries.
@@ -149,6 +152,7 @@
             transfer: Mutex::new(DocumentFetcher::new()),
             backends: Mutex::new(BackendSet::new()),
             server_limits: Mutex::new(ServerLimits::new(settings.name.clone())),
+            admission: Mutex::new(SharedAdmission::new()),
             account_limits: Mutex::new(AccountLimits::new(
                 incarnation,
                 settings.first_start,
--- a/lib/src/gateway/gossip_frame.rs
+++ b/lib/src/gateway/gossip_frame.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use prost::Message;
 
+use crate::gateway::account_demand::CrowdedDemand;
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::crash_frames::CrashReportFrame;
@@ -166,6 +167,10 @@
     duties_end: u64,
     #[prost(bool, tag = "27")]
     accepts_packed_lists: bool,
+    #[prost(message, repeated, tag = "40")]
+    crowded_demand: Vec<CrowdedDemand>,
+    #[prost(message, repeated, tag = "41")]
+    crowded_sums: Vec<CrowdedDemand>,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -278,6 +283,8 @@
             notices: gossip.reports.into_iter().map(Into::into).collect(),
             notices_hash: gossip.reports_digest,
             sends: gossip.sends.into_iter().map(Into::into).collect(),
+            crowded_demand: gossip.crowded_demand,
+            crowded_sums: gossip.crowded_sums,
             tells: gossip.reports_state,
             wants_digest: gossip.wants_summary,
             backends_hash: gossip.backends_digest,
@@ -327,6 +334,8 @@
             reports: read_reports(frame.notices),
             reports_digest: frame.notices_hash,
             sends: frame.sends.into_iter().map(Into::into).collect(),
+            crowded_demand: frame.crowded_demand,
+            crowded_sums: frame.crowded_sums,
             view: frame.view.map(|view| HubView {
                 entries: view.entries as usize,
                 reachable: view.heard as usize,
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -9,9 +9,14 @@
 use slog::info;
 use slog::warn;
 
+use crate::gateway::account_demand::CrowdedDemand;
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::account_limits::ShareView;
+use crate::gateway::admission_exchange::apply_demand;
+use crate::gateway::admission_exchange::crowded_sums;
+use crate::gateway::admission_exchange::own_crowded_demand;
+use crate::gateway::admission_exchange::update_admission;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::crash_detector::merge_crash_reports;
@@ -66,6 +71,7 @@
             context.account_limits.lock().retire(incarnation);
         }
         update_peer_loads(&context, now);
+        update_admission(&context, now);
         send_round(&context, now, round);
         pull_document(&context, now);
     }
@@ -131,6 +137,7 @@
         window_counts: own_counts(context),
         backend_loads: own_loads(context),
         service_demand: own_demand(context),
+        crowded_demand: own_crowded_demand(context, now),
         crashes: context.crashes.lock().reports(context.now()),
         reports,
         reports_digest,
@@ -176,6 +183,7 @@
         gossip.window_counts = Vec::new();
         gossip.backend_loads = Vec::new();
         gossip.service_demand = Vec::new();
+        gossip.crowded_demand = Vec::new();
         gossip.reports = Vec::new();
     }
 }
@@ -187,6 +195,7 @@
     fencing_token: Option<FenceToken>,
     hubs: Vec<(EntryName, SocketAddr, HubCapacity)>,
     loads: BTreeMap<BackendId, BackendLoad>,
+    crowded_sums: Vec<CrowdedDemand>,
     granted: GrantedPermits,
 }
 
@@ -207,6 +216,7 @@
                 .max(own_gossip.fencing_token),
             hubs: peers.hub_addresses(now),
             loads,
+            crowded_sums: crowded_sums(&peers, own_gossip, now),
             granted,
         }
     }
@@ -251,6 +261,7 @@
         fencing_token: source.fencing_token,
         backend_loads: source.loads_without(peers.backend_loads_of(&message.name)),
     });
+    gossip.crowded_sums.clone_from(&source.crowded_sums);
     let differs = peer_digest != gossip.backends_digest;
     let is_due = differs && peers.should_send_list(now, &message.name, gossip.backends_digest);
     drop(peers);
@@ -487,6 +498,7 @@
         merge_crash_reports(context, &gossip.crashes);
     }
     apply_server_gossip(context, now, &gossip);
+    apply_demand(context, now, &gossip);
     if let Some(summary) = &gossip.summary {
         apply_summary(context, &gossip, summary, now);
     }
--- a/lib/src/gateway/load_shedding.rs
+++ b/lib/src/gateway/load_shedding.rs
@@ -54,8 +54,12 @@
     let max_wait = query.shortest_target.mul_f64(max_wait_share(query.urgency));
     let probability = refusal_probability(query.expected_latency, max_latency)
         .max(refusal_probability(query.slot_wait, max_wait));
-    (query.draw < probability)
-        .then(|| query.expected_latency + query.expected_latency.mul_f64(query.draw))
+    (query.draw < probability).then(|| retry_delay(query))
+}
+
+/// Returns the delay after which the caller of a refused request may retry.
+pub fn retry_delay(query: &SheddingQuery) -> Duration {
+    query.expected_latency + query.expected_latency.mul_f64(query.draw)
 }
 
 /// Returns the probability of refusing a request whose time is `time` if `limit` is
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -39,13 +39,14 @@
 //! The traits in [`platform_interface`] hide the formats of the platform.
 //!
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
-//! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`. No
+//! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`, `admission`. No
 //! lock is held across an await.
 
 pub mod account_demand;
 pub mod account_limits;
 pub mod account_share;
 pub mod account_use;
+pub mod admission_exchange;
 pub mod admission_level;
 pub mod backend_choice;
 pub mod backend_pool;
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -4,6 +4,7 @@
 
 use prost::Message;
 
+use crate::gateway::account_demand::CrowdedDemand;
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
@@ -188,6 +189,11 @@
     pub reports_digest: u64,
     /// Requests that the sender has sent to servers with a limit.
     pub sends: Vec<LimitedSends>,
+    /// What callers of the sender ask of crowded services.
+    pub crowded_demand: Vec<CrowdedDemand>,
+    /// What callers of all entries ask of crowded services, if the sender replies as a
+    /// hub.
+    pub crowded_sums: Vec<CrowdedDemand>,
     /// What the sender knows about all entries, if it replies as a hub.
     pub view: Option<HubView>,
     /// What the sender adds for the receiver, if it replies as a hub.
@@ -227,6 +233,8 @@
             reports: Vec::new(),
             reports_digest: 0,
             sends: Vec::new(),
+            crowded_demand: Vec::new(),
+            crowded_sums: Vec::new(),
             view: None,
             summary: None,
         }
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -14,6 +14,7 @@
 
 use twox_hash::XxHash64;
 
+use crate::gateway::account_demand::CrowdedDemand;
 use crate::gateway::account_limits::ShareView;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::document_transfer::DocumentSource;
@@ -53,6 +54,9 @@
 /// One round in this many is a slow one, in which standby hubs send their
 /// summaries and entries probe hubs that do not reply.
 const SLOW_ROUND_INTERVAL: u32 = 4;
+/// The most requests of all entries that count at one backend server, so that sums of
+/// false reports do not overflow.
+const MAX_SERVER_LOAD: u32 = 1 << 20;
 
 /// What this entry knows about another entry.
 #[derive(Clone, Debug)]
@@ -82,6 +86,7 @@
     fencing_token: Option<FenceToken>,
     backend_loads: Vec<BackendLoad>,
     service_demand: Vec<ServiceDemand>,
+    crowded_demand: Vec<CrowdedDemand>,
     /// When it last sent its state here, as to a hub.
     reported_at: Option<Timestamp>,
     wants_summary: bool,
@@ -118,6 +123,7 @@
             fencing_token: None,
             backend_loads: Vec::new(),
             service_demand: Vec::new(),
+            crowded_demand: Vec::new(),
             reported_at: None,
             wants_summary: false,
             view: None,
@@ -313,6 +319,7 @@
             peer.wants_summary = gossip.wants_summary;
             peer.backend_loads.clone_from(&gossip.backend_loads);
             peer.service_demand.clone_from(&gossip.service_demand);
+            peer.crowded_demand.clone_from(&gossip.crowded_demand);
         }
         if let Some(view) = &gossip.view {
             peer.view = Some((now, view.clone()));
@@ -629,6 +636,16 @@
             .filter(|demand| demand.service == service.as_str())
     }
 
+    /// Iterates over what callers of the entries that send their state here ask of
+    /// crowded services.
+    pub fn crowded_demand(&self, now: Timestamp) -> impl Iterator<Item = &[CrowdedDemand]> {
+        let reporting = self
+            .peers
+            .values()
+            .filter(move |peer| peer.is_reporting(now));
+        reporting.map(|peer| peer.crowded_demand.as_slice())
+    }
+
     /// Sums the load that other entries put on each backend server. The sums come
     /// from the hub that reaches the most entries, or from the gossip that came
     /// here directly if this entry reaches as many.
@@ -685,11 +702,14 @@
     for load in loads {
         match sums.get_mut(&load.id()) {
             Some(sum) => {
-                sum.in_flight += load.in_flight;
-                sum.unread += load.unread;
+                sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+                sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
+                sum.unread = sum.unread.saturating_add(load.unread);
             }
             None => {
-                sums.insert(load.id(), load.clone());
+                let mut sum = load.clone();
+                sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
+                sums.insert(load.id(), sum);
             }
         }
     }
--- a/lib/src/gateway/service_room.rs
+++ b/lib/src/gateway/service_room.rs
@@ -81,6 +81,11 @@
         elapsed
     }
 
+    /// Forgets all, when the news is too old. No room is expected then.
+    pub fn forget(&mut self) {
+        *self = Self::default();
+    }
+
     /// Returns the backlog in seconds that is expected now, since the last one noted
     /// was already old then.
     pub fn expected_backlog_s(&self) -> f64 {
--- a/lib/src/gateway/shared_admission.rs
+++ b/lib/src/gateway/shared_admission.rs
@@ -34,7 +34,7 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 /// The age of the last news of other entries from which on the level is held, and from
 /// which on it follows what this entry sees alone.
-const NEWS_LIFETIME: Duration = Duration::from_millis(600);
+const NEWS_LIFETIME: Duration = Duration::from_millis(400);
 /// See [`NEWS_LIFETIME`].
 const MAX_HOLD: Duration = Duration::from_secs(5);
 /// How long the demand that other entries reported is used.
@@ -107,6 +107,7 @@
     peer_demands: ClassDemands,
     peers_noted_at: Timestamp,
     updated_at: Option<Timestamp>,
+    shortest_target: Duration,
     waited_at: Option<Timestamp>,
     shares: RoomShares,
 }
@@ -123,6 +124,7 @@
         let news_age = news_at.map(|at| now.since(at));
         if news_age.is_some_and(|age| age >= NEWS_LIFETIME && age < MAX_HOLD) {
             self.level.hold();
+            self.trend.forget();
         } else {
             let elapsed = self.trend.note(now, room.backlog_s(request_time));
             let expected_s = self.trend.expected_backlog_s();
@@ -130,6 +132,7 @@
         }
         self.room = room;
         self.updated_at = Some(now);
+        self.shortest_target = target;
         if room.waiting > 0 || self.level.refused_share() > 0.0 {
             self.waited_at = Some(now);
         }
@@ -235,6 +238,16 @@
         updated_at.is_none_or(|at| now.since(at) >= UPDATE_INTERVAL)
     }
 
+    /// Returns the services that requests here have asked for, with the shortest target
+    /// latency among their routes.
+    pub fn known_services(&self) -> Vec<(ServiceName, Duration)> {
+        let updated = self.services.iter();
+        let updated = updated.filter(|(_, admission)| admission.updated_at.is_some());
+        updated
+            .map(|(service, admission)| (service.clone(), admission.shortest_target))
+            .collect()
+    }
+
     /// Updates a service by its room, the time of a request in a slot and the shortest
     /// target latency among its routes.
     pub fn update(
