--- a/lib/src/gateway/shared_admission.rs
+++ b/lib/src/gateway/shared_admission.rs
@@ -173,7 +173,8 @@
         if query.slot_wait.is_zero() && self.has_free_slots() {
             return Ok(());
         }
-        if query.expected_latency > query.target_latency.mul_f64(MAX_LATENCY_SHARE) {
+        let max_latency = query.target_latency.mul_f64(MAX_LATENCY_SHARE);
+        if !query.slot_wait.is_zero() && query.expected_latency > max_latency {
             return refuse(RefusalCause::Late);
         }
         if query.is_promised {
--- a/lib/tests/test_damaged_input.rs
+++ b/lib/tests/test_damaged_input.rs
@@ -8,6 +8,10 @@
 
 use bytes::Bytes;
 use cloverbend::configuration::ConfigView;
+use cloverbend::gateway::account_demand::CrowdedDemand;
+use cloverbend::gateway::account_demand::DemandItem;
+use cloverbend::gateway::account_demand::ServiceDemands;
+use cloverbend::gateway::account_demand::add_demands;
 use cloverbend::gateway::call_digest::CallDigest;
 use cloverbend::gateway::crash_ledger::CrashReport;
 use cloverbend::gateway::crash_verdict::CrashRecord;
@@ -91,6 +95,17 @@
     String::from_utf8_lossy(&damaged(intact.as_bytes(), damages)).into_owned()
 }
 
+fn crowded_demand() -> CrowdedDemand {
+    CrowdedDemand {
+        service: "chat".to_owned(),
+        items: vec![DemandItem {
+            urgency: 2,
+            account: "depots".to_owned(),
+            units_milli: 9_000,
+        }],
+    }
+}
+
 fn gossip() -> GatewayGossip {
     let crashes = [(IncarnationDigest(6), Duration::from_millis(7))];
     GatewayGossip {
@@ -99,6 +114,8 @@
         reports_state: true,
         wants_summary: true,
         backends_digest: 3,
+        crowded_demand: vec![crowded_demand()],
+        crowded_sums: vec![crowded_demand()],
         crashes: vec![CrashReport {
             digest: CallDigest(5),
             record: CrashRecord {
@@ -156,6 +173,11 @@
         let Ok(decoded) = PeerMessage::decode(damaged(&intact, &damages).into()) else {
             return Ok(());
         };
+        if let PeerMessage::News(gossip) = &decoded {
+            let mut sums = ServiceDemands::new();
+            add_demands(&mut sums, &gossip.crowded_demand);
+            prop_assert!(sums.values().flat_map(|sum| sum.values()).all(|units| units.is_finite()));
+        }
         let redecoded = PeerMessage::decode(decoded.clone().encode());
         prop_assert_eq!(format!("{redecoded:?}"), format!("{:?}", Ok::<_, ()>(decoded)));
     }
