--- a/lib/tests/test_shared_admission.rs
+++ b/lib/tests/test_shared_admission.rs
@@ -319,7 +319,6 @@
     outcome
 }
 
-#[expect(clippy::too_many_arguments, reason = "one step of the replay")]
 fn decide(
     scenario: &Scenario,
     entry: &mut Entry,
