--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -10,9 +10,14 @@
 use slog::info;
 use slog::warn;
 
+use crate::gateway::account_demand::CrowdedDemand;
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::account_limits::ShareView;
+use crate::gateway::admission_exchange::apply_demand;
+use crate::gateway::admission_exchange::crowded_sums;
+use crate::gateway::admission_exchange::own_crowded_demand;
+use crate::gateway::admission_exchange::update_admission;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_state::BackendState;
@@ -73,6 +78,7 @@
         }
         update_peer_loads(&context, now);
         purge_promises(&context, now);
+        update_admission(&context, now);
         send_round(&context, now, round);
         pull_document(&context, now);
     }
@@ -138,6 +144,7 @@
         window_counts: own_counts(context),
         backend_loads: own_loads(context),
         service_demand: own_demand(context),
+        crowded_demand: own_crowded_demand(context, now),
         crashes: context.crashes.lock().reports(context.now()),
         reports,
         reports_digest,
@@ -184,6 +191,7 @@
         gossip.window_counts = Vec::new();
         gossip.backend_loads = Vec::new();
         gossip.service_demand = Vec::new();
+        gossip.crowded_demand = Vec::new();
         gossip.reports = Vec::new();
         gossip.promises = Vec::new();
     }
@@ -196,6 +204,7 @@
     fencing_token: Option<FenceToken>,
     hubs: Vec<(EntryName, SocketAddr, HubCapacity)>,
     loads: BTreeMap<BackendId, BackendLoad>,
+    crowded_sums: Vec<CrowdedDemand>,
     granted: GrantedPermits,
     promises: Vec<PromiseList>,
 }
@@ -217,6 +226,7 @@
                 .max(own_gossip.fencing_token),
             hubs: peers.hub_addresses(now),
             loads,
+            crowded_sums: crowded_sums(&peers, own_gossip, now),
             granted,
             promises: context.promises.lock().news(now, true),
         }
@@ -270,6 +280,7 @@
         fencing_token: source.fencing_token,
         backend_loads: source.loads_without(peers.backend_loads_of(&message.name)),
     });
+    gossip.crowded_sums.clone_from(&source.crowded_sums);
     let differs = peer_digest != gossip.backends_digest;
     let is_due = differs && peers.should_send_list(now, &message.name, gossip.backends_digest);
     drop(peers);
@@ -512,6 +523,7 @@
     }
     apply_server_gossip(context, now, &gossip);
     apply_promises(context, now, &gossip);
+    apply_demand(context, now, &gossip);
     if let Some(summary) = &gossip.summary {
         apply_summary(context, &gossip, summary, now);
     }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -40,10 +40,14 @@
 //!
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
 //! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`,
-//! `work_history`. No lock is held across an await.
+//! `work_history`, `admission`. No lock is held across an await.
 
+pub mod account_demand;
 pub mod account_limits;
+pub mod account_share;
 pub mod account_use;
+pub mod admission_exchange;
+pub mod admission_level;
 pub mod backend_choice;
 pub mod backend_pool;
 pub mod backend_record;
@@ -118,6 +122,7 @@
 pub mod retry_budget;
 pub mod return_promises;
 pub mod return_schedule;
+pub mod room_shares;
 pub mod send_guard;
 pub mod send_permits;
 pub mod sent_work;
@@ -125,7 +130,9 @@
 pub mod server_limits;
 pub mod server_pace;
 pub mod server_report;
+pub mod service_room;
 pub mod service_times;
+pub mod shared_admission;
 pub mod site_config;
 pub mod slot_forecast;
 pub mod stall_detector;
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -4,6 +4,7 @@
 
 use prost::Message;
 
+use crate::gateway::account_demand::CrowdedDemand;
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
@@ -220,6 +221,11 @@
     pub sends: Vec<LimitedSends>,
     /// Return promises that the sender made or kept recently.
     pub promises: Vec<PromiseList>,
+    /// What callers of the sender ask of crowded services.
+    pub crowded_demand: Vec<CrowdedDemand>,
+    /// What callers of all entries ask of crowded services, if the sender replies as a
+    /// hub.
+    pub crowded_sums: Vec<CrowdedDemand>,
     /// What the sender knows about all entries, if it replies as a hub.
     pub view: Option<HubView>,
     /// What the sender adds for the receiver, if it replies as a hub.
@@ -260,6 +266,8 @@
             reports_digest: 0,
             sends: Vec::new(),
             promises: Vec::new(),
+            crowded_demand: Vec::new(),
+            crowded_sums: Vec::new(),
             view: None,
             summary: None,
         }
