rollout_state, rollout_judge: decide roll-outs of new versions

Cause: an order to move a service to another version is passed over, and replicas of any version get requests. Nothing joins them to requests yet.

--- a/lib/src/gateway/backend_record.rs
+++ b/lib/src/gateway/backend_record.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use crate::id::ServerVersion;
 use crate::id::ServiceName;
 use crate::id::ZoneName;
 
@@ -92,6 +93,9 @@
     pub draining: bool,
     /// Whether the server's VM may be reclaimed.
     pub reclaimable: bool,
+    /// The version of the server's software. None if the server's record has no valid
+    /// one, or if an entry that does not know versions relayed the record.
+    pub version: Option<ServerVersion>,
 }
 
 /// The load that a backend server reports with a response.
--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -237,7 +237,11 @@
             return None;
         }
         let mut merged = record.clone();
-        merged.draining |= known.draining && known.id == record.id;
+        if known.id == record.id {
+            merged.draining |= known.draining;
+            // An entry that does not know versions relays records without them.
+            merged.version = merged.version.or_else(|| known.version.clone());
+        }
         Some(merged)
     }
 
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -7,6 +7,7 @@
 use crate::gateway::account_limits::LimitSlack;
 use crate::gateway::hub_capacity::HubCapacity;
 use crate::gateway::retry_budget::RetryBudgetRule;
+use crate::gateway::rollout_exposure::RolloutBounds;
 use crate::id::EntryName;
 use crate::id::ZoneName;
 use crate::setting_reader::LOG_LEVEL;
@@ -250,6 +251,27 @@
         Some("false"),
         "whether callers that return when a refusal asked them to are served first",
     ),
+    setting(
+        "rollout",
+        "expose_share",
+        "share",
+        None,
+        "largest share of the requests of a service that a version not yet proved may get; roll-outs are off if absent",
+    ),
+    setting(
+        "rollout",
+        "expose_slack",
+        "number",
+        Some("50"),
+        "requests that such a version may get in addition, over all entries",
+    ),
+    setting(
+        "rollout",
+        "rollback_ms",
+        "milliseconds",
+        Some("5000"),
+        "how long after its 50th bad answer a version may still get requests",
+    ),
     log_format("json"),
     LOG_LEVEL,
 ];
@@ -328,6 +350,8 @@
     pub bounds: GatewayBounds,
     /// Which decisions under load are in use.
     pub load: LoadSettings,
+    /// The bounds of roll-outs, or `None` if the entry takes no part in them.
+    pub rollout: Option<RolloutBounds>,
     /// The format of log lines.
     pub log_format: LogFormat,
     /// The least severe level that is logged.
@@ -362,6 +386,7 @@
     let cloud_address = reader.required("cloud", "address");
     let bounds = read_bounds(reader);
     let load = read_load(reader);
+    let rollout = read_rollout(reader);
     let log_format = reader.defaulted("log", "format");
     let log_level = reader.defaulted("log", "level");
     Some(GatewaySettings {
@@ -380,6 +405,7 @@
         cloud_address: cloud_address?,
         bounds: bounds?,
         load: load?,
+        rollout: rollout?,
         log_format: log_format?,
         log_level: log_level?,
     })
@@ -436,3 +462,27 @@
         return_promises: return_promises?,
     })
 }
+
+/// Returns `Some(None)` if the file sets no bounds of roll-outs, and `None` if one of
+/// them is malformed.
+fn read_rollout(reader: &mut SettingReader<'_>) -> Option<Option<RolloutBounds>> {
+    let is_used = reader
+        .section("rollout")
+        .iter()
+        .any(|(key, _)| key == "expose_share");
+    let share = reader.optional("rollout", "expose_share");
+    let slack = reader.defaulted("rollout", "expose_slack");
+    let rollback = reader.defaulted("rollout", "rollback_ms");
+    let bounds = || {
+        Some(RolloutBounds {
+            share: share?,
+            slack: slack?,
+            rollback: Duration::from_millis(rollback?),
+        })
+    };
+    if is_used {
+        bounds().map(Some)
+    } else {
+        Some(None)
+    }
+}
--- a/lib/src/gateway/list_frames.rs
+++ b/lib/src/gateway/list_frames.rs
@@ -33,6 +33,9 @@
     reclaimable: bool,
     #[prost(uint64, tag = "8")]
     start: u64,
+    /// Empty if the version is not known.
+    #[prost(string, tag = "9")]
+    version: String,
 }
 
 /// The frame of a full list.
@@ -136,6 +139,7 @@
         leaving: record.draining,
         reclaimable: record.reclaimable,
         start: record.id.start.0,
+        version: record.version.map(String::from).unwrap_or_default(),
     }
 }
 
@@ -148,6 +152,7 @@
         slots: frame.slots,
         draining: frame.leaving,
         reclaimable: frame.reclaimable,
+        version: frame.version.parse().ok(),
     })
 }
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -36,6 +36,10 @@
 //! [`limit_exchange`] sends them to all entries. The [`permit_issuer`] of a hub
 //! divides each limit among the entries by permits.
 //!
+//! The decisions of a roll-out: [`rollout_state`] has its states, [`rollout_exposure`]
+//! bounds what the new version gets, [`rollout_evidence`] counts answers by version, and
+//! [`rollout_judge`] compares the versions. No task makes these decisions yet.
+//!
 //! The traits in [`platform_interface`] hide the formats of the platform.
 //!
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
@@ -109,6 +113,10 @@
 pub mod response_body;
 pub mod response_passthrough;
 pub mod retry_budget;
+pub mod rollout_evidence;
+pub mod rollout_exposure;
+pub mod rollout_judge;
+pub mod rollout_state;
 pub mod send_guard;
 pub mod send_permits;
 pub mod server_labels;
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -154,6 +154,10 @@
     /// The name of a service that callers address.
     ServiceName
 );
+name_type!(
+    /// The version of the software of a backend server.
+    ServerVersion
+);
 name_type!(
     /// The name of a client account.
     AccountName
--- a/lib/tests/test_backend_incarnations.rs
+++ b/lib/tests/test_backend_incarnations.rs
@@ -33,6 +33,7 @@
         slots: 4,
         draining,
         reclaimable: false,
+        version: None,
     }
 }
 
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -31,6 +31,7 @@
         slots: 4,
         draining,
         reclaimable: false,
+        version: None,
     }
 }
 
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -477,6 +477,7 @@
             slots: 4,
             draining: true,
             reclaimable: true,
+            version: None,
         }]),
         changes: Some(ListChanges {
             records: Vec::new(),
--- a/lib/tests/test_list_updates.rs
+++ b/lib/tests/test_list_updates.rs
@@ -52,6 +52,7 @@
         slots: 12,
         draining: false,
         reclaimable: number.is_multiple_of(2),
+        version: None,
     }
 }
 
--- a/lib/tests/test_permit_issuer.rs
+++ b/lib/tests/test_permit_issuer.rs
@@ -72,6 +72,7 @@
         slots: 12,
         draining: false,
         reclaimable: true,
+        version: None,
     }
 }
 
--- /dev/null
+++ b/lib/tests/test_rollout.rs
@@ -0,0 +1,509 @@
+//! The load pattern of a roll-out: hundreds of entries, a version that may be bad, and
+//! other trouble meanwhile. The pure decisions are replayed in virtual time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use cloverbend::gateway::backend_record::BackendId;
+use cloverbend::gateway::gateway_settings::GatewaySettings;
+use cloverbend::gateway::rollout_evidence::AnswerKind;
+use cloverbend::gateway::rollout_evidence::EvidenceTable;
+use cloverbend::gateway::rollout_evidence::PaceRange;
+use cloverbend::gateway::rollout_evidence::RolloutEvidence;
+use cloverbend::gateway::rollout_evidence::RouteClass;
+use cloverbend::gateway::rollout_evidence::VersionSide;
+use cloverbend::gateway::rollout_exposure::ExposureCredit;
+use cloverbend::gateway::rollout_exposure::RolloutBounds;
+use cloverbend::gateway::rollout_exposure::RolloutView;
+use cloverbend::gateway::rollout_exposure::VersionRule;
+use cloverbend::gateway::rollout_exposure::running_share;
+use cloverbend::gateway::rollout_exposure::version_rule;
+use cloverbend::gateway::rollout_judge::BadKind;
+use cloverbend::gateway::rollout_judge::RolloutJudge;
+use cloverbend::gateway::rollout_judge::RolloutVerdict;
+use cloverbend::gateway::rollout_state::OrderFault;
+use cloverbend::gateway::rollout_state::RolloutOrder;
+use cloverbend::gateway::rollout_state::RolloutPhase;
+use cloverbend::gateway::rollout_state::RolloutStatus;
+use cloverbend::gateway::rollout_state::StepInputs;
+use cloverbend::gateway::rollout_state::next_phase;
+use cloverbend::gateway::rollout_state::start_rollout;
+use cloverbend::id::Incarnation;
+use cloverbend::id::ServerVersion;
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+
+const TICK: Duration = Duration::from_millis(250);
+/// How many ticks news of the holder's state takes to an entry that is in touch.
+const NEWS_TICKS: usize = 2;
+const ROUTES: [&str; 5] = ["audit", "release", "chat", "alarm", "door"];
+const NEW_SERVERS: usize = 4;
+
+fn order() -> RolloutOrder {
+    RolloutOrder {
+        service: "pool".parse().unwrap(),
+        target: "v2".parse().unwrap(),
+        duration: Duration::from_secs(60),
+    }
+}
+
+fn bounds() -> RolloutBounds {
+    RolloutBounds {
+        share: "0.1".parse().unwrap(),
+        slack: 50,
+        rollback: Duration::from_millis(5_000),
+    }
+}
+
+/// What is wrong while the roll-out runs.
+#[derive(Clone, Copy)]
+struct Trouble {
+    /// The share of failures of the new version.
+    failing: f64,
+    /// The factor by which its answers are slower.
+    slower: f64,
+    /// The time at which its faults begin.
+    onset_s: u64,
+    /// Whether only the first route is faulty.
+    one_route: bool,
+    /// The share of failures of one old and one new server each, in the middle third.
+    grey: f64,
+    /// The factor by which answers of all servers are slower in the middle third.
+    burst: f64,
+    /// How often the holder of the lease is replaced by one that begins anew, in ticks.
+    holder_ticks: u64,
+}
+
+const NO_TROUBLE: Trouble = Trouble {
+    failing: 0.0,
+    slower: 1.0,
+    onset_s: 0,
+    one_route: false,
+    grey: 0.0,
+    burst: 1.0,
+    holder_ticks: u64::MAX,
+};
+
+/// One entry.
+struct EntryState {
+    incarnation: u64,
+    evidence: RolloutEvidence,
+    credit: ExposureCredit,
+    phase: RolloutPhase,
+    news_age: Duration,
+    cut_off: bool,
+}
+
+impl EntryState {
+    fn new(rng: &mut StdRng) -> Self {
+        Self {
+            incarnation: rng.random(),
+            evidence: RolloutEvidence::default(),
+            credit: ExposureCredit::new(rng.random()),
+            phase: RolloutPhase::Running,
+            news_age: Duration::from_secs(3_600),
+            cut_off: false,
+        }
+    }
+}
+
+/// The result of one roll-out.
+#[derive(Debug)]
+struct Outcome {
+    phase: RolloutPhase,
+    ended: Duration,
+    requests: u32,
+    exposed: u32,
+    /// The time from the 50th bad answer to the last request to the new version.
+    last_after_bad: Duration,
+}
+
+/// Plays one roll-out. A thousandth of the entries restarts each tick, one in twenty is
+/// cut off for a while, and three in ten messages are lost.
+fn play(entries: usize, per_s: u32, trouble: Trouble, seed: u64) -> Outcome {
+    let order = order();
+    let share = running_share(&bounds(), &order);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut states: Vec<EntryState> = (0..entries).map(|_| EntryState::new(&mut rng)).collect();
+    let mut table = EvidenceTable::default();
+    let mut total = RolloutEvidence::default();
+    let mut judge = RolloutJudge::new();
+    let mut phase = RolloutPhase::Running;
+    let mut phase_began = Duration::ZERO;
+    let mut news = VecDeque::from([RolloutPhase::Running; NEWS_TICKS]);
+    let mut outcome = Outcome {
+        phase,
+        ended: order.duration,
+        requests: 0,
+        exposed: 0,
+        last_after_bad: Duration::ZERO,
+    };
+    let (mut bad_answers, mut bad_at) = (0, None);
+    let ticks = (order.duration.as_millis() / TICK.as_millis()) as u64;
+    for tick in 0..ticks {
+        let age = TICK * tick as u32;
+        news.push_back(phase);
+        let told = news.pop_front().unwrap();
+        let heard_answers = total.answers(VersionSide::New);
+        for state in &mut states {
+            if rng.random_bool(0.001) {
+                *state = EntryState::new(&mut rng);
+            }
+            if rng.random_bool(0.02) {
+                state.cut_off = rng.random_bool(0.05);
+            }
+            state.news_age += TICK;
+            if !state.cut_off && rng.random_bool(0.7) {
+                state.phase = told;
+                state.news_age = TICK * NEWS_TICKS as u32;
+                table.note(Incarnation(state.incarnation), &state.evidence);
+            }
+        }
+        let in_middle = (ticks / 3..2 * ticks / 3).contains(&tick);
+        for _ in 0..per_s * TICK.as_millis() as u32 / 1_000 {
+            let state = &mut states[rng.random_range(0..entries)];
+            let route = rng.random_range(0..ROUTES.len());
+            outcome.requests += 1;
+            state.credit.note_arrival(share);
+            let view = RolloutView {
+                order: &order,
+                phase: state.phase,
+                news_age: state.news_age,
+                age,
+                new_answers: heard_answers,
+            };
+            let may_repeat = route != 3;
+            let rule = version_rule(&view, state.credit, may_repeat);
+            let is_new = rule.admits(Some(&order.target));
+            let server = rng.random_range(0..if is_new { NEW_SERVERS } else { 60 });
+            let mut failing = 0.005;
+            let mut ratio = rng.random_range(0.6_f64..1.6);
+            if in_middle {
+                ratio *= trouble.burst;
+                if server == 0 {
+                    failing += trouble.grey;
+                }
+            }
+            let is_faulty = is_new
+                && age >= Duration::from_secs(trouble.onset_s)
+                && (!trouble.one_route || route == 0);
+            if is_faulty {
+                failing += trouble.failing;
+                ratio *= trouble.slower;
+            }
+            let class = RouteClass::of(ROUTES[route]);
+            let kind = if rng.random_bool(failing) {
+                AnswerKind::Failed
+            } else {
+                AnswerKind::Served(PaceRange::of(ratio).unwrap())
+            };
+            let side = if is_new {
+                VersionSide::New
+            } else {
+                VersionSide::Old
+            };
+            let id = BackendId::without_start(format!("{side:?}-{server}"));
+            state.evidence.note(side, class, &id, kind);
+            if is_new {
+                state.credit.note_sent();
+                outcome.exposed += 1;
+                if let Some(at) = bad_at {
+                    outcome.last_after_bad = age.saturating_sub(at);
+                }
+                let is_bad = is_faulty && (kind == AnswerKind::Failed || trouble.slower > 2.0);
+                bad_answers += u32::from(is_bad);
+                if bad_answers == 50 {
+                    bad_at.get_or_insert(age);
+                }
+            }
+        }
+        if phase.is_final() {
+            continue;
+        }
+        total = table.total();
+        if tick % trouble.holder_ticks == trouble.holder_ticks - 1 {
+            // The next holder knows the stored status and hears the entries again.
+            judge = RolloutJudge::new();
+            if phase == RolloutPhase::Moving {
+                phase = RolloutPhase::Running;
+            }
+            continue;
+        }
+        let inputs = StepInputs {
+            age,
+            phase_age: age.saturating_sub(phase_began),
+            verdict: judge.judge(&total),
+            has_capacity: true,
+            old_in_flight: 1,
+        };
+        if let Some(next) = next_phase(phase, &order, &inputs) {
+            assert!(phase.may_become(next));
+            phase = next;
+            phase_began = age;
+            if phase.is_final() {
+                outcome.ended = age;
+            }
+        }
+    }
+    outcome.phase = phase;
+    outcome
+}
+
+fn is_bounded(outcome: &Outcome) -> bool {
+    let bounds = bounds();
+    let most = f64::from(outcome.requests) * bounds.share.as_f64() + f64::from(bounds.slack);
+    f64::from(outcome.exposed) <= most && outcome.last_after_bad <= bounds.rollback
+}
+
+/// Plays seeds and returns how many ended in a state. Bad versions stay in their bounds
+/// in every seed.
+fn count_ends(
+    entries: usize,
+    per_s: u32,
+    trouble: Trouble,
+    expected: RolloutPhase,
+    seeds: u64,
+) -> u64 {
+    let ends = (0..seeds).filter(|seed| {
+        let outcome = play(entries, per_s, trouble, *seed);
+        if expected == RolloutPhase::RolledBack {
+            assert!(is_bounded(&outcome), "seed {seed}: {outcome:?}");
+        }
+        outcome.phase == expected && outcome.ended < order().duration
+    });
+    ends.count() as u64
+}
+
+const FAILING: Trouble = Trouble {
+    failing: 0.1,
+    ..NO_TROUBLE
+};
+const SLOWER: Trouble = Trouble {
+    slower: 3.0,
+    ..NO_TROUBLE
+};
+
+/// A bad version is rolled back before the time limit in 99 of 100 seeds.
+#[rstest]
+#[case::failing(9, 100, FAILING)]
+#[case::failing_behind_73_entries(73, 100, FAILING)]
+#[case::failing_behind_302_entries(302, 600, FAILING)]
+#[case::slower(9, 100, SLOWER)]
+#[case::slower_behind_302_entries(302, 600, SLOWER)]
+#[case::half_failing(73, 600, Trouble { failing: 0.5, ..NO_TROUBLE })]
+#[case::late(73, 300, Trouble { onset_s: 25, ..FAILING })]
+#[case::one_route(73, 300, Trouble { failing: 0.5, one_route: true, ..NO_TROUBLE })]
+#[case::while_servers_are_grey(73, 300, Trouble { grey: 0.3, ..FAILING })]
+#[case::while_holders_change(73, 300, Trouble { holder_ticks: 20, ..FAILING })]
+fn bad_version_is_rolled_back(
+    #[case] entries: usize,
+    #[case] per_s: u32,
+    #[case] trouble: Trouble,
+) {
+    let seeds = 100;
+    let ends = count_ends(entries, per_s, trouble, RolloutPhase::RolledBack, seeds);
+    assert!(ends >= 99, "{ends} of {seeds}");
+}
+
+/// A good version is completed before the time limit in 99 of 100 seeds.
+#[rstest]
+#[case::quiet(9, 100, NO_TROUBLE)]
+#[case::behind_73_entries(73, 100, NO_TROUBLE)]
+#[case::behind_302_entries(302, 600, NO_TROUBLE)]
+#[case::while_servers_are_grey(73, 300, Trouble { grey: 0.3, ..NO_TROUBLE })]
+#[case::in_a_burst(73, 300, Trouble { burst: 4.0, ..NO_TROUBLE })]
+#[case::while_holders_change(73, 300, Trouble { holder_ticks: 50, ..NO_TROUBLE })]
+fn good_version_is_completed(#[case] entries: usize, #[case] per_s: u32, #[case] trouble: Trouble) {
+    let seeds = 100;
+    let ends = count_ends(entries, per_s, trouble, RolloutPhase::Completed, seeds);
+    assert!(ends >= 99, "{ends} of {seeds}");
+}
+
+/// A version that turns bad only while all traffic moves stays within its bounds.
+#[rstest]
+#[case(9, 100)]
+#[case(302, 600)]
+fn version_that_turns_bad_in_the_move_stays_bounded(#[case] entries: usize, #[case] per_s: u32) {
+    let onset_s = order().move_at().as_secs() + 1;
+    let trouble = Trouble {
+        failing: 0.5,
+        onset_s,
+        ..NO_TROUBLE
+    };
+    for seed in 0..50 {
+        let outcome = play(entries, per_s, trouble, seed);
+        assert!(is_bounded(&outcome), "seed {seed}: {outcome:?}");
+    }
+}
+
+/// With requests that are few for the number of entries, a version is still tried, and
+/// is not completed unproved.
+#[test]
+fn version_with_few_requests_is_not_completed() {
+    for seed in 0..50 {
+        let outcome = play(302, 8, FAILING, seed);
+        assert!(is_bounded(&outcome), "seed {seed}: {outcome:?}");
+        assert_ne!(outcome.phase, RolloutPhase::Completed, "seed {seed}");
+        assert!(outcome.exposed > 0, "seed {seed}");
+    }
+}
+
+/// No sequence of states leads on from a verdict.
+#[test]
+fn verdicts_stay() {
+    for phase in RolloutPhase::ALL {
+        for next in RolloutPhase::ALL {
+            let from_final = phase.is_final() && phase.may_become(next);
+            assert!(!from_final, "{phase} -> {next}");
+        }
+    }
+    assert!(!RolloutPhase::Running.may_become(RolloutPhase::Completed));
+}
+
+/// The holder is lost at each state. The next one knows the stored status only.
+#[rstest]
+#[case(RolloutPhase::Running, Ok(RolloutPhase::Running))]
+#[case(RolloutPhase::Completed, Err(OrderFault::AlreadyDecided))]
+#[case(RolloutPhase::RolledBack, Err(OrderFault::AlreadyDecided))]
+fn next_holder_goes_on_from_the_status(
+    #[case] phase: RolloutPhase,
+    #[case] expected: Result<RolloutPhase, OrderFault>,
+) {
+    let order = order();
+    let target = order.target.clone();
+    let status = RolloutStatus { target, phase };
+    // All old servers have ended.
+    let running = [Some(&order.target)];
+    let started = start_rollout(&order, Some(&status), true, running.into_iter());
+    assert_eq!(started, expected);
+}
+
+#[test]
+fn unusable_orders_move_no_traffic() {
+    let order = order();
+    let target = Some(&order.target);
+    let unknown = start_rollout(&order, None, false, [target].into_iter());
+    assert_eq!(unknown, Err(OrderFault::UnknownService));
+    let same = start_rollout(&order, None, true, [target, target].into_iter());
+    assert_eq!(same, Err(OrderFault::AlreadyRuns));
+    let other: ServerVersion = "v1".parse().unwrap();
+    let begun = start_rollout(&order, None, true, [target, Some(&other)].into_iter());
+    assert_eq!(begun, Ok(RolloutPhase::Running));
+    let no_servers = start_rollout(&order, None, true, std::iter::empty());
+    assert_eq!(no_servers, Ok(RolloutPhase::Running));
+}
+
+#[test]
+fn order_without_servers_of_its_version_is_rolled_back() {
+    let order = order();
+    let mut inputs = StepInputs {
+        age: order.move_at(),
+        phase_age: order.move_at(),
+        verdict: RolloutVerdict::Undecided,
+        has_capacity: false,
+        old_in_flight: 5,
+    };
+    assert_eq!(next_phase(RolloutPhase::Running, &order, &inputs), None);
+    inputs.age = order.decide_by();
+    let next = next_phase(RolloutPhase::Running, &order, &inputs);
+    assert_eq!(next, Some(RolloutPhase::RolledBack));
+}
+
+#[rstest]
+#[case::any(VersionRule::Any, [true, true, true])]
+#[case::only(VersionRule::Only(&"v2".parse().unwrap()), [false, true, false])]
+#[case::except(VersionRule::Except(&"v2".parse().unwrap()), [true, false, false])]
+fn rules_admit_versions(#[case] rule: VersionRule<'_>, #[case] expected: [bool; 3]) {
+    let old: ServerVersion = "v1".parse().unwrap();
+    let new: ServerVersion = "v2".parse().unwrap();
+    let admitted = [Some(&old), Some(&new), None].map(|version| rule.admits(version));
+    assert_eq!(admitted, expected);
+}
+
+proptest! {
+    /// Counts of another entry may be anything.
+    #[test]
+    fn damaged_counts_are_bounded(numbers in prop::collection::vec(any::<u32>(), 280..296)) {
+        let Some(evidence) = RolloutEvidence::from_numbers(&numbers) else {
+            prop_assert_ne!(numbers.len(), 288);
+            return Ok(());
+        };
+        for class in RouteClass::all() {
+            let counts = evidence.of_class(VersionSide::New, class);
+            let kinds: u64 = counts.paces.iter().copied().map(u64::from).sum();
+            prop_assert!(u64::from(counts.failed) + kinds <= u64::from(counts.answers));
+        }
+        let mut table = EvidenceTable::default();
+        table.note(Incarnation(1), &evidence);
+        table.note(Incarnation(2), &evidence);
+        let mut judge = RolloutJudge::new();
+        judge.judge(&table.total());
+        judge.judge(&RolloutEvidence::default());
+        prop_assert!(judge.highest_sum(BadKind::Slow).is_finite());
+    }
+
+    /// What an entry tells arrives as it was, and an earlier message changes nothing.
+    #[test]
+    fn counts_are_relayed(answers in 0_u32..500, late in 0_u32..500) {
+        let mut evidence = RolloutEvidence::default();
+        let mut table = EvidenceTable::default();
+        let mut earlier = evidence;
+        for number in 0..answers {
+            if number == late {
+                earlier = evidence;
+            }
+            let id = BackendId::without_start(format!("i-{number}"));
+            evidence.note(VersionSide::New, RouteClass::of("audit"), &id, AnswerKind::Failed);
+        }
+        let read = RolloutEvidence::from_numbers(&evidence.to_numbers());
+        prop_assert_eq!(read, Some(evidence));
+        table.note(Incarnation(1), &evidence);
+        table.note(Incarnation(1), &earlier);
+        prop_assert_eq!(table.total(), evidence);
+    }
+}
+
+const SETTINGS: &str = "[gateway]
+name = entry-1
+zone = zone-a
+caller_address = 127.0.0.1:1
+readiness_address = 127.0.0.1:2
+peer_address = 127.0.0.1:3
+
+[store]
+address = 127.0.0.1:4
+
+[cloud]
+address = 127.0.0.1:5
+
+";
+
+#[rstest]
+#[case::absent("", None)]
+#[case::given(
+    "[rollout]\nexpose_share = 0.1\nexpose_slack = 50\nrollback_ms = 5000\n",
+    Some(bounds())
+)]
+#[case::defaults("[rollout]\nexpose_share = 0.1\n", Some(bounds()))]
+fn bounds_come_from_the_settings(#[case] section: &str, #[case] expected: Option<RolloutBounds>) {
+    let text = format!("{SETTINGS}{section}");
+    let settings = GatewaySettings::parse("entry.ini", &text).unwrap();
+    assert_eq!(settings.rollout, expected);
+}
+
+#[rstest]
+#[case("0")]
+#[case("-0.1")]
+#[case("0.6")]
+#[case("NaN")]
+#[case("much")]
+fn unusable_share_is_a_finding(#[case] share: &str) {
+    let text = format!("{SETTINGS}[rollout]\nexpose_share = {share}\n");
+    let findings = GatewaySettings::parse("entry.ini", &text).unwrap_err();
+    let expected = "entry.ini:15: [rollout] expose_share: \
+        a share of exposed requests is more than 0 and at most 0.5";
+    assert_eq!(findings.to_string().trim(), expected);
+}
--- a/lib/tests/test_sudden_loss.rs
+++ b/lib/tests/test_sudden_loss.rs
@@ -203,6 +203,7 @@
         slots: 4,
         draining: false,
         reclaimable: true,
+        version: None,
     });
     let mut shown = Vec::new();
     for (elapsed, had_free_slot) in [(900, true), (900, true), (6_000, false), (6_000, false)] {
