rollout_task: carry out the operator's roll-outs

Cause: the decisions of a roll-out were not joined to requests, to gossip and to the store, so an order was missed. Off without [rollout]. ChoiceQuery has one field more, so its tests name it.

--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -19,6 +19,7 @@
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::backend_state::BackendState;
 use crate::gateway::call_head::PromptBlock;
+use crate::gateway::rollout_exposure::VersionRule;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::service_times::ServiceTimes;
 use crate::id::ServiceName;
@@ -67,12 +68,17 @@
     pub tried: &'a [BackendId],
     /// The limits of backend servers, and the permits of this entry.
     pub limits: &'a ServerLimits,
+    /// Which versions of servers may get the request.
+    pub versions: &'a VersionRule,
 }
 
 impl ChoiceQuery<'_> {
-    /// Returns whether a backend server accepts requests at all and was not tried.
+    /// Returns whether a backend server accepts requests at all, was not tried, and has
+    /// a version that may get the request.
     fn may_use(&self, backend: &BackendState) -> bool {
-        backend.accepts_requests() && !self.tried.contains(&backend.record.id)
+        backend.accepts_requests()
+            && !self.tried.contains(&backend.record.id)
+            && self.versions.admits(backend.record.version.as_ref())
     }
 
     /// Returns whether this entry may send to a backend server now: no back-off is in
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -33,6 +33,10 @@
 use crate::gateway::platform_interface::ForwardedHead;
 use crate::gateway::platform_interface::ResponseHead;
 use crate::gateway::report_handler::handle_report;
+use crate::gateway::rollout_exposure::VersionRule;
+use crate::gateway::rollout_routing::note_request;
+use crate::gateway::rollout_routing::note_version_answer;
+use crate::gateway::rollout_routing::request_rule;
 use crate::gateway::send_guard::CONNECTION_LOST;
 use crate::gateway::send_guard::SERVER_RESTARTED;
 use crate::gateway::send_guard::SendGuard;
@@ -154,6 +158,8 @@
         {
             SendResult::Responded(exchange, head) => {
                 retry_state.possible_runs += 1;
+                let status = exchange.response.status();
+                note_answer(context, call, &chosen, resume_after, Some(status));
                 chosen.guard.note_head();
                 log_request_sent(context, call, &backend, chosen.prefill_tokens);
                 return Ok(BackendResponse {
@@ -177,6 +183,7 @@
                 continue;
             }
             SendResult::Abandoned => {
+                note_answer(context, call, &chosen, resume_after, None);
                 retry_state.possible_runs += 1;
                 note_outcome(context, &backend, BackendOutcome::Broken);
                 log_send_failed(context, call, &backend, "given_up");
@@ -195,6 +202,29 @@
     Err(final_refusal(call, retry_state, not_executed))
 }
 
+/// Counts an answer for the version of its server. `status` is `None` for an attempt that
+/// was given up. Resumed streams do not count: their times differ.
+fn note_answer(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    chosen: &ChosenBackend,
+    resume_after: Option<u64>,
+    status: Option<StatusCode>,
+) {
+    if resume_after.is_none() {
+        let elapsed = chosen.guard.since_sent();
+        let backend = chosen.guard.backend();
+        note_version_answer(
+            context,
+            call,
+            backend,
+            status,
+            elapsed,
+            chosen.expected_first_event,
+        );
+    }
+}
+
 /// Returns the refusal of a request that is not sent again.
 fn final_refusal(call: &AdmittedCall, retry_state: &RetryState, not_executed: bool) -> CallRefusal {
     let is_late = call.time_left() <= MIN_TIME_LEFT;
@@ -264,12 +294,14 @@
     call: &AdmittedCall,
     retry_state: &RetryState,
 ) -> bool {
+    let versions = request_rule(context, call, false);
+    let versions = versions.fallback().unwrap_or(versions);
     let backends = context.backends.lock();
     let limits = context.server_limits.lock();
     has_healthy_backend(
         &backends,
         context.now(),
-        &choice_query(context, call, retry_state, &limits),
+        &choice_query(context, call, retry_state, &limits, &versions),
     )
 }
 
@@ -279,6 +311,7 @@
     call: &'a AdmittedCall,
     retry_state: &'a RetryState,
     limits: &'a ServerLimits,
+    versions: &'a VersionRule,
 ) -> ChoiceQuery<'a> {
     ChoiceQuery {
         service: &call.service,
@@ -287,6 +320,7 @@
         prompt_blocks: &call.head.prompt_blocks,
         tried: &retry_state.tried,
         limits,
+        versions,
     }
 }
 
@@ -361,10 +395,23 @@
     retry_state: &RetryState,
 ) -> NextStep {
     let now = context.now();
+    let versions = request_rule(context, call, retry_state.tried.is_empty());
+    let fallback = versions.fallback();
     let mut backends = context.backends.lock();
     let mut limits = context.server_limits.lock();
-    let query = choice_query(context, call, retry_state, &limits);
-    let Some(choice) = choose_backend(&backends, now, &query) else {
+    let query = choice_query(context, call, retry_state, &limits, &versions);
+    let mut choice = choose_backend(&backends, now, &query);
+    let mut query = query;
+    // A new version must not cost a request its place: others may have room.
+    if let Some(versions) = &fallback
+        && choice
+            .as_ref()
+            .is_none_or(|choice| !choice.slot_wait.is_zero())
+    {
+        query.versions = versions;
+        choice = choose_backend(&backends, now, &query).or(choice);
+    }
+    let Some(choice) = choice else {
         let Some(after) = time_until_available(&backends, now, &query) else {
             return NextStep::NoBackend;
         };
@@ -375,6 +422,7 @@
         return NextStep::NoBackend;
     };
     let address = backend.record.address;
+    let version = backend.record.version.clone();
     let had_free_slot = backend.occupancy(now) < backend.record.slots;
     let tokens_ahead = backend.pending_tokens + backend.peer_pending_tokens;
     let speed = backends.times(&call.service).prefill_speed;
@@ -398,6 +446,7 @@
     limits.note_sent(now, &choice.id);
     drop(limits);
     drop(backends);
+    note_request(context, call, version.as_ref());
     let sent_request = SentRequest {
         backend: choice.id,
         address,
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -39,6 +39,7 @@
 use crate::gateway::platform_interface::LogStore;
 use crate::gateway::platform_interface::PlatformFormat;
 use crate::gateway::retry_budget::RetryBudget;
+use crate::gateway::rollout_table::RolloutTable;
 use crate::gateway::server_labels::ServerLabels;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::usage_table::UsageTable;
@@ -98,6 +99,8 @@
     pub cloud_call_lock: AsyncMutex<()>,
     /// The crashes of backend servers and the requests that ran there.
     pub crashes: Mutex<CrashLedger>,
+    /// The roll-outs of new versions.
+    pub rollouts: Mutex<RolloutTable>,
     /// Probes backend servers that may have crashed.
     pub crash_detector: CrashDetector,
     /// The budget for buffered bodies of requests and responses.
@@ -162,6 +165,7 @@
             lease_call_lock: AsyncMutex::new(()),
             cloud_call_lock: AsyncMutex::new(()),
             crashes: Mutex::new(CrashLedger::new()),
+            rollouts: Mutex::new(RolloutTable::new()),
             crash_detector: CrashDetector::new(),
             byte_budget: Arc::new(ByteBudget::from_memory_mb(settings.memory_mb)),
             incarnations: IncarnationTracker::new(),
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -33,6 +33,7 @@
 use crate::gateway::gossip_task::receive_part;
 use crate::gateway::gossip_task::run_gossip;
 use crate::gateway::lease_task::maintain_lease;
+use crate::gateway::rollout_task::run_rollouts;
 use crate::gateway::state_sizes::SizeReporter;
 use crate::gateway::store_task::follow_backends;
 use crate::gateway::store_task::follow_config;
@@ -237,6 +238,7 @@
     spawn_until_stop(&context.stop, run_gossip(shared_context()));
     spawn_until_stop(&context.stop, maintain_lease(shared_context()));
     spawn_until_stop(&context.stop, run_duties(shared_context()));
+    spawn_until_stop(&context.stop, run_rollouts(shared_context()));
     spawn_until_stop(&context.stop, read_without_lease(shared_context()));
     spawn_until_stop(&context.stop, run_maintenance(shared_context()));
 }
--- a/lib/src/gateway/gossip_frame.rs
+++ b/lib/src/gateway/gossip_frame.rs
@@ -26,6 +26,10 @@
 use crate::gateway::report_frames::RelayedReportFrame;
 use crate::gateway::report_frames::ServerCountFrame;
 use crate::gateway::report_frames::read_reports;
+use crate::gateway::rollout_frames::EvidenceFrame;
+use crate::gateway::rollout_frames::RolloutNewsFrame;
+use crate::gateway::rollout_frames::read_evidence;
+use crate::gateway::rollout_frames::read_news;
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::id::Incarnation;
@@ -166,6 +170,10 @@
     duties_end: u64,
     #[prost(bool, tag = "27")]
     accepts_packed_lists: bool,
+    #[prost(message, repeated, tag = "28")]
+    rollouts: Vec<RolloutNewsFrame>,
+    #[prost(message, repeated, tag = "29")]
+    rollout_evidence: Vec<EvidenceFrame>,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -278,6 +286,12 @@
             notices: gossip.reports.into_iter().map(Into::into).collect(),
             notices_hash: gossip.reports_digest,
             sends: gossip.sends.into_iter().map(Into::into).collect(),
+            rollouts: gossip.rollouts.into_iter().map(Into::into).collect(),
+            rollout_evidence: gossip
+                .rollout_evidence
+                .into_iter()
+                .map(Into::into)
+                .collect(),
             tells: gossip.reports_state,
             wants_digest: gossip.wants_summary,
             backends_hash: gossip.backends_digest,
@@ -327,6 +341,8 @@
             reports: read_reports(frame.notices),
             reports_digest: frame.notices_hash,
             sends: frame.sends.into_iter().map(Into::into).collect(),
+            rollouts: read_news(frame.rollouts),
+            rollout_evidence: read_evidence(frame.rollout_evidence),
             view: frame.view.map(|view| HubView {
                 entries: view.entries as usize,
                 reachable: view.heard as usize,
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -119,6 +119,10 @@
     let fencing_token = lease.valid_lease(sent_at).map(|lease| lease.fencing_token);
     let duty_log_end = fencing_token.map(|_| lease.next_offset());
     drop(lease);
+    let mut rollouts = context.rollouts.lock();
+    let rollout_news = rollouts.current_news(sent_at);
+    let rollout_evidence = rollouts.own_reports();
+    drop(rollouts);
     GatewayGossip {
         sent_at: sent_at.0,
         draining: context.is_draining(),
@@ -135,6 +139,8 @@
         reports,
         reports_digest,
         sends,
+        rollouts: rollout_news,
+        rollout_evidence,
         ..own_identity(context)
     }
 }
@@ -177,6 +183,7 @@
         gossip.backend_loads = Vec::new();
         gossip.service_demand = Vec::new();
         gossip.reports = Vec::new();
+        gossip.rollout_evidence = Vec::new();
     }
 }
 
@@ -487,6 +494,7 @@
         merge_crash_reports(context, &gossip.crashes);
     }
     apply_server_gossip(context, now, &gossip);
+    apply_rollouts(context, now, &gossip);
     if let Some(summary) = &gossip.summary {
         apply_summary(context, &gossip, summary, now);
     }
@@ -538,6 +546,21 @@
     }
 }
 
+/// Takes in news of roll-outs and the answers that the sender counted, if this entry takes
+/// part in roll-outs.
+fn apply_rollouts(context: &GatewayContext, now: Timestamp, gossip: &GatewayGossip) {
+    if context.settings.rollout.is_none() {
+        return;
+    }
+    let mut rollouts = context.rollouts.lock();
+    for news in &gossip.rollouts {
+        rollouts.note_news(now, news.clone(), rand::random());
+    }
+    for report in &gossip.rollout_evidence {
+        rollouts.note_report(gossip.incarnation, report);
+    }
+}
+
 fn apply_admitted(context: &GatewayContext, gossip: &GatewayGossip) {
     let is_new = gossip.sent_at < NEW_ENTRY_AGE.as_micros() as u64;
     let mut limits = context.account_limits.lock();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -38,13 +38,15 @@
 //!
 //! The decisions of a roll-out: [`rollout_state`] has its states, [`rollout_exposure`]
 //! bounds what the new version gets, [`rollout_evidence`] counts answers by version, and
-//! [`rollout_judge`] compares the versions. No task makes these decisions yet.
+//! [`rollout_judge`] compares the versions. [`rollout_task`] makes them while this entry
+//! holds the lease, [`rollout_table`] has what every entry knows, and [`rollout_routing`]
+//! applies it to requests.
 //!
 //! The traits in [`platform_interface`] hide the formats of the platform.
 //!
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
-//! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`. No
-//! lock is held across an await.
+//! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`,
+//! `rollouts`. No lock is held across an await.
 
 pub mod account_limits;
 pub mod account_use;
@@ -115,8 +117,12 @@
 pub mod retry_budget;
 pub mod rollout_evidence;
 pub mod rollout_exposure;
+pub mod rollout_frames;
 pub mod rollout_judge;
+pub mod rollout_routing;
 pub mod rollout_state;
+pub mod rollout_table;
+pub mod rollout_task;
 pub mod send_guard;
 pub mod send_permits;
 pub mod server_labels;
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -12,6 +12,8 @@
 use crate::gateway::list_frames::PackedList;
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::report_table::RelayedReport;
+use crate::gateway::rollout_table::EvidenceReport;
+use crate::gateway::rollout_table::RolloutNews;
 use crate::gateway::send_permits::LimitedSends;
 use crate::gateway::send_permits::PermitGrant;
 use crate::id::AccountName;
@@ -188,6 +190,10 @@
     pub reports_digest: u64,
     /// Requests that the sender has sent to servers with a limit.
     pub sends: Vec<LimitedSends>,
+    /// What the sender knows of roll-outs.
+    pub rollouts: Vec<RolloutNews>,
+    /// The answers that the sender counted in roll-outs.
+    pub rollout_evidence: Vec<EvidenceReport>,
     /// What the sender knows about all entries, if it replies as a hub.
     pub view: Option<HubView>,
     /// What the sender adds for the receiver, if it replies as a hub.
@@ -227,6 +233,8 @@
             reports: Vec::new(),
             reports_digest: 0,
             sends: Vec::new(),
+            rollouts: Vec::new(),
+            rollout_evidence: Vec::new(),
             view: None,
             summary: None,
         }
--- a/lib/src/gateway/platform_interface.rs
+++ b/lib/src/gateway/platform_interface.rs
@@ -18,6 +18,8 @@
 use crate::gateway::backend_record::LoadReport;
 use crate::gateway::call_head::CallHead;
 use crate::gateway::call_head::HeadError;
+use crate::gateway::rollout_state::RolloutOrder;
+use crate::gateway::rollout_state::RolloutStatus;
 use crate::gateway::server_report::ServerReport;
 use crate::gateway::site_config::SiteConfig;
 use crate::id::AccountName;
@@ -106,6 +108,28 @@
     /// The document has another format.
     fn decode_backend(&self, id: &str, document: &[u8]) -> Result<BackendRecord, FormatError>;
 
+    /// Decodes an order for a roll-out from a record of [`LogTopic::Configuration`], or
+    /// returns `None` if the key is that of another record.
+    fn decode_rollout(
+        &self,
+        key: &str,
+        document: &[u8],
+    ) -> Option<Result<RolloutOrder, FormatError>>;
+
+    /// Decodes the status of a roll-out and its service from a record of
+    /// [`LogTopic::Statuses`], or returns `None` if the key is that of another record.
+    fn decode_rollout_status(
+        &self,
+        key: &str,
+        document: &[u8],
+    ) -> Option<Result<(ServiceName, RolloutStatus), FormatError>>;
+
+    /// Encodes the status of a roll-out.
+    fn encode_rollout_status(&self, status: &RolloutStatus) -> Bytes;
+
+    /// Returns the key of the status of a service's roll-out.
+    fn rollout_key(&self, service: &ServiceName) -> String;
+
     /// Returns the path of readiness checks.
     fn readiness_path(&self) -> &'static str;
 
@@ -116,8 +140,10 @@
 /// The topics of the log store that the gateway uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum LogTopic {
-    /// Keyed: the configuration that the operator publishes.
+    /// Keyed: the configuration and the orders that the operator publishes.
     Configuration,
+    /// Keyed: what the gateway reports to the operator.
+    Statuses,
     /// Keyed: the records that backend servers write about themselves.
     Backends,
     /// Keyed: the entries, by name.
--- a/lib/src/gateway/rollout_evidence.rs
+++ b/lib/src/gateway/rollout_evidence.rs
@@ -19,7 +19,7 @@
 /// The number of groups of new servers.
 pub const SERVER_GROUPS: usize = 8;
 /// The number of ranges of paces.
-pub const PACE_RANGES: usize = 10;
+pub const PACE_RANGES: usize = 16;
 /// The numbers of one class or group: answers, failures and paces.
 const COUNTS: usize = 2 + PACE_RANGES;
 /// The numbers in the encoded form of [`RolloutEvidence`].
@@ -29,7 +29,7 @@
 /// The ranges of paces per factor of two.
 const RANGES_PER_DOUBLING: f64 = 2.0;
 /// The range that begins at the expected time.
-const EXPECTED_RANGE: f64 = 4.0;
+const EXPECTED_RANGE: f64 = 10.0;
 
 /// The class of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -60,6 +60,16 @@
     New,
 }
 
+impl VersionSide {
+    /// Returns the name of the side in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Old => "old",
+            Self::New => "new",
+        }
+    }
+}
+
 /// The range of the time of an answer relative to the expected time. The expected time
 /// covers the length of a prompt, what of it is cached, and the queue. Each range is wider
 /// than the one before by the square root of two.
@@ -180,6 +190,12 @@
         counts.fold(0, u32::saturating_add)
     }
 
+    /// Returns the failures of one side.
+    pub fn failures(&self, side: VersionSide) -> u32 {
+        let counts = RouteClass::all().map(|class| self.of_class(side, class).failed);
+        counts.fold(0, u32::saturating_add)
+    }
+
     /// Returns the sum of two counts.
     pub fn plus(&self, other: &Self) -> Self {
         self.map(other, u32::saturating_add)
--- a/lib/src/gateway/rollout_exposure.rs
+++ b/lib/src/gateway/rollout_exposure.rs
@@ -124,25 +124,33 @@
 }
 
 /// Which servers a request may be sent to, by their versions.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VersionRule<'a> {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum VersionRule {
     /// Those of any version.
     Any,
     /// Only those of this version.
-    Only(&'a ServerVersion),
+    Only(ServerVersion),
     /// Those that certainly run another version.
-    Except(&'a ServerVersion),
+    Except(ServerVersion),
 }
 
-impl VersionRule<'_> {
+impl VersionRule {
     /// Returns whether a server of a version, if it is known, may get the request.
-    pub fn admits(self, version: Option<&ServerVersion>) -> bool {
+    pub fn admits(&self, version: Option<&ServerVersion>) -> bool {
         match self {
             Self::Any => true,
             Self::Only(target) => version == Some(target),
             Self::Except(target) => version.is_some_and(|version| version != target),
         }
     }
+
+    /// Returns the rule that applies if no server that this one admits has room.
+    pub fn fallback(&self) -> Option<Self> {
+        match self {
+            Self::Any | Self::Except(_) => None,
+            Self::Only(target) => Some(Self::Except(target.clone())),
+        }
+    }
 }
 
 /// What an entry knows of a roll-out when it sends a request.
@@ -162,12 +170,12 @@
 
 /// Returns which servers a request may be sent to. A request that must run at most once
 /// goes to a new version only after others did.
-pub fn version_rule<'a>(
-    view: &RolloutView<'a>,
+pub fn version_rule(
+    view: &RolloutView<'_>,
     credit: ExposureCredit,
     may_repeat: bool,
-) -> VersionRule<'a> {
-    let target = &view.order.target;
+) -> VersionRule {
+    let target = view.order.target.clone();
     let has_news = view.news_age <= NEWS_LIFETIME;
     let is_tried =
         view.new_answers >= TRIED_ANSWERS || view.age >= view.order.duration / TRIED_PART;
--- a/lib/src/gateway/rollout_judge.rs
+++ b/lib/src/gateway/rollout_judge.rs
@@ -62,7 +62,8 @@
 }
 
 impl BadKind {
-    const ALL: [Self; 2] = [Self::Failing, Self::Slow];
+    /// Every kind.
+    pub const ALL: [Self; 2] = [Self::Failing, Self::Slow];
 
     /// The least share of bad answers that a sound version is assumed to give.
     fn least_share(self) -> f64 {
--- a/lib/src/gateway/rollout_state.rs
+++ b/lib/src/gateway/rollout_state.rs
@@ -17,12 +17,12 @@
 const MAX_MOVE_TIME: Duration = Duration::from_secs(5);
 /// That time as a part of the roll-out at most. A version that turns bad under full load
 /// then gets no more than its bound.
-const MOVE_TIME_PART: u32 = 32;
+const MOVE_TIME_PART: u32 = 40;
 /// The longest time before the limit at which a roll-out is completed. It covers the write
 /// of the status.
-const MAX_WRITE_MARGIN: Duration = Duration::from_secs(1);
+const MAX_WRITE_MARGIN: Duration = Duration::from_millis(1_500);
 /// That time as a part of the roll-out at most.
-const WRITE_MARGIN_PART: u32 = 128;
+const WRITE_MARGIN_PART: u32 = 40;
 /// The least time in which all traffic moves: entries hear of the move meanwhile.
 const MIN_MOVE_TIME: Duration = Duration::from_secs(1);
 
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 
@@ -68,6 +69,11 @@
         &self.request.backend
     }
 
+    /// Returns the time since the request was sent.
+    pub fn since_sent(&self) -> Duration {
+        self.context.now().since(self.request.sent_at)
+    }
+
     /// Notes that the head of the response has arrived.
     pub fn note_head(&mut self) {
         self.started_at = self.context.now();
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -16,6 +16,7 @@
 use cloverbend::gateway::list_history::ListUpdate;
 use cloverbend::gateway::retry_budget::RetryBudget;
 use cloverbend::gateway::retry_budget::RetryBudgetRule;
+use cloverbend::gateway::rollout_exposure::VersionRule;
 use cloverbend::gateway::server_limits::ServerLimits;
 use cloverbend::id::ServiceName;
 use cloverbend::id::ZoneName;
@@ -261,6 +262,7 @@
             prompt_blocks: &[],
             tried: &[],
             limits: &self.limits,
+            versions: &VersionRule::Any,
         }
     }
 }
