rollout_task: keep to a completion whose write is open

Cause: a holder whose write of 'completed' got no answer could judge the version bad before it read the store again, and news with made-up ages came out of the frame younger than they were.

--- a/lib/src/gateway/rollout_frames.rs
+++ b/lib/src/gateway/rollout_frames.rs
@@ -50,6 +50,11 @@
     counts: Vec<u32>,
 }
 
+/// Returns whole milliseconds, the most that fit for a duration that another entry made up.
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn phase_number(phase: RolloutPhase) -> u32 {
     match phase {
         RolloutPhase::Running => 1,
@@ -64,12 +69,12 @@
         Self {
             service: news.order.service.into(),
             target: news.order.target.into(),
-            duration_ms: news.order.duration.as_millis() as u64,
+            duration_ms: whole_millis(news.order.duration),
             number: news.number.0,
             fence: news.fence.0,
             phase: phase_number(news.phase),
-            age_ms: news.age.as_millis() as u64,
-            news_age_ms: news.news_age.as_millis() as u64,
+            age_ms: whole_millis(news.age),
+            news_age_ms: whole_millis(news.news_age),
             new_answers: news.new_answers,
         }
     }
--- a/lib/src/gateway/rollout_task.rs
+++ b/lib/src/gateway/rollout_task.rs
@@ -96,6 +96,8 @@
     judges: BTreeMap<LogOffset, RolloutJudge>,
     /// The verdicts of this tenure, which are never decided again.
     verdicts: BTreeMap<ServiceName, RolloutNews>,
+    /// Orders whose completion may be stored. They are not decided otherwise.
+    completing: BTreeSet<LogOffset>,
     /// Orders whose refusal is logged.
     refused: BTreeSet<LogOffset>,
 }
@@ -279,6 +281,10 @@
         fence: FenceToken,
     ) {
         let now = context.now();
+        // A call to the store may have taken long.
+        if context.lease.lock().valid_lease(now).is_none() {
+            return;
+        }
         let service = news.order.service.clone();
         let total = context.rollouts.lock().total(&service);
         let phase_age = context.rollouts.lock().phase_age(now, &service);
@@ -294,11 +300,15 @@
         };
         note_servers(&context.backends.lock(), now, &news.order, &mut inputs);
         let stored = self.stored_verdict(&news);
-        let next = stored.or_else(|| next_phase(news.phase, &news.order, &inputs));
+        let next = stored.or_else(|| match self.completing.contains(&news.number) {
+            true => Some(RolloutPhase::Completed),
+            false => next_phase(news.phase, &news.order, &inputs),
+        });
         let phase = next.unwrap_or(news.phase);
         if phase == RolloutPhase::Completed && stored.is_none() {
             let target = news.order.target.clone();
             let status = RolloutStatus { target, phase };
+            self.completing.insert(news.number);
             if !self.store_status(context, &service, status).await {
                 return;
             }
--- a/lib/tests/test_damaged_input.rs
+++ b/lib/tests/test_damaged_input.rs
@@ -19,6 +19,12 @@
 use cloverbend::gateway::hub_capacity::HubCapacity;
 use cloverbend::gateway::packed_document::PackedDocument;
 use cloverbend::gateway::peer_gossip::GatewayGossip;
+use cloverbend::gateway::rollout_evidence::RolloutEvidence;
+use cloverbend::gateway::rollout_state::RolloutOrder;
+use cloverbend::gateway::rollout_state::RolloutPhase;
+use cloverbend::gateway::rollout_table::EvidenceReport;
+use cloverbend::gateway::rollout_table::RolloutNews;
+use cloverbend::id::FenceToken;
 use cloverbend::id::Incarnation;
 use cloverbend::id::LogOffset;
 use cloverbend::id::RevisionNumber;
@@ -107,6 +113,24 @@
             },
             idle: Duration::from_millis(8),
         }],
+        rollouts: vec![RolloutNews {
+            order: RolloutOrder {
+                service: "pool".parse().unwrap(),
+                target: "v2".parse().unwrap(),
+                duration: Duration::from_secs(60),
+            },
+            number: LogOffset(9),
+            fence: FenceToken(4),
+            phase: RolloutPhase::Running,
+            age: Duration::from_millis(10),
+            news_age: Duration::from_millis(11),
+            new_answers: 12,
+        }],
+        rollout_evidence: vec![EvidenceReport {
+            service: "pool".parse().unwrap(),
+            number: LogOffset(9),
+            evidence: RolloutEvidence::default(),
+        }],
         ..GatewayGossip::new(
             Incarnation(1),
             "entry-1".parse().unwrap(),
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -100,6 +100,8 @@
     phase: RolloutPhase,
     news_age: Duration,
     cut_off: bool,
+    /// Whether it counted something that it has not told.
+    has_more: bool,
 }
 
 impl EntryState {
@@ -111,6 +113,7 @@
             phase: RolloutPhase::Running,
             news_age: Duration::from_secs(3_600),
             cut_off: false,
+            has_more: false,
         }
     }
 }
@@ -164,7 +167,9 @@
             if !state.cut_off && rng.random_bool(0.7) {
                 state.phase = told;
                 state.news_age = TICK * NEWS_TICKS as u32;
-                table.note(Incarnation(state.incarnation), &state.evidence);
+                if std::mem::take(&mut state.has_more) {
+                    table.note(Incarnation(state.incarnation), &state.evidence);
+                }
             }
         }
         let in_middle = (ticks / 3..2 * ticks / 3).contains(&tick);
@@ -212,6 +217,7 @@
             };
             let id = BackendId::without_start(format!("{side:?}-{server}"));
             state.evidence.note(side, class, &id, kind);
+            state.has_more = true;
             if is_new {
                 state.credit.note_sent();
                 outcome.exposed += 1;
@@ -595,6 +601,28 @@
         prop_assert!(judge.highest_sum(BadKind::Slow).is_finite());
     }
 
+    /// News of another entry may be anything.
+    #[test]
+    fn damaged_news_is_bounded(
+        millis in prop::array::uniform3(any::<u64>()),
+        number in any::<u64>(),
+        phase in prop::sample::select(RolloutPhase::ALL.to_vec()),
+    ) {
+        let [duration, age, news_age] = millis.map(Duration::from_millis);
+        let mut told = news(phase, 1, 0);
+        told.order.duration = duration;
+        told.number = LogOffset(number);
+        (told.age, told.news_age) = (age, news_age);
+        let mut table = table_with(told);
+        table.note_arrival(&order().service, &bounds());
+        table.rule(NOW, &order().service, true);
+        for news in table.current_news(NOW) {
+            prop_assert!(news.news_age >= news_age);
+            let share = running_share(&bounds(), &news.order);
+            prop_assert!(share > 0.0 && share <= bounds().share.as_f64());
+        }
+    }
+
     /// What an entry tells arrives as it was, and an earlier message changes nothing.
     #[test]
     fn counts_are_relayed(answers in 0_u32..500, late in 0_u32..500) {
