test_rollout: build the names of servers once

Cause: the replay takes 15 s on the busy machine. Change: names of servers are built once a seed, and counts are combined without calls through pointers.

--- a/lib/src/gateway/rollout_evidence.rs
+++ b/lib/src/gateway/rollout_evidence.rs
@@ -122,7 +122,7 @@
         self.answers = self.answers.saturating_add(1);
     }
 
-    fn map(self, other: Self, combine: fn(u32, u32) -> u32) -> Self {
+    fn map(self, other: Self, combine: impl Fn(u32, u32) -> u32 + Copy) -> Self {
         Self {
             answers: combine(self.answers, other.answers),
             failed: combine(self.failed, other.failed),
@@ -206,7 +206,7 @@
         self.map(earlier, u32::saturating_sub)
     }
 
-    fn map(&self, other: &Self, combine: fn(u32, u32) -> u32) -> Self {
+    fn map(&self, other: &Self, combine: impl Fn(u32, u32) -> u32 + Copy) -> Self {
         let mut combined = *self;
         let own = combined.all_counts_mut();
         let others = other.all_counts();
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -135,6 +135,9 @@
     let order = order();
     let share = running_share(&bounds(), &order);
     let mut rng = StdRng::seed_from_u64(seed);
+    let ids: Vec<BackendId> = (0..60)
+        .map(|server| BackendId::without_start(format!("i-{server}")))
+        .collect();
     let mut states: Vec<EntryState> = (0..entries).map(|_| EntryState::new(&mut rng)).collect();
     let mut table = EvidenceTable::default();
     let mut total = RolloutEvidence::default();
@@ -215,8 +218,7 @@
             } else {
                 VersionSide::Old
             };
-            let id = BackendId::without_start(format!("{side:?}-{server}"));
-            state.evidence.note(side, class, &id, kind);
+            state.evidence.note(side, class, &ids[server], kind);
             state.has_more = true;
             if is_new {
                 state.credit.note_sent();
