--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -22,6 +22,7 @@
 use crate::gateway::prefill_speed::PrefillSpeed;
 use crate::gateway::prompt_pacing::ReadingQuery;
 use crate::gateway::prompt_pacing::StreamTargets;
+use crate::gateway::rollout_exposure::VersionRule;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::service_times::ServiceTimes;
 use crate::gateway::slot_forecast::SlotQuery;
@@ -81,12 +82,17 @@
     pub targets: Option<StreamTargets>,
     /// The limits of backend servers, and the permits of this entry.
     pub limits: &'a ServerLimits,
+    /// Which versions of servers may get the request.
+    pub versions: &'a VersionRule,
 }
 
 impl ChoiceQuery<'_> {
-    /// Returns whether a backend server accepts requests at all and was not tried.
+    /// Returns whether a backend server accepts requests at all, was not tried, and has
+    /// a version that may get the request.
     fn may_use(&self, backend: &BackendState) -> bool {
-        backend.accepts_requests() && !self.tried.contains(&backend.record.id)
+        backend.accepts_requests()
+            && !self.tried.contains(&backend.record.id)
+            && self.versions.admits(backend.record.version.as_ref())
     }
 
     /// Returns whether this entry may send to a backend server now: no back-off is in
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -42,6 +42,7 @@
 use crate::gateway::platform_interface::PlatformFormat;
 use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::return_promises::ReturnPromises;
+use crate::gateway::rollout_table::RolloutTable;
 use crate::gateway::server_labels::ServerLabels;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::shared_admission::SharedAdmission;
@@ -108,6 +109,8 @@
     pub crashes: Mutex<CrashLedger>,
     /// Which refused callers were asked to return.
     pub promises: Mutex<ReturnPromises>,
+    /// The roll-outs of new versions.
+    pub rollouts: Mutex<RolloutTable>,
     /// Probes backend servers that may have crashed.
     pub crash_detector: CrashDetector,
     /// The budget for buffered bodies of requests and responses.
@@ -179,6 +182,7 @@
             cloud_call_lock: AsyncMutex::new(()),
             crashes: Mutex::new(CrashLedger::new()),
             promises: Mutex::new(ReturnPromises::new()),
+            rollouts: Mutex::new(RolloutTable::new()),
             crash_detector: CrashDetector::new(),
             byte_budget: Arc::new(ByteBudget::from_memory_mb(settings.memory_mb)),
             incarnations: IncarnationTracker::new(),
--- a/lib/src/gateway/gossip_frame.rs
+++ b/lib/src/gateway/gossip_frame.rs
@@ -29,6 +29,10 @@
 use crate::gateway::report_frames::RelayedReportFrame;
 use crate::gateway::report_frames::ServerCountFrame;
 use crate::gateway::report_frames::read_reports;
+use crate::gateway::rollout_frames::EvidenceFrame;
+use crate::gateway::rollout_frames::RolloutNewsFrame;
+use crate::gateway::rollout_frames::read_evidence;
+use crate::gateway::rollout_frames::read_news;
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::id::Incarnation;
@@ -177,6 +181,10 @@
     crowded_demand: Vec<CrowdedDemand>,
     #[prost(message, repeated, tag = "41")]
     crowded_sums: Vec<CrowdedDemand>,
+    #[prost(message, repeated, tag = "30")]
+    rollouts: Vec<RolloutNewsFrame>,
+    #[prost(message, repeated, tag = "31")]
+    rollout_evidence: Vec<EvidenceFrame>,
 }
 
 fn write_admitted(admitted: Vec<AdmittedUnits>) -> Vec<CountFrame> {
@@ -294,6 +302,12 @@
             promises: gossip.promises.into_iter().map(Into::into).collect(),
             crowded_demand: gossip.crowded_demand,
             crowded_sums: gossip.crowded_sums,
+            rollouts: gossip.rollouts.into_iter().map(Into::into).collect(),
+            rollout_evidence: gossip
+                .rollout_evidence
+                .into_iter()
+                .map(Into::into)
+                .collect(),
             tells: gossip.reports_state,
             wants_digest: gossip.wants_summary,
             backends_hash: gossip.backends_digest,
@@ -346,6 +360,8 @@
             promises: read_promises(frame.promises)?,
             crowded_demand: frame.crowded_demand,
             crowded_sums: frame.crowded_sums,
+            rollouts: read_news(frame.rollouts),
+            rollout_evidence: read_evidence(frame.rollout_evidence),
             view: frame.view.map(|view| HubView {
                 entries: view.entries as usize,
                 reachable: view.heard as usize,
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -14,6 +14,8 @@
 use crate::gateway::list_history::ListChanges;
 use crate::gateway::report_table::RelayedReport;
 use crate::gateway::return_promises::PromiseList;
+use crate::gateway::rollout_table::EvidenceReport;
+use crate::gateway::rollout_table::RolloutNews;
 use crate::gateway::send_permits::LimitedSends;
 use crate::gateway::send_permits::PermitGrant;
 use crate::gateway::server_pace::PaceCounts;
@@ -226,6 +228,10 @@
     /// What callers of all entries ask of crowded services, if the sender replies as a
     /// hub.
     pub crowded_sums: Vec<CrowdedDemand>,
+    /// What the sender knows of roll-outs.
+    pub rollouts: Vec<RolloutNews>,
+    /// The answers that the sender counted in roll-outs.
+    pub rollout_evidence: Vec<EvidenceReport>,
     /// What the sender knows about all entries, if it replies as a hub.
     pub view: Option<HubView>,
     /// What the sender adds for the receiver, if it replies as a hub.
@@ -268,6 +274,8 @@
             promises: Vec::new(),
             crowded_demand: Vec::new(),
             crowded_sums: Vec::new(),
+            rollouts: Vec::new(),
+            rollout_evidence: Vec::new(),
             view: None,
             summary: None,
         }
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -82,6 +82,11 @@
         self.request.work.as_ref().map(SentWork::estimate)
     }
 
+    /// Returns the time since the request was sent.
+    pub fn since_sent(&self) -> Duration {
+        self.context.now().since(self.request.sent_at)
+    }
+
     /// Notes that the head of the response has arrived.
     pub fn note_head(&mut self, status: StatusCode) {
         self.started_at = self.context.now();
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -16,6 +16,7 @@
 use cloverbend::gateway::list_history::ListUpdate;
 use cloverbend::gateway::retry_budget::RetryBudget;
 use cloverbend::gateway::retry_budget::RetryBudgetRule;
+use cloverbend::gateway::rollout_exposure::VersionRule;
 use cloverbend::gateway::server_limits::ServerLimits;
 use cloverbend::id::ServiceName;
 use cloverbend::id::ZoneName;
@@ -31,6 +32,7 @@
         slots: 4,
         draining,
         reclaimable: false,
+        version: None,
     }
 }
 
@@ -261,6 +263,7 @@
             tried: &[],
             targets: None,
             limits: &self.limits,
+            versions: &VersionRule::Any,
         }
     }
 }
--- a/lib/tests/test_server_pace.rs
+++ b/lib/tests/test_server_pace.rs
@@ -15,6 +15,7 @@
 use cloverbend::gateway::peer_table::add_loads;
 use cloverbend::gateway::prompt_pacing::ReadingQuery;
 use cloverbend::gateway::prompt_pacing::StreamTargets;
+use cloverbend::gateway::rollout_exposure::VersionRule;
 use cloverbend::gateway::server_limits::ServerLimits;
 use cloverbend::gateway::server_pace::PaceCounts;
 use cloverbend::gateway::server_pace::PaceEvidence;
@@ -50,6 +51,7 @@
         slots: 32,
         draining: false,
         reclaimable: false,
+        version: None,
     }
 }
 
@@ -204,6 +206,7 @@
             prompt_blocks: blocks,
             tried: &[],
             targets: Some(TARGETS),
+            versions: &VersionRule::Any,
             limits: &self.limits,
         };
         let choice = choose_backend(set, now, &query).unwrap();
--- a/lib/tests/test_slot_forecast.rs
+++ b/lib/tests/test_slot_forecast.rs
@@ -14,6 +14,7 @@
 use cloverbend::gateway::backend_set::BackendSet;
 use cloverbend::gateway::call_work::WorkHistory;
 use cloverbend::gateway::call_work::WorkQuery;
+use cloverbend::gateway::rollout_exposure::VersionRule;
 use cloverbend::gateway::server_limits::ServerLimits;
 use cloverbend::gateway::service_times::ServiceTimes;
 use cloverbend::gateway::slot_forecast::OwnRun;
@@ -410,6 +411,7 @@
         slots: 4,
         draining: false,
         reclaimable: false,
+        version: None,
     }
 }
 
@@ -422,6 +424,7 @@
         prompt_blocks: &[],
         tried: &[],
         targets: None,
+        versions: &VersionRule::Any,
         limits: &limits,
     };
     choose_backend(set, now, &query).unwrap()
