gateway: bound reported loads, and samples that have nearly decayed

Cause: (1) A server that reports 2^32-1 requests made the sum that is compared with its slots overflow: a panic with checks, and without them a server that counts as free. (2) Pending tokens of other entries were added up to 2^64-1, so that own ones on top overflowed in the same way. (3) Samples of event times are exchanged in whole thousandths and were cut off there. Of samples that have nearly decayed, the weight loses more by that than the sum of logarithms, so the average of an idle server rose, and the service's average with it. Change: the sums saturate; the pending tokens of other entries at a server count up to 2^40; samples are rounded, and reported from a weight of 0.05 on.

--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -284,9 +284,8 @@
 fn crowding_delay(backend: &BackendState, now: Timestamp, total_time: Duration) -> Duration {
     let slots = backend.record.slots.max(1);
     let uncrowded = slots - slots / CROWDED_SLOT_DIVISOR;
-    let crowding = (backend.occupancy(now) + 1)
-        .min(slots)
-        .saturating_sub(uncrowded);
+    let taken = backend.occupancy(now).saturating_add(1).min(slots);
+    let crowding = taken.saturating_sub(uncrowded);
     total_time.mul_f64(f64::from(crowding) / f64::from(slots))
 }
 
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -58,6 +58,8 @@
 /// The most requests of all entries that count at one backend server, so that sums of
 /// false reports do not overflow.
 const MAX_SERVER_LOAD: u32 = 1 << 20;
+/// The most pending prompt tokens of all entries that count at one backend server.
+const MAX_SERVER_TOKENS: u64 = 1 << 40;
 
 /// What this entry knows about another entry.
 #[derive(Clone, Debug)]
@@ -706,6 +708,7 @@
                 sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
                 sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
                 sum.unread = sum.unread.saturating_add(load.unread);
+                sum.unread = sum.unread.min(MAX_SERVER_TOKENS);
                 let sum_counts = PaceCounts {
                     weight_milli: sum.pace_weight,
                     log_milli: sum.pace_log,
@@ -715,6 +718,7 @@
             None => {
                 let mut sum = load.clone();
                 sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
+                sum.unread = sum.unread.min(MAX_SERVER_TOKENS);
                 sum.set_pace(load.pace_counts());
                 sums.insert(load.id(), sum);
             }
--- a/lib/src/gateway/server_pace.rs
+++ b/lib/src/gateway/server_pace.rs
@@ -24,6 +24,9 @@
 const MAX_EVIDENCE: f64 = 50.0;
 /// The number of samples with the average pace that every server starts with.
 const PRIOR_SAMPLES: f64 = 2.0;
+/// The least weight of samples that an entry reports, in samples. The average of fewer
+/// would be lost in rounding.
+const MIN_EVIDENCE: f64 = 0.05;
 /// The bounds of a pace factor. A server beyond them is not only slow.
 const FACTOR_BOUNDS: [f64; 2] = [0.25, 8.0];
 /// Thousandths in one.
@@ -125,12 +128,18 @@
         self.log_sum += millis.ln();
     }
 
-    /// Returns the samples as entries exchange them.
+    /// Returns the samples as entries exchange them, or none if they have nearly decayed.
     pub fn counts(&self, now: Timestamp) -> PaceCounts {
+        if self.weight < MIN_EVIDENCE {
+            return PaceCounts::default();
+        }
         let decayed = self.decayed(now);
+        if decayed.weight < MIN_EVIDENCE {
+            return PaceCounts::default();
+        }
         PaceCounts {
-            weight_milli: (decayed.weight * MILLI) as u32,
-            log_milli: (decayed.log_sum * MILLI) as i64,
+            weight_milli: (decayed.weight * MILLI).round() as u32,
+            log_milli: (decayed.log_sum * MILLI).round() as i64,
         }
     }
 
--- a/lib/src/gateway/slot_forecast.rs
+++ b/lib/src/gateway/slot_forecast.rs
@@ -102,7 +102,7 @@
 /// the next request gets a slot.
 pub fn forecast_slot_wait(now: Timestamp, query: &SlotQuery, own_runs: &OwnRuns) -> Duration {
     let slots = query.slots.max(1);
-    let needed_ends = (query.occupancy + 1).saturating_sub(slots);
+    let needed_ends = query.occupancy.saturating_add(1).saturating_sub(slots);
     if needed_ends == 0 {
         return Duration::ZERO;
     }
--- a/lib/tests/test_gateway_backends.rs
+++ b/lib/tests/test_gateway_backends.rs
@@ -275,6 +275,21 @@
     assert_eq!(none, None);
 }
 
+#[test]
+fn a_server_that_reports_a_huge_load_counts_as_full() {
+    let mut set = set_of(&["a", "b"]);
+    let load = LoadReport {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 4,
+    };
+    set.note_load(at(0), &id("a"), load);
+    let chooser = Chooser::new();
+    assert_eq!(chooser.choose(&set, at(0), &[]).as_deref(), Some("b"));
+    set.note_load(at(0), &id("b"), load);
+    assert!(chooser.choose(&set, at(0), &[]).is_some());
+}
+
 #[test]
 fn requests_with_a_shared_prefix_go_to_one_server_until_it_is_full() {
     let mut set = set_of(&["a", "b", "c", "d"]);
--- a/lib/tests/test_server_pace.rs
+++ b/lib/tests/test_server_pace.rs
@@ -132,6 +132,27 @@
     insta::assert_snapshot!(format!("slow {slow}, later {later}"), @"slow 2.48, later 1.43");
 }
 
+/// A server that nobody has sent to for a while does not shift the average of the others,
+/// however little remains of its samples.
+#[test]
+fn samples_that_have_nearly_decayed_keep_their_average() {
+    let noted = |until: u64| {
+        let mut evidence = PaceEvidence::default();
+        for now in (0..until).step_by(200) {
+            evidence.note(at(now), Duration::from_millis(20));
+        }
+        evidence
+    };
+    let idle = noted(2_000);
+    for seconds in 2..80 {
+        let now = seconds * 1_000;
+        let busy = noted(now).counts(at(now));
+        for factor in pace_factors(&[idle.counts(at(now)), busy, busy]) {
+            assert!((0.97..1.03).contains(&factor.0), "{factor} at {seconds} s");
+        }
+    }
+}
+
 /// An entry reports nonsense about one server. Its weight is limited, and the others still
 /// know which servers are slow.
 #[rstest]
@@ -181,6 +202,49 @@
     set
 }
 
+/// Reports of other entries may be damaged in any field, and those of entries of the version
+/// before have no samples. Choices are made as before, and paces stay within their bounds.
+#[rstest]
+#[case::no_samples(2, 300, 0, 0)]
+#[case::no_weight(0, 0, 0, i64::MAX)]
+#[case::tiny_weight(0, 0, 1, i64::MIN)]
+#[case::largest(u32::MAX, u64::MAX, u32::MAX, i64::MAX)]
+#[case::smallest(0, 0, u32::MAX, i64::MIN)]
+fn choices_bear_any_report_of_other_entries(
+    #[case] in_flight: u32,
+    #[case] unread: u64,
+    #[case] pace_weight: u32,
+    #[case] pace_log: i64,
+) {
+    let load = BackendLoad {
+        backend: "s0".to_owned(),
+        in_flight,
+        unread,
+        pace_weight,
+        pace_log,
+        ..BackendLoad::default()
+    };
+    let mut sums = BTreeMap::new();
+    add_loads(&mut sums, [&load, &load]);
+    let mut set = paced_set(3);
+    set.note_sent(at(5_000), &server_id(0), 5_000, &[1]);
+    set.note_event_time(at(5_000), &server_id(0), Duration::from_millis(20));
+    set.note_event_time(at(5_000), &server_id(1), Duration::from_millis(20));
+    let paces = sums.iter().map(|(id, sum)| (id.clone(), sum.pace_counts()));
+    set.update_paces(at(5_000), paces);
+    let loads = sums.iter();
+    set.replace_peer_loads(loads.map(|(id, sum)| (id.clone(), sum.in_flight, sum.unread)));
+    for backend in set.iter() {
+        assert!((0.25..=8.0).contains(&backend.pace().0), "{backend:?}");
+    }
+    let chooser = Chooser::new();
+    let is_loaded = unread > 1_000_000;
+    for call in 0..100 {
+        let server = chooser.choose(&set, at(5_000), call, &prompt(call, call + 1_000, 10));
+        assert!(!is_loaded || server != 0);
+    }
+}
+
 struct Chooser {
     service: ServiceName,
     zone: ZoneName,
