gateway: less work for paces on each choice and gossip round

Cause: homes of prompts were compared by hashes that were computed twice for each server; a round of gossip copied the name of every server before it dropped those without load, also with paces switched off, and went through all servers once for each paced service; every sixth event of each stream took the lock of the servers with paces switched off; a log line was written under that lock. Change: hashes are computed once, loads are built only for servers that have one, servers are grouped in one pass, and the lock is left alone. Tests: test_server_pace, test_gateway_backends, test_gateway_peers, test_damaged_input, test_slot_forecast and test_call_work pass.

--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -229,7 +229,10 @@
         -backend.pace().work_share() / fraction.ln()
     };
     let best = match candidates.clone().any(BackendState::is_paced) {
-        true => candidates.max_by(|a, b| weighted_hash(a).total_cmp(&weighted_hash(b))),
+        true => candidates
+            .map(|backend| (weighted_hash(&backend), backend))
+            .max_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, backend)| backend),
         false => candidates.max_by_key(hash),
     };
     best.map(|backend| &backend.record.id)
--- a/lib/src/gateway/backend_set.rs
+++ b/lib/src/gateway/backend_set.rs
@@ -584,13 +584,15 @@
                 backend.peer_pace = counts;
             }
         }
-        let backends = &mut self.backends;
         let services = self.paced_services.iter();
-        let spreads = services.filter_map(|service| {
-            let servers = backends.values_mut();
-            let mut servers: Vec<&mut BackendState> = servers
-                .filter(|backend| backend.record.service == *service)
-                .collect();
+        let mut services: BTreeMap<&ServiceName, Vec<&mut BackendState>> =
+            services.map(|service| (service, Vec::new())).collect();
+        for backend in self.backends.values_mut() {
+            if let Some(servers) = services.get_mut(&backend.record.service) {
+                servers.push(backend);
+            }
+        }
+        let spreads = services.into_iter().filter_map(|(service, mut servers)| {
             Some((service.clone(), set_paces(now, &mut servers)?))
         });
         spreads.collect()
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -230,12 +230,14 @@
         if self.may_log(LineClass::Failure) {
             let backends = self.context.backends.lock();
             let state = backends.get(backend);
+            let pace = state.map(|state| state.pace().to_string());
+            let unread_tokens = state.map(|state| state.pending_tokens + state.peer_pending_tokens);
+            drop(backends);
             info!(self.context.log, "stream paused for too long"; "request" => %self.call.head.id,
                 "route" => &self.call.route.name, "backend" => %backend,
                 "longest_pause_ms" => longest.as_millis() as u64,
                 "target_pause_ms" => self.call.route.target_pause.as_millis() as u64,
-                "pace" => state.map(|state| state.pace().to_string()),
-                "unread_tokens" => state.map(|state| state.pending_tokens + state.peer_pending_tokens));
+                "pace" => pace, "unread_tokens" => unread_tokens);
         }
     }
 
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -430,17 +430,17 @@
     let backends = context.backends.lock();
     let own_load = |backend: &BackendState| {
         let pace_counts = backend.pace_counts(now);
-        BackendLoad {
+        let is_loaded = backend.in_flight > 0 || pace_counts.weight_milli > 0;
+        is_loaded.then(|| BackendLoad {
             backend: backend.record.id.name.0.clone(),
             start: backend.record.id.start.0,
             in_flight: backend.in_flight,
             unread: backend.pending_tokens,
             pace_weight: pace_counts.weight_milli,
             pace_log: pace_counts.log_milli,
-        }
+        })
     };
-    let loads = backends.iter().map(own_load);
-    loads.filter(|load| !load.is_empty()).collect()
+    backends.iter().filter_map(own_load).collect()
 }
 
 /// Returns the demand of the callers of this entry for each service.
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -120,6 +120,9 @@
 
     /// Notes the time that the server took for an event, while it did little else.
     pub fn note_event_time(&self, event_time: Duration) {
+        if !self.context.settings.load.server_pace {
+            return;
+        }
         let now = self.context.now();
         let mut backends = self.context.backends.lock();
         backends.note_event_time(now, &self.request.backend, event_time);
