test_damaged_input: samples of event times in damaged gossip

The loads of a message and of a hub's view have samples, and what is decoded from damaged bytes adds up to paces within their bounds.

--- a/lib/tests/test_damaged_input.rs
+++ b/lib/tests/test_damaged_input.rs
@@ -4,6 +4,7 @@
 //! when it is encoded and decoded again. The cases are few and seeded; set
 //! `PROPTEST_CASES=200000` to run for minutes.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,11 +23,16 @@
 use cloverbend::gateway::gateway_settings::GatewaySettings;
 use cloverbend::gateway::hub_capacity::HubCapacity;
 use cloverbend::gateway::packed_document::PackedDocument;
+use cloverbend::gateway::peer_gossip::BackendLoad;
 use cloverbend::gateway::peer_gossip::GatewayGossip;
+use cloverbend::gateway::peer_gossip::HubView;
+use cloverbend::gateway::peer_table::add_loads;
 use cloverbend::gateway::return_promises::PromiseKey;
 use cloverbend::gateway::return_promises::PromiseList;
 use cloverbend::gateway::return_promises::PromiseNews;
 use cloverbend::gateway::return_promises::PromiseState;
+use cloverbend::gateway::server_pace::PaceCounts;
+use cloverbend::gateway::server_pace::pace_factors;
 use cloverbend::id::Incarnation;
 use cloverbend::id::LogOffset;
 use cloverbend::id::RevisionNumber;
@@ -110,6 +116,18 @@
     }
 }
 
+fn backend_loads() -> Vec<BackendLoad> {
+    let load = |backend: &str, pace_weight, pace_log| BackendLoad {
+        backend: backend.to_owned(),
+        in_flight: 2,
+        unread: 300,
+        start: 12,
+        pace_weight,
+        pace_log,
+    };
+    vec![load("i-1", 7_000, 23_000), load("i-2", 900, -2_000)]
+}
+
 fn gossip() -> GatewayGossip {
     let crashes = [(IncarnationDigest(6), Duration::from_millis(7))];
     GatewayGossip {
@@ -118,6 +136,13 @@
         reports_state: true,
         wants_summary: true,
         backends_digest: 3,
+        backend_loads: backend_loads(),
+        view: Some(HubView {
+            entries: 5,
+            reachable: 4,
+            fencing_token: None,
+            backend_loads: backend_loads(),
+        }),
         crowded_demand: vec![crowded_demand()],
         crowded_sums: vec![crowded_demand()],
         crashes: vec![CrashReport {
@@ -196,6 +221,11 @@
             let mut sums = ServiceDemands::new();
             add_demands(&mut sums, &gossip.crowded_demand);
             prop_assert!(sums.values().flat_map(|sum| sum.values()).all(|units| units.is_finite()));
+            let mut loads = BTreeMap::new();
+            add_loads(&mut loads, &gossip.backend_loads);
+            let counts: Vec<PaceCounts> = loads.values().map(BackendLoad::pace_counts).collect();
+            let factors = pace_factors(&counts);
+            prop_assert!(factors.iter().all(|factor| (0.25..=8.0).contains(&factor.0)));
         }
         let redecoded = PeerMessage::decode(decoded.clone().encode());
         prop_assert_eq!(format!("{redecoded:?}"), format!("{:?}", Ok::<_, ()>(decoded)));
