--- a/lib/src/gateway/backend_choice.rs
+++ b/lib/src/gateway/backend_choice.rs
@@ -235,7 +235,10 @@
         -backend.pace().work_share() / fraction.ln()
     };
     let best = match candidates.clone().any(BackendState::is_paced) {
-        true => candidates.max_by(|a, b| weighted_hash(a).total_cmp(&weighted_hash(b))),
+        true => candidates
+            .map(|backend| (weighted_hash(&backend), backend))
+            .max_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, backend)| backend),
         false => candidates.max_by_key(hash),
     };
     best.map(|backend| &backend.record.id)
@@ -290,9 +293,8 @@
 fn crowding_delay(backend: &BackendState, now: Timestamp, total_time: Duration) -> Duration {
     let slots = backend.record.slots.max(1);
     let uncrowded = slots - slots / CROWDED_SLOT_DIVISOR;
-    let crowding = (backend.occupancy(now) + 1)
-        .min(slots)
-        .saturating_sub(uncrowded);
+    let taken = backend.occupancy(now).saturating_add(1).min(slots);
+    let crowding = taken.saturating_sub(uncrowded);
     total_time.mul_f64(f64::from(crowding) / f64::from(slots))
 }
 
