--- a/lib/src/gateway/admission_level.rs
+++ b/lib/src/gateway/admission_level.rs
@@ -27,7 +27,7 @@
 const MAX_CORRECTION: f64 = 0.8;
 /// The part of the room that stays unused while nothing is known of the backlog. What is
 /// served late helps nobody.
-const HOLD_MARGIN: f64 = 0.1;
+const HOLD_MARGIN: f64 = 0.2;
 /// The time constant of the mean level.
 const MEAN_TIME_S: f64 = 1.5;
 /// The longest step of the shortage.
--- a/lib/src/gateway/service_room.rs
+++ b/lib/src/gateway/service_room.rs
@@ -13,7 +13,7 @@
 /// bounds the effect of a false count on the room of the whole service.
 const MAX_WAITING_FACTOR: u32 = 2;
 /// The age of what other entries report. The room is extrapolated over that time.
-const NEWS_AGE_S: f64 = 0.3;
+const NEWS_AGE_S: f64 = 0.4;
 /// The time constant of the trend.
 const TREND_TIME_S: f64 = 0.15;
 /// The largest trend, in seconds of work per second. A step of the server list is not
--- a/lib/src/gateway/shared_admission.rs
+++ b/lib/src/gateway/shared_admission.rs
@@ -141,6 +141,10 @@
 
     /// Divides the room among classes and accounts.
     fn divide(&mut self, now: Timestamp) {
+        if self.level.refused_share() <= 0.0 {
+            self.shares = RoomShares::default();
+            return;
+        }
         let mut demands = self.meter.demands(now);
         if now.since(self.peers_noted_at) < PEER_DEMAND_LIFETIME {
             for (class, units) in &self.peer_demands {
--- a/lib/tests/test_shared_admission.rs
+++ b/lib/tests/test_shared_admission.rs
@@ -67,7 +67,6 @@
     hot_factor: f64,
     failure: Failure,
     is_shared: bool,
-    seed: u64,
 }
 
 impl Scenario {
@@ -80,7 +79,6 @@
             hot_factor: 1.0,
             failure: Failure::Nothing,
             is_shared: true,
-            seed: 1,
         }
     }
 
@@ -119,6 +117,10 @@
     }
 }
 
+/// A burst with one seed has some six hundred urgent requests; these are too few to tell
+/// 0.95 from 0.93.
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
 #[derive(Default)]
 struct Outcome {
     kinds: [Tally; 3],
@@ -229,8 +231,25 @@
     entry.false_requests = news.false_requests;
 }
 
+/// Replays a load with all seeds, and adds up the outcomes.
 fn replay(scenario: &Scenario) -> Outcome {
-    let mut rng = StdRng::seed_from_u64(scenario.seed);
+    let mut sum = Outcome::default();
+    for seed in SEEDS {
+        let outcome = replay_seed(scenario, seed);
+        let tallies = sum.kinds.iter_mut().chain(&mut sum.accounts);
+        for (tally, added) in tallies.zip(outcome.kinds.iter().chain(&outcome.accounts)) {
+            tally.in_time += added.in_time;
+            tally.late += added.late;
+            tally.refused += added.refused;
+        }
+        sum.served += outcome.served;
+        sum.peak_wait_ms = sum.peak_wait_ms.max(outcome.peak_wait_ms);
+    }
+    sum
+}
+
+fn replay_seed(scenario: &Scenario, seed: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(seed);
     let mut entries: Vec<Entry> = (0..scenario.entries).map(|_| Entry::new()).collect();
     let mut running: Vec<(usize, u64)> = Vec::new();
     let mut free_at = vec![0_u64; SERVERS * SLOTS];
