server_pace: limit what one entry's samples can do

Cause: a review showed that one entry with nonsense could set the pace of a server to 8 or 0.25, since honest entries have about one sample each and one report counted for up to 50. Attempts at slow servers were also given up by the time of an average server, so that prompts were read twice. Change: a report counts for five samples at most, and the average lies within 1 ms and 2 s; the time before a retry follows from the server that was chosen.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -509,8 +509,7 @@
     let had_free_slot = backend.occupancy(now) < backend.record.slots;
     let tokens_ahead = backend.pending_tokens + backend.peer_pending_tokens;
     let times = backends.times(&call.service);
-    let speed = times.prefill_speed;
-    let expected_first_event = speed.first_event(tokens_ahead + choice.prefill_tokens);
+    let expected_first_event = choice.first_event.saturating_sub(choice.slot_wait);
     let work = estimate_work(context, call, &times, choice.prefill_tokens);
     if retry_state.tried.is_empty() {
         if !retry_state.has_waited {
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -250,16 +250,12 @@
             let pending_tokens = excluded.map_or(0, |load| load.unread);
             let excluded_pace =
                 excluded.map_or_else(PaceCounts::default, |load| load.pace_counts());
-            let sum_pace = PaceCounts {
-                weight_milli: sum.pace_weight,
-                log_milli: sum.pace_log,
-            };
             let mut remainder = BackendLoad {
                 in_flight: sum.in_flight.saturating_sub(in_flight),
                 unread: sum.unread.saturating_sub(pending_tokens),
                 ..sum.clone()
             };
-            remainder.set_pace(sum_pace.minus(excluded_pace));
+            remainder.set_pace(sum.pace_counts().minus(excluded_pace));
             remainder
         };
         let remainders = self.loads.iter().map(remainder);
@@ -678,7 +674,7 @@
     let sums = context.peers.lock().backend_loads(now);
     if context.settings.load.server_pace {
         let paces = sums.iter().filter(|(_, sum)| sum.pace_weight > 0);
-        let paces = paces.map(|(id, sum)| (id.clone(), sum.pace_counts()));
+        let paces = paces.map(|(id, sum)| (id.clone(), sum.pace_counts().with_valid_average()));
         let spreads = context.backends.lock().update_paces(now, paces);
         for (service, spread) in spreads {
             for (bound, pace) in [("fastest", spread.fastest), ("slowest", spread.slowest)] {
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -73,13 +73,17 @@
 }
 
 impl BackendLoad {
-    /// Returns the samples of event times, bounded.
+    /// Returns the samples of event times.
     pub fn pace_counts(&self) -> PaceCounts {
-        let counts = PaceCounts {
+        PaceCounts {
             weight_milli: self.pace_weight,
             log_milli: self.pace_log,
-        };
-        counts.bounded()
+        }
+    }
+
+    /// Limits the weight of the samples to that of one entry.
+    pub fn limit_pace(&mut self) {
+        self.set_pace(self.pace_counts().of_one_entry());
     }
 
     /// Sets the samples of event times.
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -24,7 +24,6 @@
 use crate::gateway::peer_gossip::GatewayGossip;
 use crate::gateway::peer_gossip::HubView;
 use crate::gateway::peer_gossip::ServiceDemand;
-use crate::gateway::server_pace::PaceCounts;
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::id::Incarnation;
@@ -321,6 +320,9 @@
             peer.reported_at = Some(now);
             peer.wants_summary = gossip.wants_summary;
             peer.backend_loads.clone_from(&gossip.backend_loads);
+            peer.backend_loads
+                .iter_mut()
+                .for_each(BackendLoad::limit_pace);
             peer.service_demand.clone_from(&gossip.service_demand);
             peer.crowded_demand.clone_from(&gossip.crowded_demand);
         }
@@ -709,17 +711,12 @@
                 sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
                 sum.unread = sum.unread.saturating_add(load.unread);
                 sum.unread = sum.unread.min(MAX_SERVER_TOKENS);
-                let sum_counts = PaceCounts {
-                    weight_milli: sum.pace_weight,
-                    log_milli: sum.pace_log,
-                };
-                sum.set_pace(sum_counts.plus(load.pace_counts()));
+                sum.set_pace(sum.pace_counts().plus(load.pace_counts()));
             }
             None => {
                 let mut sum = load.clone();
                 sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
                 sum.unread = sum.unread.min(MAX_SERVER_TOKENS);
-                sum.set_pace(load.pace_counts());
                 sums.insert(load.id(), sum);
             }
         }
--- a/lib/src/gateway/server_pace.rs
+++ b/lib/src/gateway/server_pace.rs
@@ -17,11 +17,12 @@
 /// The time constant with which the weight of samples decays: long enough that a server
 /// has tens of samples, short enough that a change shows within seconds.
 const SAMPLE_MEMORY: Duration = Duration::from_secs(5);
-/// The bounds of a sample in milliseconds. A time beyond them is not that of an engine.
-const SAMPLE_BOUNDS_MS: [f64; 2] = [0.1, 10_000.0];
-/// The most samples that the evidence of one entry counts for, so that no entry outweighs
+/// The bounds of a sample in milliseconds. A time beyond them is not that of an engine that
+/// serves streams.
+const SAMPLE_BOUNDS_MS: [f64; 2] = [1.0, 2_000.0];
+/// The most samples that the report of one entry counts for, so that no entry outweighs
 /// the others.
-const MAX_EVIDENCE: f64 = 50.0;
+const MAX_ENTRY_SAMPLES: f64 = 5.0;
 /// The number of samples with the average pace that every server starts with.
 const PRIOR_SAMPLES: f64 = 2.0;
 /// The least weight of samples that an entry reports, in samples. The average of fewer
@@ -105,10 +106,18 @@
         }
     }
 
-    /// Returns the counts with the weight of one entry limited and an average within the
-    /// bounds of a sample.
-    pub fn bounded(self) -> Self {
-        let weight = f64::from(self.weight_milli).min(MAX_EVIDENCE * MILLI);
+    /// Returns the counts as the report of one entry, whose weight is limited.
+    pub fn of_one_entry(self) -> Self {
+        self.bounded(MAX_ENTRY_SAMPLES * MILLI)
+    }
+
+    /// Returns the counts with an average within the bounds of a sample.
+    pub fn with_valid_average(self) -> Self {
+        self.bounded(f64::from(u32::MAX))
+    }
+
+    fn bounded(self, max_weight: f64) -> Self {
+        let weight = f64::from(self.weight_milli).min(max_weight);
         let [min, max] = SAMPLE_BOUNDS_MS.map(f64::ln);
         let average = self.log_milli as f64 / f64::from(self.weight_milli.max(1));
         Self {
@@ -196,7 +205,7 @@
 
 /// Returns the usual time of one event at a server, from the samples of all entries.
 pub fn usual_event_time(counts: PaceCounts) -> Option<Duration> {
-    let counts = counts.bounded();
+    let counts = counts.with_valid_average();
     (counts.weight_milli > 0).then(|| {
         let log = counts.log_milli as f64 / f64::from(counts.weight_milli);
         Duration::from_secs_f64(log.exp() / MILLI)
