return_promises: news of a past or earlier time leaves a later state alone

An entry repeats news for 600 ms, also after the promised time, which is then sent as zero. The receiver took it as a promise due now: it opened a promise again that a caller had used there, so that one request could be sent twice past the load, prolonged promises that nobody returned for, and counted them again in the rate of promises. And news that an earlier promise was kept ended a later one. A time in the past now replaces none that is known, and an end counts only for the promise that is known.

--- a/lib/src/gateway/return_promises.rs
+++ b/lib/src/gateway/return_promises.rs
@@ -252,7 +252,12 @@
         }
         let due = now.after(news.due_in);
         let known = self.promises.get(&news.key);
-        if known.is_none_or(|known| due > known.due.after(TRANSIT_TOLERANCE)) {
+        // Of a time in the past, it is not known when it was: no reason to replace one
+        // that is known here.
+        let is_later = |known: &ReturnPromise| {
+            !news.due_in.is_zero() && due > known.due.after(TRANSIT_TOLERANCE)
+        };
+        if known.is_none_or(is_later) {
             self.forget(now, news.key);
             let promise = ReturnPromise {
                 service: service.clone(),
@@ -262,7 +267,8 @@
             };
             return self.insert(now, news.key, promise, source);
         }
-        if news.state == PromiseState::Kept {
+        let is_same = known.is_some_and(|known| known.due <= due.after(TRANSIT_TOLERANCE));
+        if news.state == PromiseState::Kept && is_same {
             self.keep(now, news.key, source);
         }
         true
--- a/lib/tests/test_return_promises.rs
+++ b/lib/tests/test_return_promises.rs
@@ -553,3 +553,50 @@
     });
     assert_eq!(statuses[0], statuses[1]);
 }
+
+/// News that is repeated after the promised time does not open a promise again that was
+/// kept here.
+#[test]
+fn a_kept_promise_stays_so_when_its_news_is_repeated_past_its_time() {
+    let digest = CallDigest(5);
+    let made_at = Timestamp(7_000_000);
+    let at = |ms| made_at.after(Duration::from_millis(ms));
+    let mut book = ReturnPromises::new();
+    let news = news_of(digest, 150, PromiseState::Open);
+    book.merge(made_at, &[news], PromiseSource::Direct);
+    assert_eq!(book.status(at(160), digest), ReturnStatus::Promised);
+    book.note_kept(at(160), digest);
+    let repeated = news_of(digest, 0, PromiseState::Open);
+    book.merge(at(500), &[repeated], PromiseSource::Direct);
+    assert_eq!(book.status(at(510), digest), ReturnStatus::New);
+}
+
+/// A promise that nobody returns for ends at its time, however often its news is repeated.
+#[test]
+fn repeated_news_does_not_prolong_a_promise() {
+    let digest = CallDigest(5);
+    let made_at = Timestamp(7_000_000);
+    let at = |ms| made_at.after(Duration::from_millis(ms));
+    let mut book = ReturnPromises::new();
+    for sent_ms in [0, 250, 500] {
+        let due_ms = 150_u64.saturating_sub(sent_ms);
+        let news = news_of(digest, due_ms, PromiseState::Open);
+        book.merge(at(sent_ms), &[news], PromiseSource::Direct);
+    }
+    assert_eq!(book.status(at(1_100), digest), ReturnStatus::Promised);
+    assert_eq!(book.status(at(1_200), digest), ReturnStatus::New);
+}
+
+/// News that an earlier promise was kept does not end a later one.
+#[test]
+fn a_later_promise_outlasts_the_end_of_an_earlier_one() {
+    let digest = CallDigest(5);
+    let now = Timestamp(7_000_000);
+    let mut book = ReturnPromises::new();
+    let later = news_of(digest, 900, PromiseState::Open);
+    let earlier = news_of(digest, 300, PromiseState::Kept);
+    book.merge(now, &[later], PromiseSource::Direct);
+    book.merge(now, &[earlier], PromiseSource::Direct);
+    let due = now.after(Duration::from_millis(900));
+    assert_eq!(book.status(due, digest), ReturnStatus::Promised);
+}
