admission_exchange: count each request once in the demand, also early returns

A request counted whenever it was decided: one that waits in the entry's queue as often as it looked for a slot and was refused by the level, and a return that is refused as too early or sent as promised not at all. So callers that retry at once did not lower the odds of their own account. The demand is now counted where the work is: once, at arrival.

No test has the entry's queue together with shared admission.

--- a/lib/src/gateway/admission_exchange.rs
+++ b/lib/src/gateway/admission_exchange.rs
@@ -21,7 +21,21 @@
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
 
-/// Counts a request in the demand of its account, and decides about it.
+/// Counts a request that arrives in the demand of its account.
+pub fn note_demand(context: &GatewayContext, now: Timestamp, call: &AdmittedCall) {
+    if !context.settings.load.shared_admission {
+        return;
+    }
+    let class = DemandClass {
+        urgency: call.priority(),
+        account: call.account_name().cloned(),
+    };
+    let units = call.head.tokens.map_or(1, |tokens| tokens.total().0.max(1));
+    let mut admission = context.admission.lock();
+    admission.note_request(now, &call.service, class, units as f64);
+}
+
+/// Decides about a request by the room of its service.
 ///
 /// # Errors
 ///
@@ -35,12 +49,6 @@
     draw: f64,
 ) -> Result<(), AdmissionRefusal> {
     let mut admission = context.admission.lock();
-    let class = DemandClass {
-        urgency: call.priority(),
-        account: call.account_name().cloned(),
-    };
-    let units = call.head.tokens.map_or(1, |tokens| tokens.total().0.max(1));
-    admission.note_request(now, &call.service, class, units as f64);
     if admission.is_update_due(now, &call.service) {
         admission.update(
             now,
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -14,6 +14,7 @@
 use twox_hash::XxHash64;
 
 use crate::gateway::admission_exchange::admit_by_room;
+use crate::gateway::admission_exchange::note_demand;
 use crate::gateway::backend_choice::BackendChoice;
 use crate::gateway::backend_choice::ChoiceQuery;
 use crate::gateway::backend_choice::choose_backend;
@@ -469,6 +470,7 @@
                 .work
                 .lock()
                 .note(now, &call.service, choice.prefill_tokens);
+            note_demand(context, now, call);
         }
         let slot_wait = choice.slot_wait;
         let shed_after = match decide_return(context, call, &choice, now) {
