gossip_task: add up reported demands once a round, hold no lock longer than needed

A hub added up the demands that all entries reported twice a round, the second time with the table of entries locked; now once. A hub's summary held the account limits while it locked the backend servers and the limits of servers, against the order in the module documentation; no deadlock was seen. The order now names work and promises. The next request in the entry's queue is found by its predecessor, without counting all before it.

The time of a round was not measured.

--- a/lib/src/gateway/admission_exchange.rs
+++ b/lib/src/gateway/admission_exchange.rs
@@ -84,16 +84,15 @@
 }
 
 /// Updates the levels of all services that callers of this entry have asked for, and
-/// the gauges. A hub takes the demand that other entries reported to it.
-pub fn update_admission(context: &GatewayContext, now: Timestamp) {
+/// the gauges. A hub takes the demand that other entries `reported` to it.
+pub fn update_admission(context: &GatewayContext, now: Timestamp, reported: &ServiceDemands) {
     if !context.settings.load.shared_admission {
         return;
     }
-    let reported = reported_demands(&context.peers.lock(), now);
     let backends = context.backends.lock();
     let mut admission = context.admission.lock();
     if !reported.is_empty() {
-        admission.replace_peer_demands(now, reported);
+        admission.replace_peer_demands(now, reported.clone());
     }
     for (service, target) in admission.known_services() {
         let room = service_room(&backends, now, &service);
@@ -118,7 +117,8 @@
     write_demands(&demands)
 }
 
-fn reported_demands(peers: &PeerTable, now: Timestamp) -> ServiceDemands {
+/// Returns what callers of the entries that report to this one ask of crowded services.
+pub fn reported_demands(peers: &PeerTable, now: Timestamp) -> ServiceDemands {
     let mut sums = ServiceDemands::new();
     for demand in peers.crowded_demand(now) {
         add_demands(&mut sums, demand);
@@ -128,12 +128,8 @@
 
 /// Returns what callers of this entry and of all that report to it ask of crowded
 /// services.
-pub fn crowded_sums(
-    peers: &PeerTable,
-    own_gossip: &GatewayGossip,
-    now: Timestamp,
-) -> Vec<CrowdedDemand> {
-    let mut sums = reported_demands(peers, now);
+pub fn crowded_sums(reported: &ServiceDemands, own_gossip: &GatewayGossip) -> Vec<CrowdedDemand> {
+    let mut sums = reported.clone();
     add_demands(&mut sums, &own_gossip.crowded_demand);
     write_demands(&sums)
 }
--- a/lib/src/gateway/entry_queue.rs
+++ b/lib/src/gateway/entry_queue.rs
@@ -97,7 +97,8 @@
 
     /// Returns whether a request is the next one of its service.
     pub fn is_next(&self, waiter: &QueueWaiter) -> bool {
-        self.waiters.contains(waiter) && self.count_ahead(waiter) == 0
+        let earlier = self.waiters.range(..waiter).next_back();
+        self.waiters.contains(waiter) && earlier.is_none_or(|other| other.service != waiter.service)
     }
 
     /// Removes a request that is sent or refused, or whose caller has left.
--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -11,12 +11,14 @@
 use slog::warn;
 
 use crate::gateway::account_demand::CrowdedDemand;
+use crate::gateway::account_demand::ServiceDemands;
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::account_limits::ShareView;
 use crate::gateway::admission_exchange::apply_demand;
 use crate::gateway::admission_exchange::crowded_sums;
 use crate::gateway::admission_exchange::own_crowded_demand;
+use crate::gateway::admission_exchange::reported_demands;
 use crate::gateway::admission_exchange::update_admission;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendRecord;
@@ -78,13 +80,14 @@
         }
         update_peer_loads(&context, now);
         purge_promises(&context, now);
-        update_admission(&context, now);
-        send_round(&context, now, round);
+        let reported = reported_demands(&context.peers.lock(), now);
+        update_admission(&context, now, &reported);
+        send_round(&context, now, round, &reported);
         pull_document(&context, now);
     }
 }
 
-fn send_round(context: &GatewayContext, now: Timestamp, round: u32) {
+fn send_round(context: &GatewayContext, now: Timestamp, round: u32, reported: &ServiceDemands) {
     let due = context.peers.lock().take_due_messages(now, round);
     let granted = issue_permits(context, now);
     if due.is_empty() {
@@ -92,7 +95,8 @@
     }
     let common = common_gossip(context);
     let needs_summary = due.iter().any(|message| message.has_summary);
-    let source = needs_summary.then(|| SummarySource::gather(context, &common, granted, now));
+    let source =
+        needs_summary.then(|| SummarySource::gather(context, &common, granted, reported, now));
     for message in due {
         if message.reopen {
             context.links.forget(message.address);
@@ -214,6 +218,7 @@
         context: &GatewayContext,
         own_gossip: &GatewayGossip,
         granted: GrantedPermits,
+        reported: &ServiceDemands,
         now: Timestamp,
     ) -> Self {
         let peers = context.peers.lock();
@@ -226,7 +231,7 @@
                 .max(own_gossip.fencing_token),
             hubs: peers.hub_addresses(now),
             loads,
-            crowded_sums: crowded_sums(&peers, own_gossip, now),
+            crowded_sums: crowded_sums(reported, own_gossip),
             granted,
             promises: context.promises.lock().news(now, true),
         }
@@ -288,8 +293,10 @@
         true => list_for(context, list_format, peer_digest),
         false => SentList::default(),
     };
+    // Not in the expression below: the lock would be held to its end.
+    let admitted = context.account_limits.lock().totals_without(incarnation);
     gossip.summary = Some(HubSummary {
-        admitted: context.account_limits.lock().totals_without(incarnation),
+        admitted,
         hubs: source.hubs.clone(),
         packed_list: list.packed,
         backends: list.full,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -40,7 +40,7 @@
 //!
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
 //! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`,
-//! `work_history`, `admission`. No lock is held across an await.
+//! `work`, `work_history`, `promises`, `admission`. No lock is held across an await.
 
 pub mod account_demand;
 pub mod account_limits;
