call_return: an early return takes no slot that a new request would not get

A return before its time was sent if a slot seemed free. In a crowded service the entries fill such slots many times over, so shared admission decides there by level and share; a caller that came back at once passed both. Now the same decision is made for it; without shared admission a free slot admits as before. The promise ends only if it is sent.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -33,6 +33,7 @@
 use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::call_return::ReturnDecision;
 use crate::gateway::call_return::decide_return;
+use crate::gateway::call_return::note_early_return;
 use crate::gateway::call_return::promise_return;
 use crate::gateway::call_return::shedding_draw;
 use crate::gateway::entry_wait::QueuedCall;
@@ -473,14 +474,20 @@
             note_demand(context, now, call);
         }
         let slot_wait = choice.slot_wait;
-        let shed_after = match decide_return(context, call, &choice, now) {
+        let return_decision = decide_return(context, call, &choice, now);
+        let shed_after = match return_decision {
             ReturnDecision::Admit => None,
             ReturnDecision::Refuse => Some(slot_wait),
-            ReturnDecision::Undecided => shed_by_load(context, &backends, now, call, &choice),
+            ReturnDecision::Undecided | ReturnDecision::UseFreeSlot => {
+                shed_by_load(context, &backends, now, call, &choice)
+            }
         };
         if let Some(after) = shed_after {
             return NextStep::Crowded { after, slot_wait };
         }
+        if return_decision == ReturnDecision::UseFreeSlot {
+            note_early_return(context, call, now);
+        }
     }
     let block_ids: Vec<u64> = call
         .head
--- a/lib/src/gateway/call_return.rs
+++ b/lib/src/gateway/call_return.rs
@@ -23,6 +23,8 @@
 pub enum ReturnDecision {
     /// It is treated like a new request.
     Undecided,
+    /// It came too early, and may use a slot that is free.
+    UseFreeSlot,
     /// It is sent in spite of the load.
     Admit,
     /// It is refused again, since it came too early.
@@ -43,10 +45,7 @@
     let mut promises = context.promises.lock();
     match promises.status(now, call.digest) {
         ReturnStatus::New | ReturnStatus::Deferred => ReturnDecision::Undecided,
-        ReturnStatus::Early(_) if choice.slot_wait.is_zero() => {
-            promises.note_kept(now, call.digest);
-            ReturnDecision::Admit
-        }
+        ReturnStatus::Early(_) if choice.slot_wait.is_zero() => ReturnDecision::UseFreeSlot,
         ReturnStatus::Early(_) => {
             counter!("cloverbend_early_returns_refused_total").increment(1);
             ReturnDecision::Refuse
@@ -63,6 +62,11 @@
     }
 }
 
+/// Notes that a return is sent before its time. Its place is free again.
+pub fn note_early_return(context: &GatewayContext, call: &AdmittedCall, now: Timestamp) {
+    context.promises.lock().note_kept(now, call.digest);
+}
+
 /// Returns when the caller of a refused request should retry, and remembers it.
 /// `otherwise` is the time without promises; `queue_wait` is the wait for a slot.
 pub fn promise_return(
