--- a/lib/src/gateway/admission_exchange.rs
+++ b/lib/src/gateway/admission_exchange.rs
@@ -21,7 +21,21 @@
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
 
-/// Counts a request in the demand of its account, and decides about it.
+/// Counts a request that arrives in the demand of its account.
+pub fn note_demand(context: &GatewayContext, now: Timestamp, call: &AdmittedCall) {
+    if !context.settings.load.shared_admission {
+        return;
+    }
+    let class = DemandClass {
+        urgency: call.priority(),
+        account: call.account_name().cloned(),
+    };
+    let units = call.head.tokens.map_or(1, |tokens| tokens.total().0.max(1));
+    let mut admission = context.admission.lock();
+    admission.note_request(now, &call.service, class, units as f64);
+}
+
+/// Decides about a request by the room of its service.
 ///
 /// # Errors
 ///
@@ -35,12 +49,6 @@
     draw: f64,
 ) -> Result<(), AdmissionRefusal> {
     let mut admission = context.admission.lock();
-    let class = DemandClass {
-        urgency: call.priority(),
-        account: call.account_name().cloned(),
-    };
-    let units = call.head.tokens.map_or(1, |tokens| tokens.total().0.max(1));
-    admission.note_request(now, &call.service, class, units as f64);
     if admission.is_update_due(now, &call.service) {
         admission.update(
             now,
@@ -76,16 +84,15 @@
 }
 
 /// Updates the levels of all services that callers of this entry have asked for, and
-/// the gauges. A hub takes the demand that other entries reported to it.
-pub fn update_admission(context: &GatewayContext, now: Timestamp) {
+/// the gauges. A hub takes the demand that other entries `reported` to it.
+pub fn update_admission(context: &GatewayContext, now: Timestamp, reported: &ServiceDemands) {
     if !context.settings.load.shared_admission {
         return;
     }
-    let reported = reported_demands(&context.peers.lock(), now);
     let backends = context.backends.lock();
     let mut admission = context.admission.lock();
     if !reported.is_empty() {
-        admission.replace_peer_demands(now, reported);
+        admission.replace_peer_demands(now, reported.clone());
     }
     for (service, target) in admission.known_services() {
         let room = service_room(&backends, now, &service);
@@ -110,7 +117,8 @@
     write_demands(&demands)
 }
 
-fn reported_demands(peers: &PeerTable, now: Timestamp) -> ServiceDemands {
+/// Returns what callers of the entries that report to this one ask of crowded services.
+pub fn reported_demands(peers: &PeerTable, now: Timestamp) -> ServiceDemands {
     let mut sums = ServiceDemands::new();
     for demand in peers.crowded_demand(now) {
         add_demands(&mut sums, demand);
@@ -120,12 +128,8 @@
 
 /// Returns what callers of this entry and of all that report to it ask of crowded
 /// services.
-pub fn crowded_sums(
-    peers: &PeerTable,
-    own_gossip: &GatewayGossip,
-    now: Timestamp,
-) -> Vec<CrowdedDemand> {
-    let mut sums = reported_demands(peers, now);
+pub fn crowded_sums(reported: &ServiceDemands, own_gossip: &GatewayGossip) -> Vec<CrowdedDemand> {
+    let mut sums = reported.clone();
     add_demands(&mut sums, &own_gossip.crowded_demand);
     write_demands(&sums)
 }
