--- a/lib/src/gateway/event_pauses.rs
+++ b/lib/src/gateway/event_pauses.rs
@@ -20,6 +20,8 @@
     recent: [Duration; SAMPLED_PAUSES],
     recent_count: usize,
     longest: Duration,
+    /// Whether the stream has resumed since the last event.
+    has_resumed: bool,
 }
 
 impl Default for EventPauses {
@@ -36,6 +38,7 @@
             recent: [Duration::ZERO; SAMPLED_PAUSES],
             recent_count: 0,
             longest: Duration::ZERO,
+            has_resumed: false,
         }
     }
 
@@ -45,6 +48,9 @@
         let last_event_at = self.last_event_at.replace(now)?;
         let pause = now.duration_since(last_event_at);
         self.longest = self.longest.max(pause);
+        if std::mem::take(&mut self.has_resumed) {
+            return None;
+        }
         self.recent[self.recent_count] = pause;
         self.recent_count += 1;
         if self.recent_count < SAMPLED_PAUSES {
@@ -56,10 +62,10 @@
         Some(sorted[SAMPLE_RANK])
     }
 
-    /// Notes that the stream resumes at another server. The pause in between belongs to
-    /// neither.
+    /// Notes that the stream resumes at another server. The caller sees the pause in
+    /// between, but it shows nothing about either server.
     pub fn note_resumed(&mut self) {
-        self.last_event_at = None;
+        self.has_resumed = true;
         self.recent_count = 0;
     }
 
