replica_planner: keep the replicas of both versions during a roll-out

Cause: the cloud started some 165 replicas of a new version beside the old ones, and within four seconds the planner, which counts the need of one version, had ordered most of them away. Change: while a service is rolled out, orders do not fall below the replicas that are present.

--- a/lib/src/gateway/replica_scaler.rs
+++ b/lib/src/gateway/replica_scaler.rs
@@ -20,6 +20,8 @@
 use crate::gateway::replica_planner::ReplicaPlanner;
 use crate::gateway::replica_planner::ReplicaSupply;
 use crate::gateway::replica_planner::ZoneSupply;
+use crate::gateway::replica_planner::keep_present;
+use crate::gateway::rollout_state::RolloutPhase;
 use crate::gateway::site_config::ScaleRule;
 use crate::gateway::site_config::ServiceRule;
 use crate::id::ServiceName;
@@ -151,7 +153,10 @@
             .planners
             .entry(service.name.clone())
             .or_insert_with(|| ReplicaPlanner::new(rule, &supply, first_start));
-        let orders = planner.plan(now, &service.name, rule, demand, &supply);
+        let mut orders = planner.plan(now, &service.name, rule, demand, &supply);
+        if is_rolled_out(context, now, &service.name) {
+            orders = keep_present(rule, &supply, orders);
+        }
         let present = total_supply(&supply);
         info!(context.log, "replicas planned"; "service" => %service.name,
             "demand_slots" => demand.slots, "demand_reading" => demand.prefill,
@@ -202,6 +207,15 @@
     }
 }
 
+/// Returns whether a new version of a service is being rolled out.
+fn is_rolled_out(context: &GatewayContext, now: Timestamp, service: &ServiceName) -> bool {
+    let news = context.rollouts.lock().news_of(now, service);
+    match news.map(|news| news.phase) {
+        Some(RolloutPhase::Running | RolloutPhase::Moving) => true,
+        Some(RolloutPhase::Completed | RolloutPhase::RolledBack) | None => false,
+    }
+}
+
 fn count_replicas(context: &GatewayContext, order: &ReplicaOrder) -> u32 {
     let backends = context.backends.lock();
     let present = backends.of_service(&order.service).filter(|backend| {
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -1,11 +1,16 @@
 //! The load pattern of a roll-out: hundreds of entries, a version that may be bad, and
 //! other trouble meanwhile. The pure decisions are replayed in virtual time.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use cloverbend::gateway::backend_record::BackendId;
 use cloverbend::gateway::gateway_settings::GatewaySettings;
+use cloverbend::gateway::platform_interface::ReplicaOrder;
+use cloverbend::gateway::replica_planner::ReplicaSupply;
+use cloverbend::gateway::replica_planner::ZoneSupply;
+use cloverbend::gateway::replica_planner::keep_present;
 use cloverbend::gateway::rollout_evidence::AnswerKind;
 use cloverbend::gateway::rollout_evidence::EvidenceTable;
 use cloverbend::gateway::rollout_evidence::PaceRange;
@@ -30,6 +35,7 @@
 use cloverbend::gateway::rollout_state::start_rollout;
 use cloverbend::gateway::rollout_table::RolloutNews;
 use cloverbend::gateway::rollout_table::RolloutTable;
+use cloverbend::gateway::site_config::ScaleRule;
 use cloverbend::id::FenceToken;
 use cloverbend::id::Incarnation;
 use cloverbend::id::LogOffset;
@@ -687,3 +693,43 @@
         a share of exposed requests is more than 0 and at most 0.5";
     assert_eq!(findings.to_string().trim(), expected);
 }
+
+/// The cloud starts the replicas of the new version beside the old ones, and the need is
+/// that of one version. The orders must end none of them, within what a zone may have.
+#[test]
+fn replicas_of_both_versions_are_kept_during_a_roll_out() {
+    let rule = ScaleRule {
+        min: 1,
+        max: 56,
+        startup: Duration::from_secs(4),
+        reclaimable_price: 0.2,
+        zone_prices: BTreeMap::new(),
+    };
+    let present = ReplicaSupply {
+        reclaimable: 70,
+        on_demand: 4,
+    };
+    let supply = ZoneSupply::from([("zone-a".parse().unwrap(), present)]);
+    let order = |zone: &str, reclaimable, count| ReplicaOrder {
+        service: "pool".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        reclaimable,
+        count,
+    };
+    let orders = vec![
+        order("zone-a", true, 33),
+        order("zone-a", false, 0),
+        order("zone-b", true, 33),
+        order("zone-b", false, 2),
+    ];
+    let kept: Vec<String> = keep_present(&rule, &supply, orders)
+        .iter()
+        .map(|order| format!("{} {} {}", order.zone, order.reclaimable, order.count))
+        .collect();
+    insta::assert_snapshot!(kept.join("\n"), @r"
+    zone-a false 4
+    zone-b false 2
+    zone-a true 52
+    zone-b true 33
+    ");
+}
