--- a/lib/src/gateway/replica_planner.rs
+++ b/lib/src/gateway/replica_planner.rs
@@ -405,27 +405,18 @@
     }
 }
 
-/// Raises orders to the replicas that are present, as far as a zone may have so many. While
-/// a new version is rolled out, replicas of both versions are present. The cloud ends any
-/// of them if fewer are ordered, and the new version could not be judged.
-pub fn keep_present(
-    rule: &ScaleRule,
-    supply: &ZoneSupply,
-    mut orders: Vec<ReplicaOrder>,
-) -> Vec<ReplicaOrder> {
-    let mut on_demand_counts = BTreeMap::new();
-    orders.sort_by_key(|order| order.reclaimable);
-    for order in &mut orders {
+/// Removes the orders for fewer replicas than are present. While a new version is rolled
+/// out, replicas of both versions are present. The cloud ends any of them if fewer are
+/// ordered, and the new version could not be judged.
+pub fn without_reductions(supply: &ZoneSupply, mut orders: Vec<ReplicaOrder>) -> Vec<ReplicaOrder> {
+    orders.retain(|order| {
         let present = supply.get(&order.zone).copied().unwrap_or_default();
-        if order.reclaimable {
-            let on_demand = on_demand_counts.get(&order.zone).copied().unwrap_or(0);
-            let room = rule.max.saturating_sub(on_demand);
-            order.count = order.count.max(present.reclaimable).min(room);
-        } else {
-            order.count = order.count.max(present.on_demand).min(rule.max);
-            on_demand_counts.insert(order.zone.clone(), order.count);
-        }
-    }
+        let present = match order.reclaimable {
+            true => present.reclaimable,
+            false => present.on_demand,
+        };
+        order.count >= present
+    });
     orders
 }
 
--- a/lib/src/gateway/replica_scaler.rs
+++ b/lib/src/gateway/replica_scaler.rs
@@ -20,7 +20,7 @@
 use crate::gateway::replica_planner::ReplicaPlanner;
 use crate::gateway::replica_planner::ReplicaSupply;
 use crate::gateway::replica_planner::ZoneSupply;
-use crate::gateway::replica_planner::keep_present;
+use crate::gateway::replica_planner::without_reductions;
 use crate::gateway::rollout_state::RolloutPhase;
 use crate::gateway::site_config::ScaleRule;
 use crate::gateway::site_config::ServiceRule;
@@ -155,7 +155,7 @@
             .or_insert_with(|| ReplicaPlanner::new(rule, &supply, first_start));
         let mut orders = planner.plan(now, &service.name, rule, demand, &supply);
         if is_rolled_out(context, now, &service.name) {
-            orders = keep_present(rule, &supply, orders);
+            orders = without_reductions(&supply, orders);
         }
         let present = total_supply(&supply);
         info!(context.log, "replicas planned"; "service" => %service.name,
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -1,7 +1,6 @@
 //! The load pattern of a roll-out: hundreds of entries, a version that may be bad, and
 //! other trouble meanwhile. The pure decisions are replayed in virtual time.
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use cloverbend::gateway::platform_interface::ReplicaOrder;
 use cloverbend::gateway::replica_planner::ReplicaSupply;
 use cloverbend::gateway::replica_planner::ZoneSupply;
-use cloverbend::gateway::replica_planner::keep_present;
+use cloverbend::gateway::replica_planner::without_reductions;
 use cloverbend::gateway::rollout_evidence::AnswerKind;
 use cloverbend::gateway::rollout_evidence::EvidenceTable;
 use cloverbend::gateway::rollout_evidence::PaceRange;
@@ -35,7 +34,6 @@
 use cloverbend::gateway::rollout_state::start_rollout;
 use cloverbend::gateway::rollout_table::RolloutNews;
 use cloverbend::gateway::rollout_table::RolloutTable;
-use cloverbend::gateway::site_config::ScaleRule;
 use cloverbend::id::FenceToken;
 use cloverbend::id::Incarnation;
 use cloverbend::id::LogOffset;
@@ -695,21 +693,17 @@
 }
 
 /// The cloud starts the replicas of the new version beside the old ones, and the need is
-/// that of one version. The orders must end none of them, within what a zone may have.
+/// that of one version. No replica may be ended, and a loss has to be made up for.
 #[test]
-fn replicas_of_both_versions_are_kept_during_a_roll_out() {
-    let rule = ScaleRule {
-        min: 1,
-        max: 56,
-        startup: Duration::from_secs(4),
-        reclaimable_price: 0.2,
-        zone_prices: BTreeMap::new(),
-    };
-    let present = ReplicaSupply {
-        reclaimable: 70,
-        on_demand: 4,
+fn no_replicas_are_ended_during_a_roll_out() {
+    let supply = |reclaimable, on_demand| ReplicaSupply {
+        reclaimable,
+        on_demand,
     };
-    let supply = ZoneSupply::from([("zone-a".parse().unwrap(), present)]);
+    let supply = ZoneSupply::from([
+        ("zone-a".parse().unwrap(), supply(50, 4)),
+        ("zone-b".parse().unwrap(), supply(0, 4)),
+    ]);
     let order = |zone: &str, reclaimable, count| ReplicaOrder {
         service: "pool".parse().unwrap(),
         zone: zone.parse().unwrap(),
@@ -720,16 +714,16 @@
         order("zone-a", true, 33),
         order("zone-a", false, 0),
         order("zone-b", true, 33),
-        order("zone-b", false, 2),
+        order("zone-b", false, 12),
+        order("zone-c", true, 33),
     ];
-    let kept: Vec<String> = keep_present(&rule, &supply, orders)
+    let placed: Vec<String> = without_reductions(&supply, orders)
         .iter()
         .map(|order| format!("{} {} {}", order.zone, order.reclaimable, order.count))
         .collect();
-    insta::assert_snapshot!(kept.join("\n"), @r"
-    zone-a false 4
-    zone-b false 2
-    zone-a true 52
+    insta::assert_snapshot!(placed.join("\n"), @r"
     zone-b true 33
+    zone-b false 12
+    zone-c true 33
     ");
 }
