call_dispatch: split the choice of the next step; wording

Change: the fallback of versions and the decision between shedding and returns are functions of their own. Behaviour is unchanged.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -484,18 +484,8 @@
     let fallback = versions.fallback();
     let mut backends = context.backends.lock();
     let mut limits = context.server_limits.lock();
-    let query = choice_query(context, call, retry_state, &limits, &versions);
-    let mut choice = choose_backend(&backends, now, &query);
-    let mut query = query;
-    // A new version must not cost a request its place: others may have room.
-    if let Some(versions) = &fallback
-        && choice
-            .as_ref()
-            .is_none_or(|choice| !choice.slot_wait.is_zero())
-    {
-        query.versions = versions;
-        choice = choose_backend(&backends, now, &query).or(choice);
-    }
+    let mut query = choice_query(context, call, retry_state, &limits, &versions);
+    let choice = choose_with_fallback(&backends, now, &mut query, fallback.as_ref());
     let Some(choice) = choice else {
         let Some(after) = time_until_available(&backends, now, &query) else {
             return NextStep::NoBackend;
@@ -521,21 +511,10 @@
                 .note(now, &call.service, choice.prefill_tokens);
             note_demand(context, now, call);
         }
-        let slot_wait = choice.slot_wait;
-        let return_decision = decide_return(context, call, &choice, now);
-        let shed_after = match return_decision {
-            ReturnDecision::Admit => None,
-            ReturnDecision::Refuse => Some(slot_wait),
-            ReturnDecision::Undecided | ReturnDecision::UseFreeSlot => {
-                shed_by_load(context, &backends, now, call, &choice)
-            }
-        };
-        if let Some(after) = shed_after {
+        if let Some(after) = shed_or_admit(context, &backends, now, call, &choice) {
+            let slot_wait = choice.slot_wait;
             return NextStep::Crowded { after, slot_wait };
         }
-        if return_decision == ReturnDecision::UseFreeSlot {
-            note_early_return(context, call, now);
-        }
     }
     let block_ids: Vec<u64> = call
         .head
@@ -570,6 +549,50 @@
     }))
 }
 
+/// Chooses a server by the query. If the versions that it allows have no free slot, all
+/// versions of `fallback` count: a new version must not cost a request its place.
+fn choose_with_fallback<'a>(
+    backends: &BackendSet,
+    now: Timestamp,
+    query: &mut ChoiceQuery<'a>,
+    fallback: Option<&'a VersionRule>,
+) -> Option<BackendChoice> {
+    let choice = choose_backend(backends, now, query);
+    let has_slot = choice
+        .as_ref()
+        .is_some_and(|choice| choice.slot_wait.is_zero());
+    match fallback {
+        Some(versions) if !has_slot => {
+            query.versions = versions;
+            choose_backend(backends, now, query).or(choice)
+        }
+        _ => choice,
+    }
+}
+
+/// Decides whether a request is refused because its service is crowded or because its
+/// caller returned too early. Returns the delay after which the caller may retry.
+fn shed_or_admit(
+    context: &GatewayContext,
+    backends: &BackendSet,
+    now: Timestamp,
+    call: &AdmittedCall,
+    choice: &BackendChoice,
+) -> Option<Duration> {
+    let return_decision = decide_return(context, call, choice, now);
+    let shed_after = match return_decision {
+        ReturnDecision::Admit => None,
+        ReturnDecision::Refuse => Some(choice.slot_wait),
+        ReturnDecision::Undecided | ReturnDecision::UseFreeSlot => {
+            shed_by_load(context, backends, now, call, choice)
+        }
+    };
+    if shed_after.is_none() && return_decision == ReturnDecision::UseFreeSlot {
+        note_early_return(context, call, now);
+    }
+    shed_after
+}
+
 /// Counts the demand of a request that no server accepts now. Permits of entries
 /// and planned replicas depend on the demand, not on the sent requests.
 fn record_unsent_work(
--- a/lib/src/gateway/return_promises.rs
+++ b/lib/src/gateway/return_promises.rs
@@ -70,7 +70,7 @@
 pub enum PromiseState {
     /// A place is set aside for its return.
     Open,
-    /// It was told a time, but there was no room. Until then it is refused again, so that
+    /// It got a time, but no room was set aside. Until then it is refused again, so that
     /// it has no more chances than a caller that waits.
     Deferred,
     /// It has returned and was admitted.
@@ -115,7 +115,7 @@
     New,
     /// The caller should return only after that time.
     Early(Duration),
-    /// The caller returns when it was told to, but no place is set aside.
+    /// The caller returns at the given time, but no place is set aside.
     Deferred,
     /// The caller returns as promised.
     Promised,
@@ -184,7 +184,7 @@
     }
 
     /// Decides when the caller of a refused request should return, and remembers it. A
-    /// caller that was asked to return later is told the rest of that time.
+    /// caller that was asked to return later gets the rest of that time.
     pub fn promise(
         &mut self,
         now: Timestamp,
--- a/lib/src/gateway/rollout_task.rs
+++ b/lib/src/gateway/rollout_task.rs
@@ -256,7 +256,7 @@
         };
         info!(context.log, "roll-out began"; "service" => %order.service,
             "version" => %order.target, "duration_s" => order.duration.as_secs_f64());
-        tell(context, news);
+        announce(context, news);
     }
 
     fn log_refusal(
@@ -313,7 +313,7 @@
                 return;
             }
         }
-        let told = RolloutNews {
+        let news = RolloutNews {
             fence,
             phase,
             news_age: Duration::ZERO,
@@ -327,8 +327,8 @@
             };
             counter!("cloverbend_rollout_states_total", "state" => phase.to_string()).increment(1);
             info!(context.log, "roll-out went on"; "service" => %service,
-                "version" => %told.order.target, "state" => %phase, "fault" => fault,
-                "age_s" => told.age.as_secs_f64(), "new_answers" => told.new_answers,
+                "version" => %news.order.target, "state" => %phase, "fault" => fault,
+                "age_s" => news.age.as_secs_f64(), "new_answers" => news.new_answers,
                 "old_answers" => total.answers(VersionSide::Old),
                 "new_failures" => total.failures(VersionSide::New),
                 "old_failures" => total.failures(VersionSide::Old),
@@ -336,9 +336,9 @@
                 "has_capacity" => inputs.has_capacity, "old_in_flight" => inputs.old_in_flight);
         }
         if phase.is_final() {
-            self.verdicts.insert(service, told.clone());
+            self.verdicts.insert(service, news.clone());
         }
-        tell(context, told);
+        announce(context, news);
     }
 
     /// Returns the verdict that the store has on a version.
@@ -410,7 +410,7 @@
 }
 
 /// Makes news known here and, by gossip, at other entries.
-fn tell(context: &GatewayContext, news: RolloutNews) {
+fn announce(context: &GatewayContext, news: RolloutNews) {
     let now = context.now();
     let is_changed = context.rollouts.lock().note_news(now, news, rand::random());
     if is_changed {
--- a/lib/src/gateway/shared_admission.rs
+++ b/lib/src/gateway/shared_admission.rs
@@ -206,7 +206,7 @@
 /// The admission of all services at one entry.
 #[derive(Clone, Debug, Default)]
 pub struct SharedAdmission {
-    /// When other entries were heard; none if there are none.
+    /// When news of other entries last arrived; none if there are none.
     news_at: Option<Timestamp>,
     services: BTreeMap<ServiceName, ServiceAdmission>,
 }
--- a/lib/tests/test_call_work.rs
+++ b/lib/tests/test_call_work.rs
@@ -107,7 +107,7 @@
     assert!(report > 1.3, "{report}");
 }
 
-/// Callers need reports told apart: with hints, the median error of the estimate of a
+/// Long and short reports have to be distinguished: with hints, the median error of the estimate of a
 /// report has to be at most three quarters of that without.
 #[rstest]
 fn hints_improve_estimates_of_uneven_routes(#[values(1, 2, 3)] seed: u64) {
--- a/lib/tests/test_return_promises.rs
+++ b/lib/tests/test_return_promises.rs
@@ -45,12 +45,12 @@
 const PATIENT_RETRIES: u32 = 3;
 const HASTY_DELAY_MS: u64 = 20;
 
-/// How a caller that does not wait as told retries.
+/// How a caller that ignores the time to wait retries.
 #[derive(Clone, Copy, Debug)]
 enum Haste {
     /// At once.
     AtOnce,
-    /// After a third of the time that it was told.
+    /// After a third of the time to wait.
     ThreeTimesAsOften,
 }
 
@@ -60,7 +60,7 @@
     entries: usize,
     /// Whether promises are made.
     promises: bool,
-    /// The share of callers that do not wait as told.
+    /// The share of callers that ignore the time to wait.
     hasty: f64,
     /// What such callers do.
     haste: Haste,
@@ -331,7 +331,7 @@
     assert!(delays[0] <= delays[1] && delays[1] <= delays[2]);
 }
 
-/// Bound: clients that do not wait as told are served no more often than those that wait, and
+/// Bound: clients that ignore the time to wait are served no more often than those that wait, and
 /// those that wait are served at most 0.05 less than without them.
 #[rstest]
 fn retrying_too_often_gains_nothing(
@@ -530,7 +530,7 @@
     }
 }
 
-/// Whichever of two promises for a request is heard first, the later one holds, and a
+/// Whichever of two promises for a request arrives first, the later one holds, and a
 /// caller that returned has returned.
 #[rstest]
 #[case::two_promises([(300, PromiseState::Open), (900, PromiseState::Open)])]
--- a/lib/tests/test_shared_admission.rs
+++ b/lib/tests/test_shared_admission.rs
@@ -130,7 +130,7 @@
     peak_wait_ms: u64,
 }
 
-/// What an entry told the hubs in a round.
+/// What an entry reported to the hubs in a round.
 #[derive(Clone, Default)]
 struct EntryNews {
     demands: Vec<CrowdedDemand>,
