retry_exchange: metrics and a log line for the use of the retry budget

Change: gauges by service for retries taken and allowed, a counter of refused ones, and one line a second for each service whose budget refused retries. No logic is changed.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -46,6 +46,7 @@
 use crate::gateway::platform_interface::ResponseHead;
 use crate::gateway::prompt_pacing::StreamTargets;
 use crate::gateway::report_handler::handle_report;
+use crate::gateway::retry_exchange::take_retry_budget;
 use crate::gateway::rollout_exposure::VersionRule;
 use crate::gateway::rollout_routing::note_request;
 use crate::gateway::rollout_routing::note_version_answer;
@@ -111,16 +112,6 @@
             && self.possible_runs < call.route.max_attempts
             && call.time_left() > MIN_TIME_LEFT
     }
-
-    /// Takes one retry out of the budget of the service. Returns whether the
-    /// budget allowed it.
-    pub fn take_retry_budget(&self, context: &GatewayContext, call: &AdmittedCall) -> bool {
-        let now = context.now();
-        let entries = context.peers.lock().entry_counts(now).entries;
-        let rule = &context.settings.bounds.retry_budget;
-        let mut budget = context.retry_budget.lock();
-        budget.take(now, &call.service, rule, entries)
-    }
 }
 
 /// The result of one send.
@@ -201,7 +192,7 @@
                 note_outcome(context, &backend, outcome);
                 not_executed = true;
                 log_send_failed(context, call, &backend, "not_run");
-                if !retry_state.take_retry_budget(context, call) {
+                if !take_retry_budget(context, call) {
                     break;
                 }
                 continue;
@@ -224,7 +215,7 @@
         note_outcome(context, &backend, BackendOutcome::Broken);
         chosen.guard.note_interrupted(outcome);
         log_send_failed(context, call, &backend, outcome);
-        if !retry_state.may_retry(call) || !retry_state.take_retry_budget(context, call) {
+        if !retry_state.may_retry(call) || !take_retry_budget(context, call) {
             break;
         }
     }
@@ -324,9 +315,7 @@
             return classify_exchange(context, call, backend, result);
         }
         // Without another server or budget, this attempt continues.
-        if has_other_backend(context, call, retry_state)
-            && retry_state.take_retry_budget(context, call)
-        {
+        if has_other_backend(context, call, retry_state) && take_retry_budget(context, call) {
             return SendResult::Abandoned;
         }
     }
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -35,6 +35,7 @@
 use crate::gateway::response_body::ResponseBody;
 use crate::gateway::response_body::collect_response_body;
 use crate::gateway::response_passthrough::ResponsePassthrough;
+use crate::gateway::retry_exchange::take_retry_budget;
 use crate::gateway::send_guard::RESPONSE_INTERRUPTED;
 use crate::gateway::send_guard::SERVER_RESTARTED;
 use crate::quantity::Timestamp;
@@ -180,7 +181,7 @@
 /// Returns whether the request may be retried, and takes the retry out of the
 /// budget.
 fn take_retry(context: &GatewayContext, call: &AdmittedCall, retry_state: &RetryState) -> bool {
-    retry_state.may_retry(call) && retry_state.take_retry_budget(context, call)
+    retry_state.may_retry(call) && take_retry_budget(context, call)
 }
 
 async fn collect_response(
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -41,6 +41,7 @@
 use crate::gateway::gateway_context::CallGuard;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
+use crate::gateway::retry_exchange::take_retry_budget;
 use crate::gateway::send_guard::RESPONSE_INTERRUPTED;
 use crate::gateway::send_guard::SERVER_RESTARTED;
 use crate::gateway::send_guard::SendGuard;
@@ -246,9 +247,7 @@
     fn handle_stall(&mut self) {
         let can_resume = self.may_resume()
             && has_other_backend(&self.context, &self.call, &self.retry_state)
-            && self
-                .retry_state
-                .take_retry_budget(&self.context, &self.call);
+            && take_retry_budget(&self.context, &self.call);
         if can_resume {
             self.drop_response("silent");
             self.has_resume_budget = true;
@@ -273,11 +272,8 @@
 
     async fn resume_or_interrupt(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
         let has_budget = std::mem::take(&mut self.has_resume_budget);
-        let is_allowed = has_budget
-            || (self.may_resume()
-                && self
-                    .retry_state
-                    .take_retry_budget(&self.context, &self.call));
+        let is_allowed =
+            has_budget || (self.may_resume() && take_retry_budget(&self.context, &self.call));
         if !is_allowed {
             return Some(self.interrupt(RESPONSE_INTERRUPTED));
         }
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -33,6 +33,7 @@
 use crate::gateway::gossip_task::receive_part;
 use crate::gateway::gossip_task::run_gossip;
 use crate::gateway::lease_task::maintain_lease;
+use crate::gateway::retry_exchange::report_usage;
 use crate::gateway::rollout_task::run_rollouts;
 use crate::gateway::state_sizes::SizeReporter;
 use crate::gateway::store_task::follow_backends;
@@ -272,6 +273,7 @@
             info!(context.log, "backend server changes received"; "joined" => change_counts.joined,
                 "leaving" => change_counts.draining, "gone" => change_counts.gone);
         }
+        report_usage(&context);
         record_gauges(&context, &mut sizes);
         metrics_export::run_upkeep();
     }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -127,6 +127,7 @@
 pub mod response_body;
 pub mod response_passthrough;
 pub mod retry_budget;
+pub mod retry_exchange;
 pub mod return_promises;
 pub mod return_schedule;
 pub mod rollout_evidence;
--- a/lib/src/gateway/retry_budget.rs
+++ b/lib/src/gateway/retry_budget.rs
@@ -32,6 +32,30 @@
 struct ServiceSends {
     first: VecDeque<Timestamp>,
     retries: VecDeque<Timestamp>,
+    /// Retries that were refused since the last report.
+    refused: u64,
+}
+
+/// How much of the budget for a service one entry has used within the window.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// The service.
+    pub service: ServiceName,
+    /// Requests of callers.
+    pub requests: usize,
+    /// Retries that were taken.
+    pub taken: usize,
+    /// Retries that the entry may take with these requests.
+    pub allowed: f64,
+    /// Retries that were refused since the last report.
+    pub refused: u64,
+}
+
+impl ServiceSends {
+    fn allowed(&self, rule: &RetryBudgetRule, entries: usize) -> f64 {
+        let reserve = rule.reserve / entries.max(1) as f64;
+        (rule.ratio * self.first.len() as f64 + reserve) * USED_SHARE
+    }
 }
 
 /// The requests and retries of one entry within the window, by service.
@@ -65,14 +89,34 @@
         let sends = self.services.entry(service.clone()).or_default();
         drop_expired(&mut sends.first, now, rule.window);
         drop_expired(&mut sends.retries, now, rule.window);
-        let reserve = rule.reserve / entries.max(1) as f64;
-        let allowed = (rule.ratio * sends.first.len() as f64 + reserve) * USED_SHARE;
-        if (sends.retries.len() + 1) as f64 > allowed {
+        if (sends.retries.len() + 1) as f64 > sends.allowed(rule, entries) {
+            sends.refused += 1;
             return false;
         }
         sends.retries.push_back(now);
         true
     }
+
+    /// Returns the use of the budget by service, and resets the counts of refused retries.
+    pub fn take_usage(
+        &mut self,
+        now: Timestamp,
+        rule: &RetryBudgetRule,
+        entries: usize,
+    ) -> Vec<RetryUsage> {
+        let usage = |(service, sends): (&ServiceName, &mut ServiceSends)| {
+            drop_expired(&mut sends.first, now, rule.window);
+            drop_expired(&mut sends.retries, now, rule.window);
+            RetryUsage {
+                service: service.clone(),
+                requests: sends.first.len(),
+                taken: sends.retries.len(),
+                allowed: sends.allowed(rule, entries),
+                refused: std::mem::take(&mut sends.refused),
+            }
+        };
+        self.services.iter_mut().map(usage).collect()
+    }
 }
 
 fn drop_expired(times: &mut VecDeque<Timestamp>, now: Timestamp, window: Duration) {
