test_gateway_limits: repeated restarts of all entries

The class of fault behind the retry budget, looked for elsewhere: each process starts with a fifth of the bucket of every account, however often entries restart. Two restarts of all entries within a window keep the bound; one every 2.5 s uses 1,158,000 of 1,130,000 units in 8 s (one every second: 1,346,500). Not mended: an empty bucket would refuse all accounts for seconds after a loss of all entries, so a hub has to know what the lost processes admitted.

--- a/lib/tests/test_gateway_limits.rs
+++ b/lib/tests/test_gateway_limits.rs
@@ -365,6 +365,32 @@
     assert!(most <= bound(), "{most} of {}", bound());
 }
 
+/// An account exceeds its limit from second 4 on. All entries restart again and again, and
+/// each process starts with a part of a bucket.
+#[test]
+fn repeated_restarts_of_all_entries_stay_within_the_bound() {
+    let mut world = LimitWorld::new(&[]);
+    for step in 0..2_400_u64 {
+        let now = Timestamp::from_millis(step * 10);
+        if step * 10 >= 5_000 && (step * 10).is_multiple_of(2_500) {
+            world.restart();
+        }
+        let is_over_limit = now >= Timestamp::from_millis(4_000);
+        let each = if is_over_limit {
+            RATE * 7.0
+        } else {
+            RATE * 0.5
+        };
+        let units = each as u64 / 100;
+        world.offer(now, (step % ENTRIES as u64) as usize, units);
+        if step % 25 == 0 {
+            world.exchange(now);
+        }
+    }
+    let most = world.most_in_window() as f64;
+    assert!(most <= bound(), "{most} of {}", bound());
+}
+
 #[test]
 fn an_account_below_its_limit_is_served_soon_after_all_restart() {
     let mut world = LimitWorld::new(&[]);
