retry_exchange: record the known entries before each retry

What callers saw: an entry that had just started for the first time refused retries until its first gossip round, up to 250 ms later.

Cause: the number of entries was recorded once a round only. Change: it is also recorded before a retry is taken, as the budget did before.

--- a/lib/src/gateway/retry_exchange.rs
+++ b/lib/src/gateway/retry_exchange.rs
@@ -2,11 +2,13 @@
 
 use metrics::counter;
 use metrics::gauge;
+use parking_lot::MutexGuard;
 use slog::info;
 
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_gossip::GatewayGossip;
+use crate::gateway::retry_budget::RetryBudget;
 use crate::gateway::retry_pool::PoolCredit;
 use crate::gateway::retry_pool::PoolDraws;
 use crate::id::EntryName;
@@ -15,19 +17,25 @@
 /// Takes one retry of a request out of the budget of its service. Returns whether the
 /// budget allowed it.
 pub fn take_retry_budget(context: &GatewayContext, call: &AdmittedCall) -> bool {
+    let now = context.now();
     let rule = &context.settings.bounds.retry_budget;
+    current_budget(context, now).take(now, &call.service, rule)
+}
+
+/// Returns the budget after recording what is known of the other entries.
+fn current_budget(context: &GatewayContext, now: Timestamp) -> MutexGuard<'_, RetryBudget> {
+    let list_confirmed_at = context.backends.lock().confirmed_at();
+    let known_entries = context.peers.lock().known_entries(now);
     let mut budget = context.retry_budget.lock();
-    budget.take(context.now(), &call.service, rule)
+    budget.note_entries(now, known_entries, list_confirmed_at);
+    budget
 }
 
 /// Brings the budget up to date once a gossip round: the number of entries, the pool of
 /// this entry, and the credit that it has there itself.
 pub fn update_retry_budget(context: &GatewayContext, now: Timestamp) {
-    let list_confirmed_at = context.backends.lock().confirmed_at();
-    let known_entries = context.peers.lock().known_entries(now);
     let rule = &context.settings.bounds.retry_budget;
-    let mut budget = context.retry_budget.lock();
-    budget.note_entries(now, known_entries, list_confirmed_at);
+    let budget = current_budget(context, now);
     let entries = budget.dividing_entries(now, rule);
     let draws = budget.pool_draws();
     drop(budget);
--- a/lib/tests/test_retry_bound.rs
+++ b/lib/tests/test_retry_bound.rs
@@ -550,7 +550,7 @@
     )]
     trouble: Trouble,
 ) {
-    // The same number of steps for small and large deployments.
+    // Runs of large deployments take longer, so there are fewer.
     let seeds = match entries {
         0..=9 => 1..=8,
         10..=78 => 1..=3,
