--- a/lib/src/gateway/retry_budget.rs
+++ b/lib/src/gateway/retry_budget.rs
@@ -219,6 +219,10 @@
     /// Returns the number of entries by which the reserve is divided; none if it has not
     /// been known for a whole window.
     pub fn dividing_entries(&self, now: Timestamp, rule: &RetryBudgetRule) -> Option<usize> {
+        // Nobody ran before, so a number that is recorded late only counts late entries.
+        if self.is_first_start && now < Timestamp(0).after(rule.window) {
+            return self.entries.get();
+        }
         let since = self.trusted_since?;
         let is_beginning = self.is_first_start && since <= Timestamp(0).after(rule.window);
         let is_settled = is_beginning || now.since(since) >= rule.window;
--- a/lib/src/gateway/retry_exchange.rs
+++ b/lib/src/gateway/retry_exchange.rs
@@ -24,8 +24,14 @@
 
 /// Returns the budget after recording what is known of the other entries.
 fn current_budget(context: &GatewayContext, now: Timestamp) -> MutexGuard<'_, RetryBudget> {
+    let rule = &context.settings.bounds.retry_budget;
     let list_confirmed_at = context.backends.lock().confirmed_at();
-    let known_entries = context.peers.lock().known_entries(now);
+    let peers = context.peers.lock();
+    let mut known_entries = peers.known_entries(now);
+    if context.settings.first_start && now < Timestamp(0).after(rule.window) {
+        known_entries = Some(peers.entry_counts(now).entries);
+    }
+    drop(peers);
     let mut budget = context.retry_budget.lock();
     budget.note_entries(now, known_entries, list_confirmed_at);
     budget
