report_handler: lines and a counter that tell how a limit was exceeded

Of the hypotheses in docs/incidents/late-answers-limit.md the logs could tell none apart: no line had the time of the request whose response lifted a limit, and no metric the requests that were sent under a limit.

`backend server lifted its rate limit` gets response_ms and limit_age_ms; cloverbend_backend_limited_sends_total counts requests sent under a limit, by server. No decision changes.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -33,6 +33,7 @@
 use crate::gateway::call_shedding::admit_choice;
 use crate::gateway::entry_wait::QueuedCall;
 use crate::gateway::entry_wait::join_entry_queue;
+use crate::gateway::limit_exchange::count_limited_send;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::platform_interface::ForwardedHead;
 use crate::gateway::platform_interface::ResponseHead;
@@ -342,7 +343,7 @@
             () = chosen.guard.restart_token.cancelled() => return SendResult::Lost(SERVER_RESTARTED),
         };
         if let Ok(result) = result {
-            return classify_exchange(context, call, backend, result);
+            return classify_exchange(context, call, &chosen.guard, result);
         }
         // Without another server or budget, this attempt continues.
         if has_other_backend(context, call, retry_state) && take_retry_budget(context, call) {
@@ -353,7 +354,7 @@
     tokio::select! {
         biased;
         result = context.clock.timeout_at(call.deadline, exchange) => match result {
-            Ok(result) => classify_exchange(context, call, backend, result),
+            Ok(result) => classify_exchange(context, call, &chosen.guard, result),
             Err(_) => {
                 context.paths.lock().note_silence(context.now(), backend);
                 SendResult::Lost("no_answer")
@@ -366,11 +367,11 @@
 fn classify_exchange(
     context: &GatewayContext,
     call: &AdmittedCall,
-    backend: &BackendId,
+    guard: &SendGuard,
     result: Result<Exchange, SendError>,
 ) -> SendResult {
     match result {
-        Ok(exchange) => classify_response(context, call, backend, exchange),
+        Ok(exchange) => classify_response(context, call, guard, exchange),
         Err(SendError::NotSent) => SendResult::NotSent,
         Err(SendError::Lost) => SendResult::Lost(CONNECTION_LOST),
         Err(SendError::RelayLost) => SendResult::Lost(RELAY_LOST),
@@ -441,9 +442,10 @@
 fn classify_response(
     context: &GatewayContext,
     call: &AdmittedCall,
-    backend: &BackendId,
+    guard: &SendGuard,
     exchange: Exchange,
 ) -> SendResult {
+    let backend = guard.backend();
     let status = exchange.response.status();
     let headers = exchange.response.headers();
     let head = context.platform.format.decode_response(status, headers);
@@ -463,7 +465,7 @@
     // A misdirected request reached another server that now has the address. Its
     // report is not about the chosen server.
     if status != StatusCode::MISDIRECTED_REQUEST {
-        handle_report(context, backend, &head.report);
+        handle_report(context, backend, guard.sent_at(), &head.report);
     }
     if head.not_executed {
         // If another server has the address, the chosen one is gone.
@@ -574,10 +576,14 @@
     let is_first = retry_state.tried.is_empty();
     let work =
         work.map(|estimate| SentWork::begin(&mut backends, now, call, &choice, estimate, is_first));
+    let is_limited = limits.is_limited(&choice.id);
     limits.note_sent(now, &choice.id);
     let count_period = backends.count_period();
     drop(limits);
     drop(backends);
+    if is_limited {
+        count_limited_send(context, &choice.id);
+    }
     note_request(context, call, version.as_ref());
     let sent_request = SentRequest {
         backend: choice.id,
--- a/lib/src/gateway/limit_exchange.rs
+++ b/lib/src/gateway/limit_exchange.rs
@@ -83,6 +83,12 @@
     }
 }
 
+/// Counts a request that is sent to a server with a limit.
+pub fn count_limited_send(context: &GatewayContext, id: &BackendId) {
+    let label = context.server_labels.label(id);
+    counter!("cloverbend_backend_limited_sends_total", "backend" => label).increment(1);
+}
+
 fn own_client(context: &GatewayContext, now: Timestamp) -> PermitClient {
     let work = context.work.lock();
     let demand = work
--- a/lib/src/gateway/report_handler.rs
+++ b/lib/src/gateway/report_handler.rs
@@ -1,6 +1,8 @@
 //! Applies what backend servers report in their responses, and counts and logs
 //! the changes.
 
+use std::time::Duration;
+
 use metrics::counter;
 use metrics::gauge;
 use slog::info;
@@ -11,15 +13,31 @@
 use crate::gateway::server_labels::NO_LIMIT;
 use crate::gateway::server_report::ReportChange;
 use crate::gateway::server_report::ServerReport;
+use crate::quantity::Timestamp;
+
+/// When a server reported a change, as far as this entry can tell.
+struct ReportTimes {
+    /// The time since the request was sent whose response has the report.
+    response_time: Duration,
+    /// The time since the limit that held before was last reported, if there was one.
+    limit_age: Option<Duration>,
+}
 
-/// Applies the report of a response that just arrived.
-pub fn handle_report(context: &GatewayContext, id: &BackendId, report: &ServerReport) {
+/// Applies the report of a response that just arrived, to a request sent at `sent_at`.
+pub fn handle_report(
+    context: &GatewayContext,
+    id: &BackendId,
+    sent_at: Timestamp,
+    report: &ServerReport,
+) {
     let now = context.now();
-    let changes = context
-        .server_limits
-        .lock()
-        .reports
-        .apply_direct(now, id, report);
+    let mut limits = context.server_limits.lock();
+    let times = ReportTimes {
+        response_time: now.since(sent_at),
+        limit_age: limits.reports.limit_age(now, id),
+    };
+    let changes = limits.reports.apply_direct(now, id, report);
+    drop(limits);
     if !changes.is_empty() {
         // Until they learn of the change, other entries send to the server as
         // before.
@@ -33,12 +51,17 @@
     }
     let back_off = report.back_off.map(ReportChange::BackOff);
     for change in changes.into_iter().chain(back_off) {
-        log_change(context, id, change);
+        log_change(context, id, change, &times);
     }
 }
 
 /// Counts and logs a change of what a server reports.
-fn log_change(context: &GatewayContext, id: &BackendId, change: ReportChange) {
+fn log_change(
+    context: &GatewayContext,
+    id: &BackendId,
+    change: ReportChange,
+    times: &ReportTimes,
+) {
     let label = context.server_labels.label(id);
     let may_log = context.may_log(&id.name.0, LineClass::Failure);
     match change {
@@ -54,7 +77,9 @@
             gauge!("cloverbend_backend_limit", "backend" => label.clone()).set(NO_LIMIT);
             counter!("cloverbend_backend_limits_over_total", "backend" => label).increment(1);
             if may_log {
-                info!(context.log, "backend server lifted its rate limit"; "backend" => %id);
+                info!(context.log, "backend server lifted its rate limit"; "backend" => %id,
+                    "response_ms" => times.response_time.as_millis() as u64,
+                    "limit_age_ms" => times.limit_age.map(|age| age.as_millis() as u64));
             }
         }
         ReportChange::Draining => {
--- a/lib/src/gateway/report_table.rs
+++ b/lib/src/gateway/report_table.rs
@@ -128,6 +128,13 @@
         known.limit.filter(|_| known.id == *id)
     }
 
+    /// Returns how long ago the limit of an incarnation was last reported, if one is in force.
+    pub fn limit_age(&self, now: Timestamp, id: &BackendId) -> Option<Duration> {
+        self.limit(id)?;
+        let known = self.reports.get(&id.name)?;
+        Some(now.since(known.reported_at))
+    }
+
     /// Iterates over all limits in force.
     pub fn limits(&self) -> impl Iterator<Item = (&BackendId, RequestRate)> {
         let reports = self.reports.values();
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -101,6 +101,11 @@
         self.request.work.as_ref().map(SentWork::estimate)
     }
 
+    /// Returns when the request was sent.
+    pub fn sent_at(&self) -> Timestamp {
+        self.request.sent_at
+    }
+
     /// Returns the time since the request was sent.
     pub fn since_sent(&self) -> Duration {
         self.context.now().since(self.request.sent_at)
