--- a/lib/src/gateway/report_handler.rs
+++ b/lib/src/gateway/report_handler.rs
@@ -56,12 +56,7 @@
 }
 
 /// Counts and logs a change of what a server reports.
-fn log_change(
-    context: &GatewayContext,
-    id: &BackendId,
-    change: ReportChange,
-    times: &ReportTimes,
-) {
+fn log_change(context: &GatewayContext, id: &BackendId, change: ReportChange, times: &ReportTimes) {
     let label = context.server_labels.label(id);
     let may_log = context.may_log(&id.name.0, LineClass::Failure);
     match change {
