report_table: a response that may be older than a limit does not lift it

Callers saw nothing; a server in need got up to twice what it had allowed. Cause: a response without a limit counted as reported when it arrived. One that the server began before it named the limit (slow queue, lost packets, an entry that stood still) lifted the limit at its entry and, by gossip, at all entries, which sent as before until the next response named it again. Class: the arrival of a message taken for the time of what it tells.

Change: a report has a span of possible times, from the sending of the request (or, relayed, from the echoed message) to its arrival. A report that lowers a limit counts if it may be newer, one that raises or lifts it only if it certainly is. Relayed reports carry the width of the span, a few bytes while limits are in force.

--- a/lib/src/gateway/limit_exchange.rs
+++ b/lib/src/gateway/limit_exchange.rs
@@ -128,7 +128,10 @@
 /// Applies what another entry gossiped about servers, and the permits that it
 /// issued.
 pub fn apply_server_gossip(context: &GatewayContext, now: Timestamp, gossip: &GatewayGossip) {
-    apply_reports(context, now, &gossip.reports);
+    let own = context.incarnation;
+    let echo = gossip.echo.filter(|echo| echo.incarnation == own);
+    let sent_after = echo.map(|echo| Timestamp(echo.sent_at));
+    apply_reports(context, now, sent_after, &gossip.reports);
     // The sends of an entry count at the hub from which it gets its permits.
     if gossip.reports_state && gossip.wants_summary {
         let mut limits = context.server_limits.lock();
@@ -137,12 +140,11 @@
     let Some(summary) = &gossip.summary else {
         return;
     };
-    apply_reports(context, now, &summary.reports);
-    let own = context.incarnation;
-    if let Some(echo) = gossip.echo.filter(|echo| echo.incarnation == own) {
+    apply_reports(context, now, sent_after, &summary.reports);
+    if let Some(sent_after) = sent_after {
         // The hub counts the lifetime from a later time, so the permit expires
         // here before the hub can issue it to another entry.
-        let expires_at = Timestamp(echo.sent_at).after(PERMIT_LIFETIME);
+        let expires_at = sent_after.after(PERMIT_LIFETIME);
         let mut limits = context.server_limits.lock();
         limits.add_permits(&summary.permits, expires_at);
         drop(limits);
@@ -150,14 +152,19 @@
     }
 }
 
-fn apply_reports(context: &GatewayContext, now: Timestamp, reports: &[RelayedReport]) {
+fn apply_reports(
+    context: &GatewayContext,
+    now: Timestamp,
+    sent_after: Option<Timestamp>,
+    reports: &[RelayedReport],
+) {
     if reports.is_empty() {
         return;
     }
     let mut changed: Vec<&RelayedReport> = Vec::new();
     let mut limits = context.server_limits.lock();
     for report in reports {
-        if limits.reports.apply_relayed(now, report) {
+        if limits.reports.apply_relayed(now, sent_after, report) {
             changed.push(report);
         }
     }
--- a/lib/src/gateway/report_frames.rs
+++ b/lib/src/gateway/report_frames.rs
@@ -27,6 +27,8 @@
     age_ms: u64,
     #[prost(bool, tag = "5")]
     leaving: bool,
+    #[prost(uint64, tag = "6")]
+    uncertainty_ms: u64,
 }
 
 /// The frame of [`LimitedSends`] and [`PermitGrant`].
@@ -52,12 +54,17 @@
 
 impl From<RelayedReport> for RelayedReportFrame {
     fn from(report: RelayedReport) -> Self {
+        let age_ms = report.age.as_millis() as u64;
+        // Rounded so that the report never seems newer than it may be.
+        let oldest = report.age + report.uncertainty;
+        let oldest_ms = oldest.as_micros().div_ceil(1_000) as u64;
         Self {
             backend: report.id.name.0,
             start: report.id.start.0,
             limit_bits: report.limit.map(|rate| rate.0.to_bits()),
-            age_ms: report.age.as_millis() as u64,
+            age_ms,
             leaving: report.draining,
+            uncertainty_ms: oldest_ms - age_ms,
         }
     }
 }
@@ -79,6 +86,7 @@
         limit,
         draining: frame.leaving,
         age: Duration::from_millis(frame.age_ms),
+        uncertainty: Duration::from_millis(frame.uncertainty_ms),
     })
 }
 
--- a/lib/src/gateway/report_handler.rs
+++ b/lib/src/gateway/report_handler.rs
@@ -36,7 +36,7 @@
         response_time: now.since(sent_at),
         limit_age: limits.reports.limit_age(now, id),
     };
-    let changes = limits.reports.apply_direct(now, id, report);
+    let changes = limits.reports.apply_direct(now, sent_at, id, report);
     drop(limits);
     if !changes.is_empty() {
         // Until they learn of the change, other entries send to the server as
--- a/lib/src/gateway/report_table.rs
+++ b/lib/src/gateway/report_table.rs
@@ -6,6 +6,10 @@
 //! reports about the limit of one incarnation the later one counts, whoever
 //! relays it and in whatever order they arrive. An incarnation that has
 //! reported once that it drains counts as draining from then on.
+//!
+//! When a server wrote a report is known only within a [`ReportSpan`]: a response may
+//! have waited in a queue, on a slow link, or in the socket of an entry that was
+//! suspended. If the order of two reports is unknown, the lower limit counts.
 
 use std::collections::BTreeMap;
 use std::hash::Hash;
@@ -32,6 +36,15 @@
 /// arrive late are recognized as outdated.
 const RETENTION_TIME: Duration = Duration::from_secs(60);
 
+/// The time span in which a server wrote a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportSpan {
+    /// The earliest possible time.
+    pub earliest: Timestamp,
+    /// The latest possible time.
+    pub latest: Timestamp,
+}
+
 /// What a server reported, as one entry relays it to another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelayedReport {
@@ -42,8 +55,24 @@
     pub limit: Option<RequestRate>,
     /// Whether it drains.
     pub draining: bool,
-    /// How long ago it reported this.
+    /// How long ago at least it reported this.
     pub age: Duration,
+    /// How much longer ago it may have reported this.
+    pub uncertainty: Duration,
+}
+
+impl RelayedReport {
+    /// Returns when the server wrote the report. `sent_after` is a time after which the
+    /// message with the report was sent; none if that is unknown.
+    pub fn span(&self, now: Timestamp, sent_after: Option<Timestamp>) -> ReportSpan {
+        let before =
+            |at: Timestamp, age: Duration| Timestamp(at.0.saturating_sub(age.as_micros() as u64));
+        let oldest = self.age + self.uncertainty;
+        ReportSpan {
+            earliest: sent_after.map_or(Timestamp(0), |at| before(at, oldest)),
+            latest: before(now, self.age),
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -51,7 +80,8 @@
     id: BackendId,
     limit: Option<RequestRate>,
     draining: bool,
-    reported_at: Timestamp,
+    /// When the server last reported this limit.
+    reported: ReportSpan,
     /// When the server last sent a report to this entry itself.
     received_at: Option<Timestamp>,
     changed_at: Timestamp,
@@ -64,31 +94,43 @@
             id,
             limit: None,
             draining: false,
-            reported_at: Timestamp(0),
+            reported: ReportSpan {
+                earliest: Timestamp(0),
+                latest: Timestamp(0),
+            },
             received_at: None,
             changed_at: now,
             listed_at: now,
         }
     }
 
-    fn note_limit(&mut self, report: LimitReport) -> Option<ReportChange> {
-        let reported_limit = match report {
-            LimitReport::Unlimited => None,
-            LimitReport::Limited(rate) => Some(rate),
-            LimitReport::Unreadable => return None,
+    /// Applies a reported limit. Returns whether the known limit changed.
+    fn note_limit(&mut self, limit: Option<RequestRate>, span: ReportSpan) -> bool {
+        if limit == self.limit {
+            self.reported.earliest = self.reported.earliest.max(span.earliest);
+            self.reported.latest = self.reported.latest.max(span.latest);
+            return false;
+        }
+        let rate = |limit: Option<RequestRate>| limit.map_or(f64::INFINITY, |rate| rate.0);
+        let may_be_newer = match rate(limit) < rate(self.limit) {
+            true => span.latest > self.reported.earliest,
+            false => span.earliest > self.reported.latest,
         };
-        if std::mem::replace(&mut self.limit, reported_limit) == reported_limit {
-            return None;
+        if may_be_newer {
+            self.limit = limit;
+            self.reported = span;
         }
-        Some(reported_limit.map_or(ReportChange::LimitLifted, ReportChange::Limited))
+        may_be_newer
     }
 
     fn to_relayed(&self, now: Timestamp) -> RelayedReport {
+        let ReportSpan { earliest, latest } = self.reported;
         RelayedReport {
             id: self.id.clone(),
             limit: self.limit,
             draining: self.draining,
-            age: now.since(self.reported_at),
+            age: now.since(latest),
+            uncertainty: latest.since(earliest),
         }
     }
 
@@ -132,7 +174,7 @@
     pub fn limit_age(&self, now: Timestamp, id: &BackendId) -> Option<Duration> {
         self.limit(id)?;
         let known = self.reports.get(&id.name)?;
-        Some(now.since(known.reported_at))
+        Some(now.since(known.reported.latest))
     }
 
     /// Iterates over all limits in force.
@@ -141,11 +183,12 @@
         reports.filter_map(|known| Some((&known.id, known.limit?)))
     }
 
-    /// Applies a report from a response that just arrived. Returns the changes
-    /// to relay to other entries; a back-off concerns only this entry.
+    /// Applies a report from a response that just arrived, to a request sent at `sent_at`.
+    /// Returns the changes to relay to other entries; a back-off concerns only this entry.
     pub fn apply_direct(
         &mut self,
         now: Timestamp,
+        sent_at: Timestamp,
         id: &BackendId,
         report: &ServerReport,
     ) -> Vec<ReportChange> {
@@ -156,10 +199,22 @@
         let Some(known) = self.known_mut(now, id) else {
             return Vec::new();
         };
-        known.reported_at = known.reported_at.max(now);
         known.received_at = Some(now);
+        let reported_limit = match report.limit {
+            LimitReport::Unlimited => Some(None),
+            LimitReport::Limited(rate) => Some(Some(rate)),
+            LimitReport::Unreadable => None,
+        };
+        let span = ReportSpan {
+            earliest: sent_at,
+            latest: now,
+        };
         let mut changes = Vec::new();
-        changes.extend(known.note_limit(report.limit));
+        if let Some(limit) = reported_limit
+            && known.note_limit(limit, span)
+        {
+            changes.push(limit.map_or(ReportChange::LimitLifted, ReportChange::Limited));
+        }
         if report.draining && !std::mem::replace(&mut known.draining, true) {
             changes.push(ReportChange::Draining);
         }
@@ -169,20 +224,19 @@
         changes
     }
 
-    /// Applies a report that another entry relayed. Returns whether anything
-    /// changed.
-    pub fn apply_relayed(&mut self, now: Timestamp, report: &RelayedReport) -> bool {
-        let reported_at = Timestamp(now.0.saturating_sub(report.age.as_micros() as u64));
+    /// Applies a report that another entry relayed in a message sent after `sent_after`, if
+    /// that is known. Returns whether anything changed.
+    pub fn apply_relayed(
+        &mut self,
+        now: Timestamp,
+        sent_after: Option<Timestamp>,
+        report: &RelayedReport,
+    ) -> bool {
         let Some(known) = self.known_mut(now, &report.id) else {
             return false;
         };
         let began_draining = report.draining && !std::mem::replace(&mut known.draining, true);
-        let is_newer = reported_at > known.reported_at;
-        let limit_changed = is_newer && known.limit != report.limit;
-        if is_newer {
-            known.reported_at = reported_at;
-            known.limit = report.limit;
-        }
+        let limit_changed = known.note_limit(report.limit, report.span(now, sent_after));
         if began_draining || limit_changed {
             known.changed_at = now;
         }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -460,6 +460,7 @@
         limit: Some(RequestRate(1.5)),
         draining: true,
         age: Duration::from_millis(14),
+        uncertainty: Duration::from_millis(19),
     }];
     full.reports_digest = 15;
     full.sends = vec![LimitedSends {
@@ -541,6 +542,7 @@
             limit: None,
             draining: false,
             age: Duration::ZERO,
+            uncertainty: Duration::ZERO,
         }],
         permits: vec![PermitGrant {
             id: backend_id("b"),
--- a/lib/tests/test_limit_changes.rs
+++ b/lib/tests/test_limit_changes.rs
@@ -91,6 +91,7 @@
 #[derive(Clone, Copy, Debug)]
 struct ModelAnswer {
     arrives_at: Timestamp,
+    sent_at: Timestamp,
     entry: usize,
     incarnation: Incarnation,
     server: usize,
@@ -277,17 +278,22 @@
         let entry = &mut self.entries[message.receiver];
         let gossip = message.gossip;
         entry.peers.apply_gossip(self.now, &gossip);
+        let own = entry.gossip.incarnation;
+        let echo = gossip.echo.filter(|echo| echo.incarnation == own);
+        let sent_after = echo.map(|echo| Timestamp(echo.sent_at));
         for report in gossip.reports.iter().chain(&message.reports) {
-            entry.limits.reports.apply_relayed(self.now, report);
+            entry
+                .limits
+                .reports
+                .apply_relayed(self.now, sent_after, report);
         }
         if gossip.reports_state && gossip.wants_summary {
             entry
                 .limits
                 .note_reported_sends(&gossip.name, gossip.incarnation, &gossip.sends);
         }
-        let own = entry.gossip.incarnation;
-        if let Some(echo) = gossip.echo.filter(|echo| echo.incarnation == own) {
-            let expires_at = Timestamp(echo.sent_at).after(PERMIT_LIFETIME);
+        if let Some(sent_after) = sent_after {
+            let expires_at = sent_after.after(PERMIT_LIFETIME);
             entry.limits.add_permits(&message.permits, expires_at);
         }
     }
@@ -308,9 +314,12 @@
                 ..ServerReport::default()
             };
             let limits = &mut self.entries[answer.entry].limits;
-            limits
-                .reports
-                .apply_direct(self.now, &server_id(answer.server), &report);
+            limits.reports.apply_direct(
+                self.now,
+                answer.sent_at,
+                &server_id(answer.server),
+                &report,
+            );
         }
     }
 
@@ -440,6 +449,7 @@
         // The head of an answer says what held when the server began it.
         self.answers.push(ModelAnswer {
             arrives_at: now.after(delay),
+            sent_at: now,
             entry: number,
             incarnation,
             server: server_number,
@@ -459,13 +469,6 @@
     }
 }
 
-fn change(at_ms: u64, limit: Option<f64>) -> LimitChange {
-    LimitChange {
-        at: Timestamp::from_millis(at_ms),
-        limit,
-    }
-}
-
 /// What happens to entries while limits are in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
--- a/lib/tests/test_permit_issuer.rs
+++ b/lib/tests/test_permit_issuer.rs
@@ -122,7 +122,7 @@
     };
     for server in backends.iter() {
         let id = &server.record.id;
-        limits.reports.apply_direct(now, id, &report);
+        limits.reports.apply_direct(now, now, id, &report);
     }
     limits
 }
