--- a/lib/tests/test_limit_changes.rs
+++ b/lib/tests/test_limit_changes.rs
@@ -244,8 +244,9 @@
     }
 
     fn change_limits(&mut self) {
-        let due = self.changes.iter().filter(|change| change.at <= self.now);
-        let Some(limit) = due.last().map(|change| change.limit) else {
+        let mut changes = self.changes.iter();
+        let due = changes.rfind(|change| change.at <= self.now);
+        let Some(limit) = due.map(|change| change.limit) else {
             return;
         };
         for server in &mut self.servers[..self.limited_servers] {
