retry_budget: taken retries by their source

The lines told how many retries an entry took, but not whether its requests, its part of the reserve or a pool gave them, so two of the hypotheses in docs/incidents/uneven-load-budget.md could not be told apart. No decision changes.

--- a/lib/src/gateway/retry_budget.rs
+++ b/lib/src/gateway/retry_budget.rs
@@ -157,6 +157,10 @@
     pub requests: usize,
     /// Retries that were taken.
     pub taken: usize,
+    /// The part of these retries that its own requests had earned.
+    pub earned: f64,
+    /// The part that came out of its part of the reserve. The remainder was drawn from pools.
+    pub divided: f64,
     /// Retries that the entry may take with these requests.
     pub allowed: f64,
     /// Retries that were refused since the last report.
@@ -360,6 +364,8 @@
             Some(RetryUsage {
                 requests: sends.first.len(),
                 taken: sends.retries.len(),
+                earned: sends.retries.iter().map(|retry| retry.earned).sum(),
+                divided: sends.retries.iter().map(|retry| retry.divided).sum(),
                 allowed,
                 refused: std::mem::take(&mut sends.refused),
                 service,
--- a/lib/src/gateway/retry_exchange.rs
+++ b/lib/src/gateway/retry_exchange.rs
@@ -92,10 +92,22 @@
         let service = usage.service.to_string();
         gauge!("cloverbend_retries_taken", "service" => service.clone()).set(usage.taken as f64);
         gauge!("cloverbend_retries_allowed", "service" => service.clone()).set(usage.allowed);
+        let drawn = usage.taken as f64 - usage.earned - usage.divided;
+        let sources = [
+            ("earned", usage.earned),
+            ("divided", usage.divided),
+            ("drawn", drawn),
+        ];
+        for (source, retries) in sources {
+            let service = service.clone();
+            gauge!("cloverbend_retries_by_source", "service" => service, "source" => source)
+                .set(retries);
+        }
         counter!("cloverbend_retries_refused_total", "service" => service).increment(usage.refused);
         if usage.refused > 0 {
             info!(context.log, "retries refused"; "service" => %usage.service,
-                "refused" => usage.refused, "taken" => usage.taken, "allowed" => usage.allowed,
+                "refused" => usage.refused, "taken" => usage.taken, "earned" => usage.earned,
+                "divided" => usage.divided, "allowed" => usage.allowed,
                 "requests" => usage.requests, "entries" => entries);
         }
     }
