test_retry_bound: retries of a load with peaks exceed their bound

Requests of two peaks earn retries, while a window that begins between the peaks, the window before it and the one half a window before it hold one peak each.

--- a/lib/tests/test_retry_bound.rs
+++ b/lib/tests/test_retry_bound.rs
@@ -151,7 +151,7 @@
     },
 }
 
-/// A deployment in which every backend server refuses every request.
+/// A deployment in which every backend server refuses every request, unless they are well.
 struct RetryModel {
     rule: RetryBudgetRule,
     rng: StdRng,
@@ -160,6 +160,10 @@
     requests: Vec<u64>,
     retries: Vec<u64>,
     next_incarnation: u64,
+    /// Whether the backend servers serve every request.
+    servers_are_well: bool,
+    /// The longest time after which a retry arrives.
+    longest_delay_ms: u64,
 }
 
 impl RetryModel {
@@ -172,6 +176,8 @@
             requests: Vec::new(),
             retries: Vec::new(),
             next_incarnation: 1,
+            servers_are_well: false,
+            longest_delay_ms: 0,
         };
         for number in 0..entries {
             // Some entries get many requests, others hardly any.
@@ -477,9 +483,14 @@
 
     fn send_requests(&mut self, number: usize, at_ms: u64) {
         let per_step = self.slots[number].requests_per_s * STEP_MS as f64 / 1_000.0;
-        let is_sent = self.rng.random_bool(per_step.clamp(0.0, 1.0));
-        if is_sent {
-            self.send_request(number, at_ms, MAX_RETRIES);
+        let is_sent = self.rng.random_bool(per_step.fract());
+        let retries = if self.servers_are_well {
+            0
+        } else {
+            MAX_RETRIES
+        };
+        for _ in 0..per_step as usize + usize::from(is_sent) {
+            self.send_request(number, at_ms, retries);
         }
     }
 
@@ -495,7 +506,11 @@
             if !life.budget.take(now, &service(), &self.rule) {
                 return taken;
             }
-            self.retries.push(at_ms);
+            let delay_ms = match self.longest_delay_ms {
+                0 => 0,
+                longest => self.rng.random_range(0..longest),
+            };
+            self.retries.push(at_ms + delay_ms);
         }
         retries
     }
@@ -510,12 +525,14 @@
         };
         let window = WINDOW_MS as i64;
         let begins: BTreeSet<u64> = self.retries.iter().copied().collect();
+        let mut retries = self.retries.clone();
+        retries.sort_unstable();
         let use_from = |begin: &u64| {
             let begin = *begin as i64;
             let requests = [0, window / 2, window]
                 .map(|back| count(&self.requests, begin - back, begin - back + window));
             let requests = requests.into_iter().fold(0.0, f64::max);
-            let retries = count(&self.retries, begin, begin + window);
+            let retries = count(&retries, begin, begin + window);
             retries / (RATIO * requests + self.rule.reserve)
         };
         begins.iter().map(use_from).fold(0.0, f64::max)
@@ -604,3 +621,158 @@
     }
     assert_eq!(allowed, [1; 5]);
 }
+
+/// How the load changes while all servers begin to refuse.
+#[derive(Clone, Copy, Debug)]
+enum LoadShape {
+    /// It ends some time after they began.
+    Ends { after_ms: u64 },
+    /// It has two peaks, one before they begin and one after, and a part of it between.
+    Peaks {
+        apart_ms: u64,
+        length_ms: u64,
+        base: f64,
+    },
+    /// It has peaks again and again.
+    Waves { interval_ms: u64, length_ms: u64 },
+}
+
+impl LoadShape {
+    /// Returns the load relative to its highest value.
+    fn load(self, at_ms: u64) -> f64 {
+        match self {
+            Self::Ends { after_ms } if at_ms < REFUSED_FROM_MS + after_ms => 1.0,
+            Self::Ends { .. } => 0.0,
+            Self::Peaks {
+                apart_ms,
+                length_ms,
+                base,
+            } => {
+                let in_peak = |begin: u64| (begin..begin + length_ms).contains(&at_ms);
+                let is_peak = in_peak(REFUSED_FROM_MS) || in_peak(REFUSED_FROM_MS - apart_ms);
+                if is_peak { 1.0 } else { base }
+            }
+            Self::Waves {
+                interval_ms,
+                length_ms,
+            } => {
+                if at_ms % interval_ms < length_ms {
+                    1.0
+                } else {
+                    0.05
+                }
+            }
+        }
+    }
+}
+
+const REFUSED_FROM_MS: u64 = 30_000;
+const LOAD_SHAPES: [LoadShape; 9] = [
+    LoadShape::Ends { after_ms: 500 },
+    LoadShape::Ends { after_ms: 2_500 },
+    LoadShape::Ends { after_ms: 5_000 },
+    LoadShape::Peaks {
+        apart_ms: 8_000,
+        length_ms: 1_500,
+        base: 0.0,
+    },
+    LoadShape::Peaks {
+        apart_ms: 7_000,
+        length_ms: 500,
+        base: 0.0,
+    },
+    LoadShape::Peaks {
+        apart_ms: 8_000,
+        length_ms: 1_500,
+        base: 0.2,
+    },
+    LoadShape::Waves {
+        interval_ms: 7_500,
+        length_ms: 1_000,
+    },
+    LoadShape::Waves {
+        interval_ms: 3_000,
+        length_ms: 300,
+    },
+    LoadShape::Waves {
+        interval_ms: 13_000,
+        length_ms: 4_000,
+    },
+];
+
+/// Returns the largest share of the bound that was used under a load, over some seeds.
+fn largest_use_under(
+    shape: LoadShape,
+    entries: usize,
+    requests_per_s: f64,
+    longest_delay_ms: u64,
+) -> f64 {
+    let use_with = |seed| {
+        let mut model = RetryModel::new(entries, seed, requests_per_s);
+        model.longest_delay_ms = longest_delay_ms;
+        let rates: Vec<f64> = model.slots.iter().map(|slot| slot.requests_per_s).collect();
+        for at_ms in (0..REFUSED_FROM_MS + 20_000).step_by(STEP_MS as usize) {
+            model.servers_are_well = at_ms < REFUSED_FROM_MS;
+            for (slot, rate) in model.slots.iter_mut().zip(&rates) {
+                slot.requests_per_s = rate * shape.load(at_ms);
+            }
+            model.step(Trouble::Calm, at_ms);
+        }
+        model.largest_use()
+    };
+    (1..=2).map(use_with).fold(0.0, f64::max)
+}
+
+/// Requests of two peaks earn retries, and a window that begins between the peaks has the
+/// requests of one.
+#[test]
+fn retries_of_an_uneven_load_stay_within_the_bound() {
+    let mut exceeded = Vec::new();
+    for shape in LOAD_SHAPES {
+        for entries in [7, 78] {
+            for requests_per_s in [22.0, 88.0] {
+                for longest_delay_ms in [0, 1_000] {
+                    let used = largest_use_under(shape, entries, requests_per_s, longest_delay_ms);
+                    let case = format!(
+                        "{used:.3}: {entries} entries, {requests_per_s} a second, \
+                         up to {longest_delay_ms} ms, {shape:?}"
+                    );
+                    println!("{case}");
+                    if used > 1.0 {
+                        exceeded.push(case);
+                    }
+                }
+            }
+        }
+    }
+    assert!(exceeded.is_empty(), "{exceeded:#?}");
+}
+
+/// No entry ran before, and each that starts knows only those that started before it.
+#[rstest]
+fn retries_stay_within_the_bound_while_entries_start_one_by_one(
+    #[values(7, 78, 302, 986)] entries: usize,
+    #[values(0.5, 5.0)] requests_per_s: f64,
+    #[values(3_000, 9_000, 30_000)] started_within_ms: u64,
+) {
+    let mut model = RetryModel::new(entries, 1, requests_per_s);
+    for slot in &mut model.slots {
+        slot.life = None;
+    }
+    let mut started = 0;
+    for at_ms in (0..45_000).step_by(STEP_MS as usize) {
+        let due = (at_ms * entries as u64).div_ceil(started_within_ms) as usize;
+        while started < due.min(entries) {
+            model.begin_life(started, at_ms, true);
+            model.slots[started].recorded_ms = at_ms;
+            started += 1;
+            if let Some(life) = &mut model.slots[started - 1].life {
+                life.known_entries = started;
+            }
+        }
+        model.step(Trouble::Calm, at_ms);
+    }
+    let used = model.largest_use();
+    println!("{entries} entries, {requests_per_s} a second, {started_within_ms} ms: {used:.3}");
+    assert!(used <= 1.0, "{used:.3} of the bound");
+}
