earned_retries: what an entry earns adds up over entries to the bound

Servers got more retries than the bound allows while they failed. Cause: an entry compared its retries of the last window with its requests of the last window. The bound knows three windows of requests over all entries, and takes the largest number. With peaks of load a few seconds apart, or callers that move from some entries to others, each entry's retries are covered by its own requests, and their sum is covered by none of the three. Class: parts that are each within a bound, of which the sum is not.

Change: the retries of an entry since any time stay below half of the ratio for its requests since a window before that time. These halves add up over entries to the mean of two of the three numbers. Requests and retries are counted in steps of a hundredth of a window. Since an entry with hardly any requests earns less, hubs reserve more credit for it (0.9 of the pool, one retry at most); of the pool 0.75 counts as reserved at least, which keeps the bound for hubs that count different entries.

--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -96,6 +96,7 @@
 pub mod duty_log;
 pub mod duty_record;
 pub mod duty_task;
+pub mod earned_retries;
 pub mod ended_incarnations;
 pub mod entry_discovery;
 pub mod entry_queue;
--- a/lib/src/gateway/retry_budget.rs
+++ b/lib/src/gateway/retry_budget.rs
@@ -4,7 +4,7 @@
 //! bound, which is a share of the requests and a reserve. An entry has three sources of
 //! retries:
 //!
-//! 1. its own requests, each of which earns a fraction of a retry;
+//! 1. its own requests, each of which earns a fraction of a retry ([`EarnedRetries`]);
 //! 2. an equal part of one half of the reserve;
 //! 3. a credit out of the [`RetryPool`] of a hub, which the hub restores after it has
 //!    counted what was drawn.
@@ -15,12 +15,14 @@
 //! connected for a whole window, and give no credit. Such an entry lives on its own requests
 //! and on the credit of a hub that knows what its predecessor drew.
 //!
+//! [`EarnedRetries`]: crate::gateway::earned_retries::EarnedRetries
 //! [`RetryPool`]: crate::gateway::retry_pool::RetryPool
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::gateway::earned_retries::EarnedRetries;
 use crate::gateway::retry_pool::PoolCredit;
 use crate::gateway::retry_pool::PoolDraws;
 use crate::id::EntryName;
@@ -38,9 +40,6 @@
     pub window: Duration,
 }
 
-/// The share of the earned retries that is used. The remainder covers requests that begin
-/// or end at the edges of the window.
-const EARNED_SHARE: f64 = 0.8;
 /// The share of the reserve that is divided equally among the entries.
 const DIVIDED_SHARE: f64 = 0.5;
 /// For how long the credit of a hub can be drawn after the last message of this entry that
@@ -75,8 +74,8 @@
 /// The requests for one service and their retries.
 #[derive(Clone, Debug, Default)]
 struct ServiceSends {
-    /// When requests were sent within the window.
-    first: VecDeque<Timestamp>,
+    /// The requests, and what they have earned.
+    earned: EarnedRetries,
     /// The retries within the window.
     retries: VecDeque<TakenRetry>,
     /// Thousandths of retries that came out of pools since the start of the entry.
@@ -88,9 +87,6 @@
 impl ServiceSends {
     fn drop_expired(&mut self, now: Timestamp, window: Duration) {
         let is_over = |at: Timestamp| now.since(at) > window;
-        while self.first.front().is_some_and(|at| is_over(*at)) {
-            self.first.pop_front();
-        }
         while self.retries.front().is_some_and(|retry| is_over(retry.at)) {
             self.retries.pop_front();
         }
@@ -238,7 +234,7 @@
     /// Counts a request for a service.
     pub fn note_request(&mut self, now: Timestamp, service: &ServiceName, rule: &RetryBudgetRule) {
         let sends = self.services.entry(service.clone()).or_default();
-        sends.first.push_back(now);
+        sends.earned.note_request(now, rule.window);
         sends.drop_expired(now, rule.window);
     }
 
@@ -259,6 +255,7 @@
         let earned = available.earned.min(1.0);
         let drawn = available.credit.min(1.0 - earned);
         let divided = available.divided.min(1.0 - earned - drawn);
+        sends.earned.note_taken(now, rule.window, earned);
         sends.drawn_milli += (drawn * MILLI).ceil() as u64;
         sends.retries.push_back(TakenRetry {
             at: now,
@@ -279,13 +276,12 @@
         let Some(sends) = self.services.get(service) else {
             return AvailableRetries::default();
         };
-        let taken = |part: fn(&TakenRetry) -> f64| sends.retries.iter().map(part).sum::<f64>();
-        let earned = rule.ratio * EARNED_SHARE * sends.first.len() as f64;
+        let divided: f64 = sends.retries.iter().map(|retry| retry.divided).sum();
         let part = |entries| rule.reserve * DIVIDED_SHARE / entries as f64;
         let part = self.dividing_entries(now, rule).map_or(0.0, part);
         AvailableRetries {
-            earned: (earned - taken(|retry| retry.earned)).max(0.0),
-            divided: (part - taken(|retry| retry.divided)).max(0.0),
+            earned: sends.earned.available(now, rule.window, rule.ratio),
+            divided: (part - divided).max(0.0),
             credit: self.credit(now, service),
         }
     }
@@ -362,7 +358,7 @@
             let sends = self.services.get_mut(&service)?;
             let allowed = sends.retries.len() as f64 + left;
             Some(RetryUsage {
-                requests: sends.first.len(),
+                requests: sends.earned.requests(now, rule.window),
                 taken: sends.retries.len(),
                 earned: sends.retries.iter().map(|retry| retry.earned).sum(),
                 divided: sends.retries.iter().map(|retry| retry.divided).sum(),
--- a/lib/src/gateway/retry_pool.rs
+++ b/lib/src/gateway/retry_pool.rs
@@ -27,16 +27,19 @@
 
 /// The share of the reserve that is in the pool.
 const POOL_SHARE: f64 = 0.4;
-/// The share of the pool that all credits together reserve. The remainder restores credits
-/// that were drawn.
-const CREDIT_SHARE: f64 = 0.75;
+/// The share of the pool that all credits together may reserve. The remainder restores
+/// credits that were drawn.
+const CREDIT_SHARE: f64 = 0.9;
+/// The share of the pool that counts as reserved at least. Two hubs, each of which counts
+/// entries that the other does not, may together exceed the pool by the remainder.
+const MIN_RESERVED_SHARE: f64 = 0.75;
 /// An entry that has not reported for this time loses its credit. It reports every 250 ms.
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// How long an entry that does not report is remembered.
 const MEMORY: Duration = Duration::from_secs(60);
 /// The most services that count for one entry, so that false reports stay small.
 const MAX_SERVICES: usize = 64;
-/// The credit of an entry that is likely to draw: one retry.
+/// The largest credit, and that of an entry that is likely to draw: one retry.
 const WHOLE_CREDIT_MILLI: u64 = 1_000;
 /// Draws that arrive within this time are stored as one.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
@@ -290,7 +293,7 @@
             return;
         };
         let wanted = if usual > 0 && state.is_likely_to_draw(now, self.rule.window) {
-            usual.max(WHOLE_CREDIT_MILLI)
+            WHOLE_CREDIT_MILLI
         } else {
             usual
         };
@@ -321,7 +324,8 @@
     /// Returns the most that entries may draw without a reply of this hub, or may have drawn
     /// without a report.
     fn reserved_milli(&self) -> u64 {
-        self.credits_milli + self.lost_credits.sum
+        let least = self.pool_milli as f64 * MIN_RESERVED_SHARE;
+        (self.credits_milli + self.lost_credits.sum).max(least as u64)
     }
 
     fn highest_draws(&self) -> u64 {
@@ -331,7 +335,8 @@
 
     fn usual_credit_milli(&self) -> u64 {
         let credits = self.rule.reserve * POOL_SHARE * CREDIT_SHARE * 1_000.0;
-        let credit = |entries: usize| (credits / entries.max(1) as f64) as u64;
+        let credit =
+            |entries: usize| ((credits / entries.max(1) as f64) as u64).min(WHOLE_CREDIT_MILLI);
         self.entries.map_or(0, credit)
     }
 }
--- a/lib/tests/test_retry_bound.rs
+++ b/lib/tests/test_retry_bound.rs
@@ -776,3 +776,25 @@
     println!("{entries} entries, {requests_per_s} a second, {started_within_ms} ms: {used:.3}");
     assert!(used <= 1.0, "{used:.3} of the bound");
 }
+
+/// Callers move from half of the entries to the others soon after all servers began to refuse.
+#[rstest]
+fn retries_stay_within_the_bound_while_callers_move(
+    #[values(8, 78)] entries: usize,
+    #[values(22.0, 88.0)] requests_per_s: f64,
+    #[values(0, 500, 2_000)] moved_after_ms: u64,
+) {
+    let mut model = RetryModel::new(entries, 1, 0.0);
+    for at_ms in (0..REFUSED_FROM_MS + 20_000).step_by(STEP_MS as usize) {
+        model.servers_are_well = at_ms < REFUSED_FROM_MS;
+        let half = usize::from(at_ms >= REFUSED_FROM_MS + moved_after_ms);
+        for (number, slot) in model.slots.iter_mut().enumerate() {
+            let has_callers = number / 4 % 2 == half;
+            slot.requests_per_s = if has_callers { requests_per_s } else { 0.0 };
+        }
+        model.step(Trouble::Calm, at_ms);
+    }
+    let used = model.largest_use();
+    println!("{used:.3}: {entries} entries, {requests_per_s} a second, {moved_after_ms} ms");
+    assert!(used <= 1.0, "{used:.3} of the bound");
+}
