--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -192,8 +192,7 @@
                 chosen
                     .guard
                     .note_head(status, exchange.connection.is_relayed());
-                let work = chosen.guard.work_estimate();
-                log_request_sent(context, call, &backend, chosen.prefill_tokens, work);
+                log_request_sent(context, call, &chosen.guard, resume_after);
                 return Ok(BackendResponse {
                     exchange: *exchange,
                     head,
@@ -489,7 +488,6 @@
 struct ChosenBackend {
     guard: SendGuard,
     address: SocketAddr,
-    prefill_tokens: u64,
     /// The expected time to the first event.
     expected_first_event: Duration,
 }
@@ -588,6 +586,7 @@
     let sent_request = SentRequest {
         backend: choice.id,
         address,
+        version,
         digest: call.digest,
         prefill_tokens: choice.prefill_tokens,
         tokens_ahead,
@@ -600,7 +599,6 @@
     NextStep::Send(Box::new(ChosenBackend {
         guard,
         address,
-        prefill_tokens: choice.prefill_tokens,
         expected_first_event,
     }))
 }
--- a/lib/src/gateway/call_head.rs
+++ b/lib/src/gateway/call_head.rs
@@ -56,6 +56,8 @@
     pub prompt_blocks: Vec<PromptBlock>,
     /// The id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<CallId>,
     /// The caller's rough estimate of the number of generated tokens: at least one, and
     /// at most as many as may be generated.
     pub length_hint: Option<TokenCount>,
--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -15,8 +15,10 @@
 use crate::gateway::call_work::WorkEstimate;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
+use crate::gateway::send_guard::SendGuard;
 use crate::gateway::shared_admission::AdmissionRefusal;
 use crate::id::AccountName;
+use crate::id::ServerVersion;
 
 /// Counts a request that began to run in the usage of its account.
 pub fn count_usage(context: &GatewayContext, account: Option<&AccountName>) {
@@ -55,17 +57,19 @@
 pub fn log_request_sent(
     context: &GatewayContext,
     call: &AdmittedCall,
-    backend: &BackendId,
-    prefill_tokens: u64,
-    work: Option<&WorkEstimate>,
+    guard: &SendGuard,
+    resume_after: Option<u64>,
 ) {
     if !context.may_log(&call.head.id.0, LineClass::Step) {
         return;
     }
     info!(context.log, "request sent"; "request" => %call.head.id, "digest" => %call.digest,
-        "route" => &call.route.name, "account" => call.account_name().map(AccountName::as_str), "backend" => %backend,
-        "unread_tokens" => prefill_tokens, "target_ms" => call.route.target_latency.as_millis() as u64,
-        "left_ms" => call.time_left().as_millis() as u64, WorkKeys(work));
+        "route" => &call.route.name, "account" => call.account_name().map(AccountName::as_str), "backend" => %guard.backend(),
+        "version" => guard.version().map(ServerVersion::as_str),
+        "resumes" => call.head.resumes.as_ref().map(|id| id.0.as_str()),
+        "after_event" => resume_after.or(call.head.last_event),
+        "unread_tokens" => guard.prefill_tokens(), "target_ms" => call.route.target_latency.as_millis() as u64,
+        "left_ms" => call.time_left().as_millis() as u64, WorkKeys(guard.work_estimate()));
 }
 
 /// Counts and logs a request for which a service has no room.
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -50,6 +50,7 @@
 use crate::gateway::send_guard::SERVER_RESTARTED;
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::stall_detector::StallDetector;
+use crate::id::ServerVersion;
 
 /// Why the body of a response ends early. hyper then closes the caller's
 /// connection before the end of the body.
@@ -92,6 +93,8 @@
     splitter: EventSplitter,
     /// The bytes that the splitter buffers.
     reservation: ByteReservation,
+    /// The version of the server that began the stream, if it is known.
+    began_version: Option<ServerVersion>,
     /// The id of the last event that was passed on.
     last_event: Option<u64>,
     events: usize,
@@ -129,6 +132,7 @@
             pauses: EventPauses::new(),
             has_resume_budget: false,
             _call_guard: context.track_call(),
+            began_version: backend_response.guard.version().cloned(),
             last_event: call.head.last_event,
             reservation: ByteReservation::new(&context.byte_budget),
             context,
@@ -320,7 +324,9 @@
             Ok(backend_response) if is_event_stream(&backend_response.exchange.response) => {
                 if self.may_log(LineClass::Failure) {
                     info!(self.context.log, "stream resumed"; "request" => %self.call.head.id,
-                        "backend" => %backend_response.guard.backend(), "after_event" => self.last_event);
+                        "backend" => %backend_response.guard.backend(), "after_event" => self.last_event,
+                        "version" => backend_response.guard.version().map(ServerVersion::as_str),
+                        "began_version" => self.began_version.as_ref().map(ServerVersion::as_str));
                 }
                 counter!("cloverbend_streams_resumed_total").increment(1);
                 self.framing = ResponseFraming::of(&backend_response.exchange.response);
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -21,6 +21,7 @@
 use crate::gateway::path_monitor::doubt_path;
 use crate::gateway::sent_work::SentWork;
 use crate::gateway::server_paths::ServerPath;
+use crate::id::ServerVersion;
 use crate::quantity::Timestamp;
 
 /// The cause reported when a connection ended before a response.
@@ -43,6 +44,8 @@
     pub backend: BackendId,
     /// The address of the backend server.
     pub address: SocketAddr,
+    /// The version of the backend server, if it is known.
+    pub version: Option<ServerVersion>,
     /// The digest of the request.
     pub digest: CallDigest,
     /// Prompt tokens of the request that the server has to prefill.
@@ -96,11 +99,21 @@
         &self.request.backend
     }
 
+    /// Returns the version of the backend server, if it was known when the request was sent.
+    pub fn version(&self) -> Option<&ServerVersion> {
+        self.request.version.as_ref()
+    }
+
     /// Returns the estimated work, if work is estimated.
     pub fn work_estimate(&self) -> Option<&WorkEstimate> {
         self.request.work.as_ref().map(SentWork::estimate)
     }
 
+    /// Returns the prompt tokens of the request that the server has to prefill.
+    pub fn prefill_tokens(&self) -> u64 {
+        self.request.prefill_tokens
+    }
+
     /// Returns when the request was sent.
     pub fn sent_at(&self) -> Timestamp {
         self.request.sent_at
