version_binding: a stream goes on inside its answer only at the version that began it

Callers got events of two versions in one answer. Cause: a stream that resumes chose its server as a first send does; versions counted only in roll-outs. Class: a choice made again without what the first one decided.

Change: once an event was passed on, the request is bound to the version of the server that wrote it, as the list had it when the request was sent. Only servers of that version get it; there is no fallback. Without one the stream is broken off. A version that was rolled back gets no such request.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -58,6 +58,7 @@
 use crate::gateway::sent_work::estimate_work;
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::server_paths::ServerPath;
+use crate::gateway::version_binding::VersionBinding;
 use crate::quantity::Timestamp;
 
 /// A request is not sent if the time until its deadline is this short.
@@ -98,6 +99,8 @@
     repeatable: bool,
     /// Whether the request has waited at this entry. Its demand is counted already.
     pub has_waited: bool,
+    /// The version of servers that may go on with the stream.
+    pub binding: VersionBinding,
 }
 
 impl RetryState {
@@ -109,6 +112,7 @@
             unsent: 0,
             repeatable: call.route.may_repeat(),
             has_waited: false,
+            binding: VersionBinding::Free,
         }
     }
 
@@ -266,7 +270,7 @@
 
 /// Returns whether a server with a free slot would be chosen for the request.
 fn has_free_slot(context: &GatewayContext, call: &AdmittedCall, retry_state: &RetryState) -> bool {
-    let versions = request_rule(context, call, false);
+    let versions = request_rule(context, call, &retry_state.binding, false);
     let reachable = only_reachable(context);
     let backends = context.backends.lock();
     let limits = context.server_limits.lock();
@@ -386,7 +390,7 @@
     call: &AdmittedCall,
     retry_state: &RetryState,
 ) -> bool {
-    let versions = request_rule(context, call, false);
+    let versions = request_rule(context, call, &retry_state.binding, false);
     let versions = versions.fallback().unwrap_or(versions);
     let reachable = only_reachable(context);
     let backends = context.backends.lock();
@@ -516,7 +520,12 @@
     retry_state: &RetryState,
 ) -> NextStep {
     let now = context.now();
-    let versions = request_rule(context, call, retry_state.tried.is_empty());
+    let versions = request_rule(
+        context,
+        call,
+        &retry_state.binding,
+        retry_state.tried.is_empty(),
+    );
     let fallback = versions.fallback();
     let reachable = only_reachable(context);
     let preferred = preferred_servers(context, retry_state, now);
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -50,6 +50,7 @@
 use crate::gateway::send_guard::SERVER_RESTARTED;
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::stall_detector::StallDetector;
+use crate::gateway::version_binding::VersionBinding;
 use crate::id::ServerVersion;
 
 /// Why the body of a response ends early. hyper then closes the caller's
@@ -93,8 +94,8 @@
     splitter: EventSplitter,
     /// The bytes that the splitter buffers.
     reservation: ByteReservation,
-    /// The version of the server that began the stream, if it is known.
-    began_version: Option<ServerVersion>,
+    /// The version of the last server that responded, if it is known.
+    version: Option<ServerVersion>,
     /// The id of the last event that was passed on.
     last_event: Option<u64>,
     events: usize,
@@ -132,7 +133,7 @@
             pauses: EventPauses::new(),
             has_resume_budget: false,
             _call_guard: context.track_call(),
-            began_version: backend_response.guard.version().cloned(),
+            version: backend_response.guard.version().cloned(),
             last_event: call.head.last_event,
             reservation: ByteReservation::new(&context.byte_budget),
             context,
@@ -250,6 +251,9 @@
                 response.guard.note_event_time(event_time);
             }
         }
+        if batch.count > 0 && self.retry_state.binding == VersionBinding::Free {
+            self.retry_state.binding = VersionBinding::Bound(self.version.clone());
+        }
         self.events += batch.count;
         self.has_further_event &= batch.count == 0;
         self.last_event = batch.last_id.or(self.last_event);
@@ -326,10 +330,11 @@
                     info!(self.context.log, "stream resumed"; "request" => %self.call.head.id,
                         "backend" => %backend_response.guard.backend(), "after_event" => self.last_event,
                         "version" => backend_response.guard.version().map(ServerVersion::as_str),
-                        "began_version" => self.began_version.as_ref().map(ServerVersion::as_str));
+                        "began_version" => self.version.as_ref().map(ServerVersion::as_str));
                 }
                 counter!("cloverbend_streams_resumed_total").increment(1);
                 self.framing = ResponseFraming::of(&backend_response.exchange.response);
+                self.version = backend_response.guard.version().cloned();
                 self.response = Some(open_response(backend_response));
                 self.stall_detector.note_resumed(Instant::now());
                 self.pauses.note_resumed();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -178,5 +178,6 @@
 pub mod store_task;
 pub mod time_estimate;
 pub mod usage_table;
+pub mod version_binding;
 pub mod window_decisions;
 pub mod work_meter;
--- a/lib/src/gateway/rollout_exposure.rs
+++ b/lib/src/gateway/rollout_exposure.rs
@@ -132,6 +132,11 @@
     Only(ServerVersion),
     /// Those that certainly run another version.
     Except(ServerVersion),
+    /// Only those of the version that a stream is bound to. Unlike with `Only`, no others
+    /// may get the request if these have no room.
+    Same(Option<ServerVersion>),
+    /// None.
+    Nothing,
 }
 
 impl VersionRule {
@@ -141,13 +146,15 @@
             Self::Any => true,
             Self::Only(target) => version == Some(target),
             Self::Except(target) => version.is_some_and(|version| version != target),
+            Self::Same(bound) => version == bound.as_ref(),
+            Self::Nothing => false,
         }
     }
 
     /// Returns the rule that applies if no server that this one admits has room.
     pub fn fallback(&self) -> Option<Self> {
         match self {
-            Self::Any | Self::Except(_) => None,
+            Self::Any | Self::Except(_) | Self::Same(_) | Self::Nothing => None,
             Self::Only(target) => Some(Self::Except(target.clone())),
         }
     }
--- a/lib/src/gateway/rollout_routing.rs
+++ b/lib/src/gateway/rollout_routing.rs
@@ -13,19 +13,35 @@
 use crate::gateway::rollout_evidence::PaceRange;
 use crate::gateway::rollout_evidence::RouteClass;
 use crate::gateway::rollout_exposure::VersionRule;
+use crate::gateway::version_binding::VersionBinding;
 use crate::id::ServerVersion;
 
 /// Returns which servers a request may be sent to now. `is_first` tells whether it was not
 /// sent before.
-pub fn request_rule(context: &GatewayContext, call: &AdmittedCall, is_first: bool) -> VersionRule {
+pub fn request_rule(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    binding: &VersionBinding,
+    is_first: bool,
+) -> VersionRule {
+    let bound = binding.rule(&context.backends.lock(), &call.service);
     let Some(bounds) = &context.settings.rollout else {
-        return VersionRule::Any;
+        return bound.unwrap_or(VersionRule::Any);
     };
     let mut rollouts = context.rollouts.lock();
     if is_first {
         rollouts.note_arrival(&call.service, bounds);
     }
-    rollouts.rule(context.now(), &call.service, call.route.may_repeat())
+    match bound {
+        // A version that was found to be bad gets no requests, not even those.
+        Some(VersionRule::Same(Some(version)))
+            if rollouts.was_rolled_back(&call.service, &version) =>
+        {
+            VersionRule::Nothing
+        }
+        Some(rule) => rule,
+        None => rollouts.rule(context.now(), &call.service, call.route.may_repeat()),
+    }
 }
 
 /// Counts a request that is sent to a server of a version.
--- a/lib/src/gateway/rollout_table.rs
+++ b/lib/src/gateway/rollout_table.rs
@@ -214,6 +214,14 @@
         version_rule(&view, known.credit, may_repeat)
     }
 
+    /// Returns whether a version of a service was found to be bad.
+    pub fn was_rolled_back(&self, service: &ServiceName, version: &ServerVersion) -> bool {
+        let known = self.0.get(service);
+        known.is_some_and(|known| {
+            known.news.phase == RolloutPhase::RolledBack && known.news.order.target == *version
+        })
+    }
+
     /// Counts a request sent to a server of a version.
     pub fn note_sent(&mut self, service: &ServiceName, version: Option<&ServerVersion>) {
         if let Some(known) = self.0.get_mut(service)
