stream_exchange: a stream that its caller takes up goes on at its version only

Callers who took a stream up got the rest from whichever version was chosen. Cause: the request was served as a new one. `Resumes` was not read, and the entry that gets it seldom relayed the stream before: that one has often ended. Class: knowledge that ends with the process that has it, needed by another one after its end.

Change: an entry notes which version began each stream that may resume. An entry that gets a request with Resumes looks among what it knows, then asks its hubs. Unknown or ambiguous streams are refused while several versions serve or may serve, by its own list and by those of the hubs: 503 at once, without Retry-After; so are streams of a version that no server runs any more, and requests with Last-Event-Id but without Resumes while several serve. Messages between entries are as long as before while one version serves.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -318,11 +318,25 @@
         (false, false) if not_executed => {
             CallRefusal::AllFull(promise_return(context, call, Duration::ZERO, None))
         }
+        (false, false) if lacks_version(context, call, retry_state) => CallRefusal::VersionGone,
         (false, false) if context.paths.lock().is_cut_off() => CallRefusal::CutOff,
         (false, false) => CallRefusal::NoBackend,
     }
 }
 
+/// Returns whether no server accepts requests that runs the version to which the stream of a
+/// request is bound.
+fn lacks_version(context: &GatewayContext, call: &AdmittedCall, retry_state: &RetryState) -> bool {
+    if retry_state.binding == VersionBinding::Free {
+        return false;
+    }
+    let versions = request_rule(context, call, &retry_state.binding, false);
+    let backends = context.backends.lock();
+    let mut servers = backends.of_service(&call.service);
+    !servers
+        .any(|server| server.accepts_requests() && versions.admits(server.record.version.as_ref()))
+}
+
 async fn send_to_backend(
     context: &GatewayContext,
     call: &AdmittedCall,
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -50,6 +50,11 @@
     OverLimit(Duration),
     /// No backend server is available.
     NoBackend,
+    /// The request takes a stream up, servers of several versions serve or may serve, and
+    /// nobody knows which of them began the stream.
+    UnknownVersion,
+    /// The stream of the request was begun by a version that no server runs any more.
+    VersionGone,
     /// This entry is cut off from backend servers, and no other entry can relay.
     CutOff,
     /// The backend servers are full, and the response would be late; the caller
@@ -98,6 +103,8 @@
             Self::NoKey => "no_key",
             Self::OverLimit(_) => "over_limit",
             Self::NoBackend | Self::CutOff => "no_backend",
+            Self::UnknownVersion => "unknown_version",
+            Self::VersionGone => "version_gone",
             Self::Crowded(_) => "crowded",
             Self::AllClosed(_) => "all_closed",
             Self::AllFull(_) => "all_full",
@@ -121,6 +128,8 @@
             | Self::NoConfig
             | Self::NoBackend
             | Self::CutOff
+            | Self::UnknownVersion
+            | Self::VersionGone
             | Self::Crowded(_)
             | Self::AllClosed(_)
             | Self::AllFull(_)
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -50,6 +50,8 @@
 use crate::gateway::send_guard::SERVER_RESTARTED;
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::stall_detector::StallDetector;
+use crate::gateway::stream_exchange::note_stream;
+use crate::gateway::stream_exchange::note_stream_completed;
 use crate::gateway::version_binding::VersionBinding;
 use crate::id::ServerVersion;
 
@@ -251,8 +253,9 @@
                 response.guard.note_event_time(event_time);
             }
         }
-        if batch.count > 0 && self.retry_state.binding == VersionBinding::Free {
+        if batch.count > 0 && self.events == 0 {
             self.retry_state.binding = VersionBinding::Bound(self.version.clone());
+            note_stream(&self.context, &self.call, self.version.as_ref());
         }
         self.events += batch.count;
         self.has_further_event &= batch.count == 0;
@@ -361,6 +364,7 @@
 
     fn complete(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
         self.is_finished = true;
+        note_stream_completed(&self.context, &self.call);
         let response = self.response.take()?;
         let OpenResponse {
             connection,
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -50,6 +50,8 @@
 use crate::gateway::server_limits::ServerLimits;
 use crate::gateway::server_paths::ServerPaths;
 use crate::gateway::shared_admission::SharedAdmission;
+use crate::gateway::stream_exchange::StreamQueries;
+use crate::gateway::stream_versions::StreamVersions;
 use crate::gateway::usage_table::UsageTable;
 use crate::gateway::work_meter::WorkMeter;
 use crate::id::Incarnation;
@@ -117,6 +119,12 @@
     pub promises: Mutex<ReturnPromises>,
     /// The roll-outs of new versions.
     pub rollouts: Mutex<RolloutTable>,
+    /// Which versions of servers began streams.
+    pub streams: Mutex<StreamVersions>,
+    /// Queries for streams that wait for replies.
+    pub stream_queries: StreamQueries,
+    /// Wakes the task that tells other entries of streams.
+    pub stream_notice_due: Notify,
     /// Probes backend servers that may have crashed.
     pub crash_detector: CrashDetector,
     /// The budget for buffered bodies of requests and responses.
@@ -205,6 +213,9 @@
             crashes: Mutex::new(CrashLedger::new()),
             promises: Mutex::new(ReturnPromises::new()),
             rollouts: Mutex::new(RolloutTable::new()),
+            streams: Mutex::new(StreamVersions::new()),
+            stream_queries: StreamQueries::default(),
+            stream_notice_due: Notify::new(),
             crash_detector: CrashDetector::new(),
             byte_budget: Arc::new(ByteBudget::from_memory_mb(settings.memory_mb)),
             incarnations: IncarnationTracker::new(),
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -40,6 +40,10 @@
 use crate::gateway::state_sizes::SizeReporter;
 use crate::gateway::store_task::follow_backends;
 use crate::gateway::store_task::follow_config;
+use crate::gateway::stream_exchange::answer_stream_query;
+use crate::gateway::stream_exchange::receive_stream_notice;
+use crate::gateway::stream_exchange::receive_stream_reply;
+use crate::gateway::stream_exchange::run_stream_notices;
 use crate::http_server::serve_connections;
 use crate::metrics_export;
 use crate::peer_link::receive_frames_or_requests;
@@ -247,6 +251,7 @@
     spawn_until_stop(&context.stop, follow_backends(shared_context()));
     spawn_until_stop(&context.stop, discover_entries(shared_context()));
     spawn_until_stop(&context.stop, run_gossip(shared_context()));
+    spawn_until_stop(&context.stop, run_stream_notices(shared_context()));
     spawn_until_stop(&context.stop, maintain_lease(shared_context()));
     spawn_until_stop(&context.stop, run_duties(shared_context()));
     spawn_until_stop(&context.stop, run_rollouts(shared_context()));
@@ -260,6 +265,9 @@
         PeerMessage::News(gossip) => receive_gossip(context, *gossip),
         PeerMessage::DocumentPull(pull) => answer_pull(context, &pull),
         PeerMessage::DocumentPart(part) => receive_part(context, &part),
+        PeerMessage::StreamNotice(notice) => receive_stream_notice(context, &notice),
+        PeerMessage::StreamQuery(query) => answer_stream_query(context, &query),
+        PeerMessage::StreamReply(reply) => receive_stream_reply(context, &reply),
         _ => slog::warn!(context.log, "peer message refused"; "cause" => "not for a gateway"),
     }
 }
@@ -309,6 +317,8 @@
     gauge!("cloverbend_backend_idle_connections").set(context.pool.idle_count() as f64);
     let limits = context.server_limits.lock().reports.limits().count();
     gauge!("cloverbend_backend_limits").set(limits as f64);
+    let streams = context.streams.lock().count();
+    gauge!("cloverbend_streams_known").set(streams as f64);
     gauge!("cloverbend_suspended_seconds").set(context.clock.suspended().as_secs_f64());
     let fatal = context.crashes.lock().fatal_count();
     gauge!("cloverbend_fatal_requests").set(fatal as f64);
--- a/lib/src/gateway/gossip_frame.rs
+++ b/lib/src/gateway/gossip_frame.rs
@@ -101,6 +101,11 @@
     start: u64,
 }
 
+/// The sender shares retries through hubs.
+const SHARES_RETRIES: u32 = 1;
+/// The sender does so, and keeps which versions began the streams of other entries.
+const KEEPS_STREAMS: u32 = 2;
+
 /// An entry that relays requests.
 #[derive(Clone, PartialEq, Eq, Message)]
 struct HelperFrame {
@@ -195,8 +200,10 @@
     crowded_demand: Vec<CrowdedDemand>,
     #[prost(message, repeated, tag = "41")]
     crowded_sums: Vec<CrowdedDemand>,
-    #[prost(bool, tag = "42")]
-    shares_retries: bool,
+    /// What the sender takes part in: [`SHARES_RETRIES`] or [`KEEPS_STREAMS`]. Entries that
+    /// know only the former read it as a truth value.
+    #[prost(uint32, tag = "42")]
+    takes_part: u32,
     #[prost(message, repeated, tag = "43")]
     pool_draws: Vec<PoolDraws>,
     #[prost(message, optional, tag = "44")]
@@ -337,7 +344,11 @@
             notices_hash: gossip.reports_digest,
             sends: gossip.sends.into_iter().map(Into::into).collect(),
             promises: gossip.promises.into_iter().map(Into::into).collect(),
-            shares_retries: gossip.shares_retries,
+            takes_part: match (gossip.keeps_streams, gossip.shares_retries) {
+                (true, _) => KEEPS_STREAMS,
+                (false, true) => SHARES_RETRIES,
+                (false, false) => 0,
+            },
             pool_draws: gossip.pool_draws,
             pool_credit: gossip.pool_credit,
             crowded_demand: gossip.crowded_demand,
@@ -400,13 +411,14 @@
             reports_digest: frame.notices_hash,
             sends: frame.sends.into_iter().map(Into::into).collect(),
             promises: read_promises(frame.promises)?,
-            shares_retries: frame.shares_retries,
+            shares_retries: frame.takes_part >= SHARES_RETRIES,
             pool_draws: frame.pool_draws,
             pool_credit: frame.pool_credit,
             crowded_demand: frame.crowded_demand,
             crowded_sums: frame.crowded_sums,
             rollouts: read_news(frame.rollouts),
             rollout_evidence: read_evidence(frame.rollout_evidence),
+            keeps_streams: frame.takes_part >= KEEPS_STREAMS,
             relays: frame.relays,
             wants_helpers: frame.wants_helpers,
             view: frame.view.map(|view| HubView {
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -248,6 +248,9 @@
     pub rollouts: Vec<RolloutNews>,
     /// The answers that the sender counted in roll-outs.
     pub rollout_evidence: Vec<EvidenceReport>,
+    /// Whether the sender keeps which versions began the streams of other entries, and
+    /// replies to queries for them.
+    pub keeps_streams: bool,
     /// Whether the sender relays requests of entries that are cut off from backend
     /// servers. Earlier versions do not, nor do entries that know no servers yet. Only hubs
     /// need to know.
@@ -301,6 +304,7 @@
             crowded_sums: Vec::new(),
             rollouts: Vec::new(),
             rollout_evidence: Vec::new(),
+            keeps_streams: true,
             relays: true,
             wants_helpers: false,
             view: None,
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -86,6 +86,8 @@
     /// When it sent its last message, by its own clock, in microseconds.
     peer_sent_at: u64,
     draining: bool,
+    /// Whether it keeps which versions began the streams of other entries.
+    keeps_streams: bool,
     /// Whether it relays requests of entries that are cut off from backend servers.
     relays: bool,
     /// Whether it asks for entries that relay its requests.
@@ -127,6 +129,7 @@
             has_gossiped: false,
             peer_sent_at: 0,
             draining: false,
+            keeps_streams: false,
             relays: false,
             wants_helpers: false,
             fencing_token: None,
@@ -322,6 +325,7 @@
         peer.backends_digest = gossip.backends_digest;
         peer.reports_digest = gossip.reports_digest;
         peer.draining = gossip.draining;
+        peer.keeps_streams = gossip.keeps_streams;
         peer.fencing_token = gossip.fencing_token;
         if gossip.reports_state {
             peer.reported_at = Some(now);
@@ -530,6 +534,14 @@
         first_in_order(responsive, HUB_COUNT)
     }
 
+    /// Returns the addresses of the entries that keep the streams of this one: its hubs.
+    pub fn stream_keepers(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let hubs = self.hubs(now).into_iter();
+        let peers = hubs.filter_map(|name| self.peers.get(&name));
+        let keepers = peers.filter(|peer| peer.keeps_streams);
+        keepers.map(|peer| peer.address).collect()
+    }
+
     /// Returns the names of the hubs, in order.
     pub fn hub_names(&self, now: Timestamp) -> Vec<EntryName> {
         self.hubs(now)
--- /dev/null
+++ b/lib/src/gateway/stream_frames.rs
@@ -0,0 +1,195 @@
+//! Messages with which entries tell and ask each other which versions began streams, and
+//! their `prost` frames.
+
+use std::net::SocketAddr;
+
+use prost::Message;
+
+use crate::gateway::stream_versions::StreamKey;
+use crate::gateway::stream_versions::StreamVersion;
+use crate::id::ServerVersion;
+use crate::id::ServiceName;
+use crate::wire_error::WireError;
+
+/// The most versions of one service that a reply names.
+const MAX_NAMED_VERSIONS: usize = 16;
+
+/// Tells a keeper of streams that began.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamNotice {
+    /// The streams, by the version of the servers that began them.
+    pub groups: Vec<(Option<ServerVersion>, Vec<StreamKey>)>,
+}
+
+/// Asks a keeper for the version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamQuery {
+    /// The stream.
+    pub key: StreamKey,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where to reply.
+    pub reply_to: SocketAddr,
+}
+
+/// The reply to a [`StreamQuery`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamReply {
+    /// The stream.
+    pub key: StreamKey,
+    /// What the keeper knows of it.
+    pub version: Option<StreamVersion>,
+    /// The versions of the servers of the service, as the keeper has them listed.
+    pub listed: Vec<Option<ServerVersion>>,
+}
+
+impl StreamNotice {
+    /// Builds a notice of streams.
+    pub fn new(streams: Vec<(StreamKey, Option<ServerVersion>)>) -> Self {
+        let mut notice = Self::default();
+        for (key, version) in streams {
+            let groups = &mut notice.groups;
+            match groups.iter_mut().find(|(known, _)| *known == version) {
+                Some((_, keys)) => keys.push(key),
+                None => groups.push((version, vec![key])),
+            }
+        }
+        notice
+    }
+}
+
+/// A version in a frame: an empty text if it is not known.
+fn write_version(version: Option<ServerVersion>) -> String {
+    version.map_or_else(String::new, |version| version.to_string())
+}
+
+fn read_version(text: &str) -> Result<Option<ServerVersion>, WireError> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let version = text.parse().map_err(|_| WireError::Invalid("version"))?;
+    Ok(Some(version))
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct StreamGroupFrame {
+    #[prost(string, tag = "1")]
+    version: String,
+    #[prost(fixed64, repeated, tag = "2")]
+    keys: Vec<u64>,
+}
+
+/// The frame of [`StreamNotice`].
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamNoticeFrame {
+    #[prost(message, repeated, tag = "1")]
+    groups: Vec<StreamGroupFrame>,
+}
+
+/// The frame of [`StreamQuery`].
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamQueryFrame {
+    #[prost(fixed64, tag = "1")]
+    key: u64,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    reply_to: String,
+}
+
+/// The frame of [`StreamReply`].
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamReplyFrame {
+    #[prost(fixed64, tag = "1")]
+    key: u64,
+    #[prost(bool, tag = "2")]
+    is_conflicting: bool,
+    #[prost(string, optional, tag = "3")]
+    version: Option<String>,
+    #[prost(string, repeated, tag = "4")]
+    listed: Vec<String>,
+}
+
+impl From<StreamNotice> for StreamNoticeFrame {
+    fn from(notice: StreamNotice) -> Self {
+        let groups = notice.groups.into_iter();
+        let frames = groups.map(|(version, keys)| StreamGroupFrame {
+            version: write_version(version),
+            keys: keys.into_iter().map(|key| key.0).collect(),
+        });
+        Self {
+            groups: frames.collect(),
+        }
+    }
+}
+
+impl TryFrom<StreamNoticeFrame> for StreamNotice {
+    type Error = WireError;
+
+    fn try_from(frame: StreamNoticeFrame) -> Result<Self, WireError> {
+        let read = |group: StreamGroupFrame| {
+            let keys = group.keys.into_iter().map(StreamKey).collect();
+            Ok((read_version(&group.version)?, keys))
+        };
+        let groups: Result<_, WireError> = frame.groups.into_iter().map(read).collect();
+        Ok(Self { groups: groups? })
+    }
+}
+
+impl From<StreamQuery> for StreamQueryFrame {
+    fn from(query: StreamQuery) -> Self {
+        Self {
+            key: query.key.0,
+            service: query.service.to_string(),
+            reply_to: query.reply_to.to_string(),
+        }
+    }
+}
+
+impl TryFrom<StreamQueryFrame> for StreamQuery {
+    type Error = WireError;
+
+    fn try_from(frame: StreamQueryFrame) -> Result<Self, WireError> {
+        let service = frame.service.parse();
+        let reply_to = frame.reply_to.parse();
+        Ok(Self {
+            key: StreamKey(frame.key),
+            service: service.map_err(|_| WireError::Invalid("service"))?,
+            reply_to: reply_to.map_err(|_| WireError::Invalid("reply_to"))?,
+        })
+    }
+}
+
+impl From<StreamReply> for StreamReplyFrame {
+    fn from(reply: StreamReply) -> Self {
+        let listed = reply.listed.into_iter().take(MAX_NAMED_VERSIONS);
+        Self {
+            key: reply.key.0,
+            is_conflicting: reply.version == Some(StreamVersion::Conflicting),
+            version: match reply.version {
+                Some(StreamVersion::Known(version)) => Some(write_version(version)),
+                Some(StreamVersion::Conflicting) | None => None,
+            },
+            listed: listed.map(write_version).collect(),
+        }
+    }
+}
+
+impl TryFrom<StreamReplyFrame> for StreamReply {
+    type Error = WireError;
+
+    fn try_from(frame: StreamReplyFrame) -> Result<Self, WireError> {
+        let version = match frame.version {
+            _ if frame.is_conflicting => Some(StreamVersion::Conflicting),
+            Some(text) => Some(StreamVersion::Known(read_version(&text)?)),
+            None => None,
+        };
+        let listed: Result<_, WireError> =
+            frame.listed.iter().map(|text| read_version(text)).collect();
+        Ok(Self {
+            key: StreamKey(frame.key),
+            version,
+            listed: listed?,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/stream_versions.rs
@@ -0,0 +1,192 @@
+//! Which version of servers began which stream, as far as one entry knows.
+//!
+//! Pure: no I/O and no clock. An entry notes the streams that it relays itself. While a
+//! service has servers of several versions, it tells some other entries, the keepers, so
+//! that callers can take a stream up after the entry that relayed it is lost.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use twox_hash::XxHash64;
+
+use crate::gateway::call_head::CallId;
+use crate::id::ServerVersion;
+use crate::id::ServiceName;
+use crate::quantity::Timestamp;
+
+/// How long a stream is remembered after its first event, or after it was last taken up:
+/// longer than callers wait for an answer.
+const STREAM_MEMORY: Duration = Duration::from_secs(30);
+/// The most streams that are remembered: some 3 MB. With more, the oldest are forgotten.
+const MAX_STREAMS: usize = 65_536;
+/// The most versions that are told apart, so that false names stay small.
+const MAX_VERSIONS: usize = 256;
+
+/// Identifies a stream: a hash of its service and of the identifier of the attempt that
+/// brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Returns the key of a stream.
+    pub fn new(service: &ServiceName, id: &CallId) -> Self {
+        let mut hasher = XxHash64::with_seed(8);
+        service.as_str().hash(&mut hasher);
+        id.0.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+/// What is known of the version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamVersion {
+    /// It is this one; `None` if its server had no known version.
+    Known(Option<ServerVersion>),
+    /// Several streams have this key, begun by different versions.
+    Conflicting,
+}
+
+/// The version of a stream, as an index into the table of versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum VersionIndex {
+    Known(u8),
+    Conflicting,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownStream {
+    version: VersionIndex,
+    noted_at: Timestamp,
+}
+
+/// The streams that an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct StreamVersions {
+    streams: HashMap<StreamKey, KnownStream>,
+    /// The streams in the order in which they were noted; those noted again are in it twice.
+    order: VecDeque<(Timestamp, StreamKey)>,
+    versions: Vec<Option<ServerVersion>>,
+    /// The streams of this entry that no other one was told of.
+    untold: HashMap<StreamKey, ServiceName>,
+}
+
+impl StreamVersions {
+    /// Returns an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of streams.
+    pub fn count(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Notes a stream that this entry relays.
+    pub fn note_own(
+        &mut self,
+        now: Timestamp,
+        key: StreamKey,
+        service: &ServiceName,
+        version: Option<&ServerVersion>,
+    ) {
+        self.note_told(now, key, version);
+        self.untold.insert(key, service.clone());
+    }
+
+    /// Forgets a stream of this entry that is complete, unless others were told of it.
+    pub fn note_completed(&mut self, key: StreamKey) {
+        if self.untold.remove(&key).is_some() {
+            self.streams.remove(&key);
+        }
+    }
+
+    /// Notes a stream of another entry.
+    pub fn note_told(&mut self, now: Timestamp, key: StreamKey, version: Option<&ServerVersion>) {
+        self.drop_old(now);
+        let told = self.index_of(version);
+        let known = self.streams.get(&key).map(|known| known.version);
+        let version = match known {
+            Some(known) if known != told => VersionIndex::Conflicting,
+            _ => told,
+        };
+        let noted_at = now;
+        self.streams.insert(key, KnownStream { version, noted_at });
+        self.order.push_back((now, key));
+    }
+
+    /// Returns what is known of a stream.
+    pub fn get(&self, now: Timestamp, key: StreamKey) -> Option<StreamVersion> {
+        let known = self.streams.get(&key)?;
+        let is_remembered = now.since(known.noted_at) < STREAM_MEMORY;
+        is_remembered.then(|| match known.version {
+            VersionIndex::Known(index) => {
+                StreamVersion::Known(self.versions[usize::from(index)].clone())
+            }
+            VersionIndex::Conflicting => StreamVersion::Conflicting,
+        })
+    }
+
+    /// Returns the streams of this entry that other entries have to be told of, and counts
+    /// them as told. `is_mixed` tells whether a service has servers of several versions.
+    pub fn take_untold(
+        &mut self,
+        now: Timestamp,
+        is_mixed: impl Fn(&ServiceName) -> bool,
+    ) -> Vec<(StreamKey, Option<ServerVersion>)> {
+        let mut mixed: HashMap<ServiceName, bool> = HashMap::new();
+        let mut due = Vec::new();
+        self.untold.retain(|key, service| {
+            let is_due = match mixed.get(service) {
+                Some(is_due) => *is_due,
+                None => {
+                    let is_due = is_mixed(service);
+                    mixed.insert(service.clone(), is_due);
+                    is_due
+                }
+            };
+            if is_due {
+                due.push(*key);
+            }
+            !is_due
+        });
+        let version_of = |key| match self.get(now, key)? {
+            StreamVersion::Known(version) => Some((key, version)),
+            StreamVersion::Conflicting => None,
+        };
+        due.into_iter().filter_map(version_of).collect()
+    }
+
+    fn index_of(&mut self, version: Option<&ServerVersion>) -> VersionIndex {
+        let known = self
+            .versions
+            .iter()
+            .position(|known| known.as_ref() == version);
+        let index = known.unwrap_or(self.versions.len());
+        if index >= MAX_VERSIONS {
+            return VersionIndex::Conflicting;
+        }
+        if index == self.versions.len() {
+            self.versions.push(version.cloned());
+        }
+        u8::try_from(index).map_or(VersionIndex::Conflicting, VersionIndex::Known)
+    }
+
+    fn drop_old(&mut self, now: Timestamp) {
+        while let Some((noted_at, key)) = self.order.front().copied() {
+            let is_old = now.since(noted_at) >= STREAM_MEMORY;
+            if !is_old && self.order.len() < MAX_STREAMS {
+                return;
+            }
+            self.order.pop_front();
+            // One that was noted again stays.
+            let is_last = |known: &KnownStream| known.noted_at == noted_at;
+            if self.streams.get(&key).is_some_and(is_last) {
+                self.streams.remove(&key);
+                self.untold.remove(&key);
+            }
+        }
+    }
+}
--- a/lib/src/member_task.rs
+++ b/lib/src/member_task.rs
@@ -67,7 +67,12 @@
                 }
             }
             PeerMessage::ConfigPush(transfer) => self.receive_config(transfer),
-            PeerMessage::News(_) | PeerMessage::DocumentPull(_) | PeerMessage::DocumentPart(_) => {
+            PeerMessage::News(_)
+            | PeerMessage::DocumentPull(_)
+            | PeerMessage::DocumentPart(_)
+            | PeerMessage::StreamNotice(_)
+            | PeerMessage::StreamQuery(_)
+            | PeerMessage::StreamReply(_) => {
                 warn!(self.log, "peer message refused"; "cause" => "only for a gateway");
             }
         }
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -16,6 +16,12 @@
 use crate::gateway::document_parts::DocumentPullFrame;
 use crate::gateway::gossip_frame::GatewayGossipFrame;
 use crate::gateway::peer_gossip::GatewayGossip;
+use crate::gateway::stream_frames::StreamNotice;
+use crate::gateway::stream_frames::StreamNoticeFrame;
+use crate::gateway::stream_frames::StreamQuery;
+use crate::gateway::stream_frames::StreamQueryFrame;
+use crate::gateway::stream_frames::StreamReply;
+use crate::gateway::stream_frames::StreamReplyFrame;
 use crate::gossip_wire::GossipFrame;
 use crate::gossip_wire::read_gossip;
 use crate::gossip_wire::write_gossip;
@@ -63,6 +69,12 @@
     DocumentPull(DocumentPull),
     /// A part of the configuration's document.
     DocumentPart(DocumentPart),
+    /// Tells a gateway entry which versions began streams.
+    StreamNotice(StreamNotice),
+    /// Asks a gateway entry which version began a stream.
+    StreamQuery(StreamQuery),
+    /// The reply.
+    StreamReply(StreamReply),
 }
 
 /// New chunks of an answer.
@@ -222,11 +234,20 @@
     DocumentPull(DocumentPullFrame),
     #[prost(message, tag = "10")]
     DocumentPart(DocumentPartFrame),
+    #[prost(message, tag = "11")]
+    StreamNotice(StreamNoticeFrame),
+    #[prost(message, tag = "12")]
+    StreamQuery(StreamQueryFrame),
+    #[prost(message, tag = "13")]
+    StreamReply(StreamReplyFrame),
 }
 
 #[derive(Clone, PartialEq, Message)]
 struct PeerFrame {
-    #[prost(oneof = "FrameBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(
+        oneof = "FrameBody",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+    )]
     body: Option<FrameBody>,
 }
 
@@ -420,6 +441,9 @@
             Self::News(news) => FrameBody::News(Box::new((*news).into())),
             Self::DocumentPull(pull) => FrameBody::DocumentPull(pull.into()),
             Self::DocumentPart(part) => FrameBody::DocumentPart(part.into()),
+            Self::StreamNotice(notice) => FrameBody::StreamNotice(notice.into()),
+            Self::StreamQuery(query) => FrameBody::StreamQuery(query.into()),
+            Self::StreamReply(reply) => FrameBody::StreamReply(reply.into()),
         };
         PeerFrame { body: Some(body) }.encode_to_vec().into()
     }
@@ -456,6 +480,9 @@
             FrameBody::News(frame) => Self::News(Box::new((*frame).try_into()?)),
             FrameBody::DocumentPull(frame) => Self::DocumentPull(frame.try_into()?),
             FrameBody::DocumentPart(frame) => Self::DocumentPart(frame.into()),
+            FrameBody::StreamNotice(frame) => Self::StreamNotice(frame.try_into()?),
+            FrameBody::StreamQuery(frame) => Self::StreamQuery(frame.try_into()?),
+            FrameBody::StreamReply(frame) => Self::StreamReply(frame.try_into()?),
         })
     }
 }
