version_history: a version that served a short time ago may have begun a stream

A model of all orders in which a stream begins, others are told, entries are lost and lists change (test_stream_memory, depth 6) found a way to join versions: an entry cut off from its hubs, whose fresh list had only the new version left, took an unknown stream for one of that version.

Change: versions count as serving for as long as streams are remembered, at the entry and in the replies of hubs; an entry that hears no hub is certain only if it has run for that long. The decision is a pure function now, which the model runs.

--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -53,6 +53,7 @@
 use crate::gateway::stream_exchange::StreamQueries;
 use crate::gateway::stream_versions::StreamVersions;
 use crate::gateway::usage_table::UsageTable;
+use crate::gateway::version_history::VersionHistory;
 use crate::gateway::work_meter::WorkMeter;
 use crate::id::Incarnation;
 use crate::peer_link::PeerSender;
@@ -121,6 +122,8 @@
     pub rollouts: Mutex<RolloutTable>,
     /// Which versions of servers began streams.
     pub streams: Mutex<StreamVersions>,
+    /// Which versions of servers served lately.
+    pub version_history: Mutex<VersionHistory>,
     /// Queries for streams that wait for replies.
     pub stream_queries: StreamQueries,
     /// Wakes the task that tells other entries of streams.
@@ -214,6 +217,7 @@
             promises: Mutex::new(ReturnPromises::new()),
             rollouts: Mutex::new(RolloutTable::new()),
             streams: Mutex::new(StreamVersions::new()),
+            version_history: Mutex::new(VersionHistory::new()),
             stream_queries: StreamQueries::default(),
             stream_notice_due: Notify::new(),
             crash_detector: CrashDetector::new(),
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -182,5 +182,6 @@
 pub mod time_estimate;
 pub mod usage_table;
 pub mod version_binding;
+pub mod version_history;
 pub mod window_decisions;
 pub mod work_meter;
--- a/lib/src/gateway/stream_exchange.rs
+++ b/lib/src/gateway/stream_exchange.rs
@@ -6,7 +6,6 @@
 //! entry tells its keepers within [`notice_interval`] of the first event; if it is lost
 //! before, the stream does not go on.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,8 +23,9 @@
 use crate::gateway::stream_frames::StreamQuery;
 use crate::gateway::stream_frames::StreamReply;
 use crate::gateway::stream_versions::StreamKey;
-use crate::gateway::stream_versions::StreamVersion;
+use crate::gateway::version_binding::KeeperAnswer;
 use crate::gateway::version_binding::VersionBinding;
+use crate::gateway::version_binding::VersionSet;
 use crate::id::ServerVersion;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -44,12 +44,9 @@
 /// The pause between looks for the first keeper.
 const FIRST_KEEPER_PAUSE: Duration = Duration::from_millis(25);
 /// The age of the list of backend servers up to which it tells, without another entry,
-/// that no further version serves.
+/// which versions serve.
 const FRESH_LIST_AGE: Duration = Duration::from_millis(2_000);
 
-/// Versions of servers; `None` is that of servers without a known version.
-type VersionSet = BTreeSet<Option<ServerVersion>>;
-
 /// The queries of this entry that wait for replies.
 #[derive(Debug, Default)]
 pub struct StreamQueries(Mutex<HashMap<StreamKey, Vec<mpsc::UnboundedSender<StreamReply>>>>);
@@ -75,19 +72,6 @@
     }
 }
 
-/// What keepers know of a stream.
-enum KeeperAnswer {
-    /// At least one of them knows it.
-    Known(StreamVersion),
-    /// None of those that replied does.
-    Unknown {
-        /// How many replied.
-        replies: usize,
-        /// The versions of servers that they have listed.
-        listed: VersionSet,
-    },
-}
-
 /// Returns how long a notice waits for further streams.
 fn notice_interval(entries: usize) -> Duration {
     let interval = NOTICE_INTERVAL_PER_ENTRY * u32::try_from(entries).unwrap_or(u32::MAX);
@@ -111,7 +95,7 @@
         streams.note_own(now, key, &call.service, version);
     }
     drop(streams);
-    if listed_versions(context, &call.service).len() > 1 {
+    if is_mixed(context, &call.service) {
         context.stream_notice_due.notify_one();
     }
 }
@@ -124,13 +108,33 @@
     }
 }
 
-/// Returns the versions that the listed servers of a service run.
-fn listed_versions(context: &GatewayContext, service: &ServiceName) -> VersionSet {
+/// Returns the versions that servers of a service run, or ran a short time ago.
+fn recent_versions(context: &GatewayContext, service: &ServiceName) -> VersionSet {
+    let now = context.now();
+    let backends = context.backends.lock();
+    let mut history = context.version_history.lock();
+    for server in backends.of_service(service) {
+        history.note(now, service, server.record.version.as_ref());
+    }
+    history.recent(now, service)
+}
+
+/// Returns whether a service has, or had a short time ago, servers of several versions.
+fn is_mixed(context: &GatewayContext, service: &ServiceName) -> bool {
+    let history = context.version_history.lock();
+    history.recent(context.now(), service).len() > 1
+}
+
+/// Notes the versions of all listed servers.
+fn note_versions(context: &GatewayContext) {
+    let now = context.now();
     let backends = context.backends.lock();
-    let servers = backends.of_service(service);
-    servers
-        .map(|server| server.record.version.clone())
-        .collect()
+    let mut history = context.version_history.lock();
+    history.drop_old(now);
+    for server in backends.iter() {
+        let record = &server.record;
+        history.note(now, &record.service, record.version.as_ref());
+    }
 }
 
 /// Tells keepers of streams until the entry stops.
@@ -142,13 +146,14 @@
         let now = context.now();
         let entries = context.peers.lock().entry_counts(now).entries;
         tokio::time::sleep(notice_interval(entries)).await;
+        note_versions(&context);
         send_notices(&context);
     }
 }
 
 fn send_notices(context: &GatewayContext) {
     let now = context.now();
-    let is_mixed = |service: &ServiceName| listed_versions(context, service).len() > 1;
+    let is_mixed = |service: &ServiceName| is_mixed(context, service);
     let streams = context.streams.lock().take_untold(now, is_mixed);
     if streams.is_empty() {
         return;
@@ -179,7 +184,7 @@
     let reply = StreamReply {
         key: query.key,
         version,
-        listed: listed_versions(context, &query.service)
+        listed: recent_versions(context, &query.service)
             .into_iter()
             .collect(),
     };
@@ -208,23 +213,13 @@
     }
     let bound = match &call.head.resumes {
         Some(id) => find_binding(context, call, StreamKey::new(&call.service, id)).await,
-        None => only_binding(listed_versions(context, &call.service)),
+        None => VersionBinding::of_only(recent_versions(context, &call.service)),
     };
     let result = if bound.is_some() { "bound" } else { "unknown" };
     counter!("cloverbend_streams_taken_up_total", "result" => result).increment(1);
     bound.ok_or(CallRefusal::UnknownVersion)
 }
 
-/// Returns the binding to the only one of some versions, or `None` if there are several.
-fn only_binding(versions: VersionSet) -> Option<VersionBinding> {
-    let mut versions = versions.into_iter();
-    match (versions.next(), versions.next()) {
-        (None, _) => Some(VersionBinding::Free),
-        (Some(version), None) => Some(VersionBinding::Bound(version)),
-        (Some(_), Some(_)) => None,
-    }
-}
-
 async fn find_binding(
     context: &GatewayContext,
     call: &AdmittedCall,
@@ -235,19 +230,16 @@
         Some(known) => KeeperAnswer::Known(known),
         None => ask_keepers(context, call, key).await,
     };
-    match answer {
-        KeeperAnswer::Known(StreamVersion::Known(version)) => Some(VersionBinding::Bound(version)),
-        KeeperAnswer::Known(StreamVersion::Conflicting) => None,
-        KeeperAnswer::Unknown { replies, listed } => {
-            let confirmed_at = context.backends.lock().confirmed_at();
-            let is_fresh = confirmed_at.is_some_and(|at| context.now().since(at) <= FRESH_LIST_AGE);
-            let versions = listed_versions(context, &call.service).into_iter();
-            let versions = versions.chain(listed).collect();
-            // The stream may have begun before others were told of streams.
-            let is_certain = replies > 0 || is_fresh;
-            only_binding(versions).filter(|_| is_certain)
-        }
-    }
+    let listed = recent_versions(context, &call.service);
+    VersionBinding::of_stream(answer, listed, knows_versions(context))
+}
+
+/// Returns whether this entry knows by itself which versions served lately.
+fn knows_versions(context: &GatewayContext) -> bool {
+    let now = context.now();
+    let confirmed_at = context.backends.lock().confirmed_at();
+    let is_fresh = confirmed_at.is_some_and(|at| now.since(at) <= FRESH_LIST_AGE);
+    is_fresh && context.version_history.lock().is_complete(now)
 }
 
 /// Asks all keepers for a stream, and waits until one knows it or all have replied.
--- a/lib/src/gateway/stream_frames.rs
+++ b/lib/src/gateway/stream_frames.rs
@@ -39,7 +39,7 @@
     pub key: StreamKey,
     /// What the keeper knows of it.
     pub version: Option<StreamVersion>,
-    /// The versions of the servers of the service, as the keeper has them listed.
+    /// The versions of servers of the service that the keeper has or had listed.
     pub listed: Vec<Option<ServerVersion>>,
 }
 
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -19,7 +19,7 @@
 
 /// How long a stream is remembered after its first event, or after it was last taken up:
 /// longer than callers wait for an answer.
-const STREAM_MEMORY: Duration = Duration::from_secs(30);
+pub const STREAM_MEMORY: Duration = Duration::from_secs(30);
 /// The most streams that are remembered: some 3 MB. With more, the oldest are forgotten.
 const MAX_STREAMS: usize = 65_536;
 /// The most versions that are told apart, so that false names stay small.
--- /dev/null
+++ b/lib/tests/test_stream_memory.rs
@@ -0,0 +1,381 @@
+//! What entries remember and tell each other of the versions that began streams.
+
+use std::time::Duration;
+
+use cloverbend::gateway::call_head::CallId;
+use cloverbend::gateway::stream_frames::StreamNotice;
+use cloverbend::gateway::stream_frames::StreamQuery;
+use cloverbend::gateway::stream_frames::StreamReply;
+use cloverbend::gateway::stream_versions::StreamKey;
+use cloverbend::gateway::stream_versions::StreamVersion;
+use cloverbend::gateway::stream_versions::StreamVersions;
+use cloverbend::gateway::version_binding::KeeperAnswer;
+use cloverbend::gateway::version_binding::VersionBinding;
+use cloverbend::gateway::version_binding::VersionSet;
+use cloverbend::gateway::version_history::VersionHistory;
+use cloverbend::id::ServerVersion;
+use cloverbend::id::ServiceName;
+use cloverbend::quantity::Timestamp;
+use cloverbend::wire::PeerMessage;
+use rstest::rstest;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn version(text: &str) -> ServerVersion {
+    text.parse().unwrap()
+}
+
+fn service() -> ServiceName {
+    "pool".parse().unwrap()
+}
+
+fn key(id: &str) -> StreamKey {
+    StreamKey::new(&service(), &CallId(id.to_owned()))
+}
+
+fn known(text: &str) -> Option<StreamVersion> {
+    Some(StreamVersion::Known(Some(version(text))))
+}
+
+#[test]
+fn messages_arrive_as_they_were_sent() {
+    let notice = StreamNotice::new(vec![
+        (key("a"), Some(version("v1"))),
+        (key("b"), None),
+        (key("c"), Some(version("v1"))),
+    ]);
+    let sent = PeerMessage::StreamNotice(notice.clone()).encode();
+    let Ok(PeerMessage::StreamNotice(arrived)) = PeerMessage::decode(sent) else {
+        panic!("no notice");
+    };
+    assert_eq!(arrived, notice);
+    let query = StreamQuery {
+        key: key("a"),
+        service: service(),
+        reply_to: "127.0.0.1:7".parse().unwrap(),
+    };
+    let sent = PeerMessage::StreamQuery(query.clone()).encode();
+    let Ok(PeerMessage::StreamQuery(arrived)) = PeerMessage::decode(sent) else {
+        panic!("no query");
+    };
+    assert_eq!(arrived, query);
+    for version in [
+        None,
+        known("v1"),
+        Some(StreamVersion::Known(None)),
+        Some(StreamVersion::Conflicting),
+    ] {
+        let reply = StreamReply {
+            key: key("a"),
+            version,
+            listed: vec![None, Some("v2".parse().unwrap())],
+        };
+        let sent = PeerMessage::StreamReply(reply.clone()).encode();
+        let Ok(PeerMessage::StreamReply(arrived)) = PeerMessage::decode(sent) else {
+            panic!("no reply");
+        };
+        assert_eq!(arrived, reply);
+    }
+}
+
+/// Two attempts may have the same identifier.
+#[test]
+fn a_stream_of_two_versions_is_known_as_conflicting() {
+    let mut streams = StreamVersions::new();
+    streams.note_told(at(0), key("a"), Some(&version("v1")));
+    streams.note_told(at(1), key("a"), Some(&version("v1")));
+    assert_eq!(streams.get(at(2), key("a")), known("v1"));
+    streams.note_own(at(3), key("a"), &service(), Some(&version("v2")));
+    assert_eq!(
+        streams.get(at(4), key("a")),
+        Some(StreamVersion::Conflicting)
+    );
+    assert_eq!(streams.take_untold(at(5), |_| true), vec![]);
+    let other: ServiceName = "other".parse().unwrap();
+    let elsewhere = StreamKey::new(&other, &CallId("a".to_owned()));
+    assert_eq!(streams.get(at(6), elsewhere), None);
+}
+
+#[test]
+fn streams_are_forgotten_when_they_are_complete_or_old() {
+    let mut streams = StreamVersions::new();
+    streams.note_own(at(0), key("a"), &service(), Some(&version("v1")));
+    streams.note_own(at(0), key("b"), &service(), Some(&version("v1")));
+    streams.note_completed(key("a"));
+    assert_eq!(streams.get(at(1), key("a")), None);
+    assert_eq!(streams.take_untold(at(2), |_| false), vec![]);
+    let told = vec![(key("b"), Some(version("v1")))];
+    assert_eq!(streams.take_untold(at(3), |_| true), told);
+    assert_eq!(streams.take_untold(at(4), |_| true), vec![]);
+    // A stream that is taken up is remembered from then on.
+    streams.note_told(at(20_000), key("b"), Some(&version("v1")));
+    assert_eq!(streams.get(at(45_000), key("b")), known("v1"));
+    assert_eq!(streams.get(at(51_000), key("b")), None);
+    streams.note_told(at(51_000), key("c"), None);
+    assert_eq!(streams.count(), 1);
+}
+
+#[test]
+fn the_oldest_streams_are_forgotten_when_there_are_too_many() {
+    let mut streams = StreamVersions::new();
+    for number in 0..100_000 {
+        streams.note_told(at(number / 100), StreamKey(number), Some(&version("v1")));
+    }
+    assert!(streams.count() <= 65_536, "{}", streams.count());
+    assert_eq!(streams.get(at(1_000), StreamKey(0)), None);
+    assert_eq!(streams.get(at(1_000), StreamKey(99_999)), known("v1"));
+}
+
+/// Names of versions beyond a few hundred are not told apart, and never taken for others.
+#[test]
+fn too_many_versions_are_conflicting() {
+    let mut streams = StreamVersions::new();
+    for number in 0..400 {
+        let name = version(&format!("v{number}"));
+        streams.note_told(at(0), StreamKey(number), Some(&name));
+    }
+    assert_eq!(streams.get(at(0), StreamKey(7)), known("v7"));
+    let last = streams.get(at(0), StreamKey(399));
+    assert_eq!(last, Some(StreamVersion::Conflicting));
+}
+
+const FIRST: usize = 0;
+const KEEPERS: [usize; 2] = [1, 2];
+const LAST: usize = 3;
+
+/// What may happen while a stream begins and is taken up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamStep {
+    /// The stream begins at the first entry, at a server of the old version.
+    Begins,
+    /// The stream begins at a server of the new version.
+    BeginsAtNew,
+    /// An entry lists the servers of the new version, too.
+    Lists(usize),
+    /// The servers of the old version are gone from an entry's list.
+    Unlists(usize),
+    /// The first entry sends what is due to the keepers.
+    Tells,
+    /// A notice arrives at a keeper.
+    Arrives(usize),
+    /// An entry is lost and starts again.
+    Restarts(usize),
+    /// The last entry is cut off from the keepers.
+    CutOff,
+}
+
+const STEPS: [StreamStep; 15] = [
+    StreamStep::Begins,
+    StreamStep::BeginsAtNew,
+    StreamStep::Lists(FIRST),
+    StreamStep::Lists(KEEPERS[0]),
+    StreamStep::Lists(LAST),
+    StreamStep::Unlists(FIRST),
+    StreamStep::Unlists(KEEPERS[0]),
+    StreamStep::Unlists(LAST),
+    StreamStep::Tells,
+    StreamStep::Arrives(KEEPERS[0]),
+    StreamStep::Arrives(KEEPERS[1]),
+    StreamStep::Restarts(FIRST),
+    StreamStep::Restarts(KEEPERS[0]),
+    StreamStep::Restarts(LAST),
+    StreamStep::CutOff,
+];
+
+#[derive(Clone, Debug)]
+struct StreamWorld {
+    entries: Vec<StreamVersions>,
+    listed: Vec<VersionSet>,
+    histories: Vec<VersionHistory>,
+    /// The entries that have run for longer than streams are remembered.
+    is_old: [bool; 4],
+    /// The notices on their way to each keeper.
+    notices: [Vec<(StreamKey, Option<ServerVersion>)>; 2],
+    began: Option<ServerVersion>,
+    /// Whether the last entry hears nothing of the keepers.
+    is_cut_off: bool,
+}
+
+impl StreamWorld {
+    fn new() -> Self {
+        Self {
+            entries: vec![StreamVersions::new(); 4],
+            listed: vec![VersionSet::from([Some(version("old"))]); 4],
+            histories: vec![VersionHistory::new(); 4],
+            is_old: [true; 4],
+            notices: [Vec::new(), Vec::new()],
+            began: None,
+            is_cut_off: false,
+        }
+    }
+
+    /// Applies a step, if it is possible.
+    fn apply(&mut self, step: StreamStep) -> bool {
+        let now = at(1_000);
+        for (history, listed) in self.histories.iter_mut().zip(&self.listed) {
+            for version in listed {
+                history.note(now, &service(), version.as_ref());
+            }
+        }
+        match step {
+            StreamStep::Begins | StreamStep::BeginsAtNew => {
+                let name = match step {
+                    StreamStep::Begins => version("old"),
+                    _ => version("new"),
+                };
+                if self.began.is_some() || !self.listed[FIRST].contains(&Some(name.clone())) {
+                    return false;
+                }
+                self.entries[FIRST].note_own(now, key("a"), &service(), Some(&name));
+                self.began = Some(name);
+            }
+            StreamStep::Lists(entry) => {
+                return self.listed[entry].insert(Some(version("new")));
+            }
+            StreamStep::Unlists(entry) => {
+                return self.listed[entry].len() > 1
+                    && self.listed[entry].remove(&Some(version("old")));
+            }
+            StreamStep::Tells => {
+                let is_mixed = self.listed[FIRST].len() > 1;
+                let due = self.entries[FIRST].take_untold(now, |_| is_mixed);
+                if due.is_empty() {
+                    return false;
+                }
+                self.notices = [due.clone(), due];
+            }
+            StreamStep::Arrives(keeper) => {
+                let notices = std::mem::take(&mut self.notices[keeper - KEEPERS[0]]);
+                for (key, version) in &notices {
+                    self.entries[keeper].note_told(now, *key, version.as_ref());
+                }
+                return !notices.is_empty();
+            }
+            StreamStep::Restarts(entry) => {
+                self.entries[entry] = StreamVersions::new();
+                self.histories[entry] = VersionHistory::new();
+                self.is_old[entry] = false;
+            }
+            StreamStep::CutOff => return !std::mem::replace(&mut self.is_cut_off, true),
+        }
+        true
+    }
+
+    /// Returns the versions that an entry has or had listed.
+    fn recent(&self, entry: usize) -> VersionSet {
+        let earlier = self.histories[entry].recent(at(1_000), &service());
+        earlier
+            .into_iter()
+            .chain(self.listed[entry].clone())
+            .collect()
+    }
+
+    /// Takes the stream up at the last entry. `is_fresh` tells whether its list is.
+    fn take_up(&self, is_fresh: bool) -> Option<VersionBinding> {
+        let now = at(1_000);
+        let asked: &[usize] = if self.is_cut_off { &[] } else { &KEEPERS };
+        let answers = asked
+            .iter()
+            .map(|keeper| self.entries[*keeper].get(now, key("a")));
+        let own = self.entries[LAST].get(now, key("a"));
+        let known = own.or_else(|| answers.flatten().next());
+        let others = asked.iter().flat_map(|keeper| self.recent(*keeper));
+        let answer = match known {
+            Some(known) => KeeperAnswer::Known(known),
+            None => KeeperAnswer::Unknown {
+                replies: asked.len(),
+                listed: others.collect(),
+            },
+        };
+        let knows_versions = is_fresh && self.is_old[LAST];
+        VersionBinding::of_stream(answer, self.recent(LAST), knows_versions)
+    }
+
+    /// Returns whether the new version was listed by an entry that is asked, or that is
+    /// certain of its list.
+    fn knows_new(&self) -> bool {
+        let asked: &[usize] = if self.is_cut_off { &[] } else { &KEEPERS };
+        let mut deciding = asked.iter().chain([&LAST]);
+        deciding.any(|entry| self.recent(*entry).contains(&Some(version("new"))))
+    }
+}
+
+fn explore(world: &StreamWorld, steps: &mut Vec<StreamStep>, depth: usize, seen: &mut usize) {
+    if let Some(began) = &world.began {
+        *seen += 1;
+        let bound = world.take_up(true);
+        // Entries list a new version within a second. Until one that is asked has done so,
+        // a stream that nobody was told of cannot be told from one that began before.
+        if let Some(VersionBinding::Bound(version)) = &bound
+            && world.knows_new()
+        {
+            assert_eq!(version.as_ref(), Some(began), "{steps:?}");
+        }
+        let is_told = KEEPERS
+            .iter()
+            .any(|keeper| world.entries[*keeper].get(at(1_000), key("a")).is_some());
+        if is_told && !world.is_cut_off {
+            let expected = VersionBinding::Bound(Some(began.clone()));
+            assert_eq!(bound, Some(expected), "{steps:?}");
+        }
+        if world.is_cut_off {
+            assert_eq!(world.take_up(false), None, "{steps:?}");
+        }
+    }
+    if depth == 0 {
+        return;
+    }
+    for step in STEPS {
+        let mut next = world.clone();
+        if next.apply(step) {
+            steps.push(step);
+            explore(&next, steps, depth - 1, seen);
+            steps.pop();
+        }
+    }
+}
+
+/// Whatever the order of beginning, telling, losses and lists: a stream goes on at the version
+/// that began it or not at all, and goes on if a keeper that was told is asked.
+#[test]
+fn every_order_binds_a_stream_to_its_version_or_refuses_it() {
+    let mut seen = 0;
+    explore(&StreamWorld::new(), &mut Vec::new(), 6, &mut seen);
+    println!("{seen} states with a stream");
+    assert!(seen > 100_000, "{seen}");
+}
+
+#[rstest]
+#[case::nobody_serves(&[], &[], 2, true, Some(VersionBinding::Free))]
+#[case::one_version(&["v1"], &["v1"], 2, false, Some(VersionBinding::Bound(Some(version("v1")))))]
+#[case::alone_with_a_fresh_list(&["v1"], &[], 0, true, Some(VersionBinding::Bound(Some(version("v1")))))]
+#[case::alone_with_an_old_list(&["v1"], &[], 0, false, None)]
+#[case::two_versions(&["v1", "v2"], &[], 2, true, None)]
+#[case::others_list_another(&["v1"], &["v2"], 1, true, None)]
+fn an_unknown_stream_goes_on_only_if_one_version_serves(
+    #[case] own: &[&str],
+    #[case] others: &[&str],
+    #[case] replies: usize,
+    #[case] is_fresh: bool,
+    #[case] expected: Option<VersionBinding>,
+) {
+    let set = |names: &[&str]| names.iter().map(|name| Some(version(name))).collect();
+    let answer = KeeperAnswer::Unknown {
+        replies,
+        listed: set(others),
+    };
+    let bound = VersionBinding::of_stream(answer, set(own), is_fresh);
+    assert_eq!(bound, expected);
+}
+
+/// The time for which a stream is remembered covers the longest that callers wait.
+#[test]
+fn a_stream_is_remembered_for_as_long_as_callers_wait() {
+    let mut streams = StreamVersions::new();
+    streams.note_told(at(0), key("a"), Some(&version("v1")));
+    let longest = Duration::from_secs(15);
+    let now = at(0).after(longest);
+    assert_eq!(streams.get(now, key("a")), known("v1"));
+}
