--- a/lib/tests/test_stream_memory.rs
+++ b/lib/tests/test_stream_memory.rs
@@ -379,3 +379,21 @@
     let now = at(0).after(longest);
     assert_eq!(streams.get(now, key("a")), known("v1"));
 }
+
+/// Entries send notices for as long as two versions serve.
+#[test]
+fn a_notice_costs_eight_bytes_a_stream() {
+    let length_of = |count: u64| {
+        let streams = (0..count).map(|number| (StreamKey(number), Some(version("v1.2"))));
+        let notice = StreamNotice::new(streams.collect());
+        PeerMessage::StreamNotice(notice).encode().len()
+    };
+    let lengths = [1, 3, 100].map(length_of);
+    println!("{lengths:?}");
+    assert!(
+        lengths
+            .into_iter()
+            .zip([1, 3, 100])
+            .all(|(length, count)| length <= 8 * count + 16)
+    );
+}
