--- a/lib/tests/test_retry_bound.rs
+++ b/lib/tests/test_retry_bound.rs
@@ -575,6 +575,7 @@
         model.run(Trouble::Calm, 0, 2_000);
         model.run(trouble, 2_000, 60_000);
         let used = model.largest_use();
+        println!("{used:.3}: {entries} entries, {requests_per_s} a second, {trouble:?}");
         assert!(used <= 1.0, "seed {seed}: {used:.3} of the bound");
     }
 }
