earned_retries: keep nothing back of what is earned

Cause: 0.95 of what adds up to the bound was given. The steps of time are counted against the entry and late retries over a longer window already, so the share of 0.05 covered nothing that is left.

--- a/lib/src/gateway/earned_retries.rs
+++ b/lib/src/gateway/earned_retries.rs
@@ -13,9 +13,6 @@
 
 use crate::quantity::Timestamp;
 
-/// The share of the bound that entries earn. The remainder covers what they count in other
-/// steps than the bound does.
-const EARNED_SHARE: f64 = 0.95;
 /// The weight of the requests of a window, and of those of the window before.
 const WINDOW_WEIGHT: f64 = 0.5;
 /// The steps of time into which a window is divided.
@@ -64,7 +61,7 @@
     /// Returns the retries that may be taken now, if each request earns `ratio` of one.
     pub fn available(&self, now: Timestamp, window: Duration, ratio: f64) -> f64 {
         let sums = StepSums::of(&self.counts, step_of(now, window));
-        let each = EARNED_SHARE * ratio * WINDOW_WEIGHT;
+        let each = ratio * WINDOW_WEIGHT;
         let left = |age: usize| {
             // The earliest step of the window before may lie outside of it in part.
             let requests = sums.requests[age + WINDOW_STEPS as usize - 1];
