retry_pool: credit in one piece where the pool has more than a retry for each entry

Cause: credits were cut to one retry, also where the pool has many for each entry. Callers of small deployments would have got their retries late.

Change: 0.6 of the pool in equal credits, or 0.9 where that is less than a retry each. What counts as reserved at least no longer keeps a first credit from being given.

--- a/lib/src/gateway/retry_pool.rs
+++ b/lib/src/gateway/retry_pool.rs
@@ -27,9 +27,12 @@
 
 /// The share of the reserve that is in the pool.
 const POOL_SHARE: f64 = 0.4;
-/// The share of the pool that all credits together may reserve. The remainder restores
-/// credits that were drawn.
-const CREDIT_SHARE: f64 = 0.9;
+/// The share of the pool that all credits together reserve. The remainder restores credits
+/// that were drawn.
+const CREDIT_SHARE: f64 = 0.6;
+/// The same where it is less than one retry for each entry: fractions of a retry are of use
+/// only together with others.
+const SMALL_CREDIT_SHARE: f64 = 0.9;
 /// The share of the pool that counts as reserved at least. Two hubs, each of which counts
 /// entries that the other does not, may together exceed the pool by the remainder.
 const MIN_RESERVED_SHARE: f64 = 0.75;
@@ -39,7 +42,7 @@
 const MEMORY: Duration = Duration::from_secs(60);
 /// The most services that count for one entry, so that false reports stay small.
 const MAX_SERVICES: usize = 64;
-/// The largest credit, and that of an entry that is likely to draw: one retry.
+/// The least credit of an entry that is likely to draw: one retry.
 const WHOLE_CREDIT_MILLI: u64 = 1_000;
 /// Draws that arrive within this time are stored as one.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
@@ -286,25 +289,29 @@
 
     /// Gives an entry the credit that it should have, as far as the pool has room.
     fn adjust_credit(&mut self, now: Timestamp, name: &EntryName) {
-        let used = self.reserved_milli() + self.highest_draws();
-        let room = self.pool_milli.saturating_sub(used);
         let usual = self.usual_credit_milli();
-        let Some(state) = self.reporters.get_mut(name) else {
+        let Some(state) = self.reporters.get(name) else {
             return;
         };
+        let before = state.credit_milli;
         let wanted = if usual > 0 && state.is_likely_to_draw(now, self.rule.window) {
-            WHOLE_CREDIT_MILLI
+            usual.max(WHOLE_CREDIT_MILLI)
         } else {
             usual
         };
-        let before = state.credit_milli;
-        let credit = if wanted <= before + room {
+        let others = self.credits_milli - before;
+        let drawn = self.highest_draws();
+        let fits = |credit| self.reserved_with(others + credit) + drawn <= self.pool_milli;
+        let credit = if wanted <= before || fits(wanted) {
             wanted
-        } else if before == 0 && usual <= room {
+        } else if before == 0 && fits(usual) {
             usual
         } else {
             before
         };
+        let Some(state) = self.reporters.get_mut(name) else {
+            return;
+        };
         if before == 0 {
             state.restored_milli = state.drawn_milli.clone();
         }
@@ -324,8 +331,13 @@
     /// Returns the most that entries may draw without a reply of this hub, or may have drawn
     /// without a report.
     fn reserved_milli(&self) -> u64 {
+        self.reserved_with(self.credits_milli)
+    }
+
+    /// Returns the same if all credits were `credits_milli`.
+    fn reserved_with(&self, credits_milli: u64) -> u64 {
         let least = self.pool_milli as f64 * MIN_RESERVED_SHARE;
-        (self.credits_milli + self.lost_credits.sum).max(least as u64)
+        (credits_milli + self.lost_credits.sum).max(least as u64)
     }
 
     fn highest_draws(&self) -> u64 {
@@ -334,9 +346,12 @@
     }
 
     fn usual_credit_milli(&self) -> u64 {
-        let credits = self.rule.reserve * POOL_SHARE * CREDIT_SHARE * 1_000.0;
-        let credit =
-            |entries: usize| ((credits / entries.max(1) as f64) as u64).min(WHOLE_CREDIT_MILLI);
-        self.entries.map_or(0, credit)
+        let Some(entries) = self.entries else {
+            return 0;
+        };
+        let pool_milli = self.rule.reserve * POOL_SHARE * 1_000.0;
+        let each = |share: f64| (pool_milli * share / entries.max(1) as f64) as u64;
+        let small = each(SMALL_CREDIT_SHARE).min(WHOLE_CREDIT_MILLI);
+        each(CREDIT_SHARE).max(small)
     }
 }
