--- a/lib/src/gateway/stream_exchange.rs
+++ b/lib/src/gateway/stream_exchange.rs
@@ -2,7 +2,7 @@
 //! may go on with a stream that a caller takes up.
 //!
 //! The keepers of an entry are its hubs: all entries have nearly the same ones, so whoever
-//! gets the request that takes a stream up asks entries that were told of the stream. An
+//! gets the request that takes a stream up asks entries to which the stream was announced. An
 //! entry tells its keepers within [`notice_interval`] of the first event; if it is lost
 //! before, the stream does not go on.
 
@@ -154,11 +154,11 @@
 fn send_notices(context: &GatewayContext) {
     let now = context.now();
     let is_mixed = |service: &ServiceName| is_mixed(context, service);
-    let streams = context.streams.lock().take_untold(now, is_mixed);
+    let streams = context.streams.lock().take_unannounced(now, is_mixed);
     if streams.is_empty() {
         return;
     }
-    counter!("cloverbend_streams_told_total").increment(streams.len() as u64);
+    counter!("cloverbend_streams_announced_total").increment(streams.len() as u64);
     let notice = StreamNotice::new(streams);
     let keepers = context.peers.lock().stream_keepers(now);
     for keeper in keepers {
@@ -173,7 +173,7 @@
     let mut streams = context.streams.lock();
     for (version, keys) in &notice.groups {
         for key in keys {
-            streams.note_told(now, *key, version.as_ref());
+            streams.note_announced(now, *key, version.as_ref());
         }
     }
 }
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -22,7 +22,7 @@
 pub const STREAM_MEMORY: Duration = Duration::from_secs(30);
 /// The most streams that are remembered: some 3 MB. With more, the oldest are forgotten.
 const MAX_STREAMS: usize = 65_536;
-/// The most versions that are told apart, so that false names stay small.
+/// The most versions that are distinguished, so that false names stay small.
 const MAX_VERSIONS: usize = 256;
 
 /// Identifies a stream: a hash of its service and of the identifier of the attempt that
@@ -69,8 +69,8 @@
     /// The streams in the order in which they were noted; those noted again are in it twice.
     order: VecDeque<(Timestamp, StreamKey)>,
     versions: Vec<Option<ServerVersion>>,
-    /// The streams of this entry that no other one was told of.
-    untold: HashMap<StreamKey, ServiceName>,
+    /// The streams of this entry that were not announced to another one.
+    unannounced: HashMap<StreamKey, ServiceName>,
 }
 
 impl StreamVersions {
@@ -92,25 +92,30 @@
         service: &ServiceName,
         version: Option<&ServerVersion>,
     ) {
-        self.note_told(now, key, version);
-        self.untold.insert(key, service.clone());
+        self.note_announced(now, key, version);
+        self.unannounced.insert(key, service.clone());
     }
 
-    /// Forgets a stream of this entry that is complete, unless others were told of it.
+    /// Forgets a stream of this entry that is complete, unless it was announced.
     pub fn note_completed(&mut self, key: StreamKey) {
-        if self.untold.remove(&key).is_some() {
+        if self.unannounced.remove(&key).is_some() {
             self.streams.remove(&key);
         }
     }
 
     /// Notes a stream of another entry.
-    pub fn note_told(&mut self, now: Timestamp, key: StreamKey, version: Option<&ServerVersion>) {
+    pub fn note_announced(
+        &mut self,
+        now: Timestamp,
+        key: StreamKey,
+        version: Option<&ServerVersion>,
+    ) {
         self.drop_old(now);
-        let told = self.index_of(version);
+        let announced = self.index_of(version);
         let known = self.streams.get(&key).map(|known| known.version);
         let version = match known {
-            Some(known) if known != told => VersionIndex::Conflicting,
-            _ => told,
+            Some(known) if known != announced => VersionIndex::Conflicting,
+            _ => announced,
         };
         let noted_at = now;
         self.streams.insert(key, KnownStream { version, noted_at });
@@ -129,16 +134,16 @@
         })
     }
 
-    /// Returns the streams of this entry that other entries have to be told of, and counts
-    /// them as told. `is_mixed` tells whether a service has servers of several versions.
-    pub fn take_untold(
+    /// Returns the streams of this entry that are to be announced to other entries, and counts
+    /// them as announced. `is_mixed` tells whether a service has servers of several versions.
+    pub fn take_unannounced(
         &mut self,
         now: Timestamp,
         is_mixed: impl Fn(&ServiceName) -> bool,
     ) -> Vec<(StreamKey, Option<ServerVersion>)> {
         let mut mixed: HashMap<ServiceName, bool> = HashMap::new();
         let mut due = Vec::new();
-        self.untold.retain(|key, service| {
+        self.unannounced.retain(|key, service| {
             let is_due = match mixed.get(service) {
                 Some(is_due) => *is_due,
                 None => {
@@ -185,7 +190,7 @@
             let is_last = |known: &KnownStream| known.noted_at == noted_at;
             if self.streams.get(&key).is_some_and(is_last) {
                 self.streams.remove(&key);
-                self.untold.remove(&key);
+                self.unannounced.remove(&key);
             }
         }
     }
--- a/lib/src/gateway/version_binding.rs
+++ b/lib/src/gateway/version_binding.rs
@@ -54,7 +54,7 @@
                 replies,
                 listed: others,
             } => {
-                // While one version serves, nobody is told of streams.
+                // While one version serves, streams are not announced.
                 let is_certain = replies > 0 || knows_versions;
                 Self::of_only(listed.into_iter().chain(others).collect()).filter(|_| is_certain)
             }
--- a/lib/tests/test_stream_memory.rs
+++ b/lib/tests/test_stream_memory.rs
@@ -84,15 +84,15 @@
 #[test]
 fn a_stream_of_two_versions_is_known_as_conflicting() {
     let mut streams = StreamVersions::new();
-    streams.note_told(at(0), key("a"), Some(&version("v1")));
-    streams.note_told(at(1), key("a"), Some(&version("v1")));
+    streams.note_announced(at(0), key("a"), Some(&version("v1")));
+    streams.note_announced(at(1), key("a"), Some(&version("v1")));
     assert_eq!(streams.get(at(2), key("a")), known("v1"));
     streams.note_own(at(3), key("a"), &service(), Some(&version("v2")));
     assert_eq!(
         streams.get(at(4), key("a")),
         Some(StreamVersion::Conflicting)
     );
-    assert_eq!(streams.take_untold(at(5), |_| true), vec![]);
+    assert_eq!(streams.take_unannounced(at(5), |_| true), vec![]);
     let other: ServiceName = "other".parse().unwrap();
     let elsewhere = StreamKey::new(&other, &CallId("a".to_owned()));
     assert_eq!(streams.get(at(6), elsewhere), None);
@@ -105,15 +105,15 @@
     streams.note_own(at(0), key("b"), &service(), Some(&version("v1")));
     streams.note_completed(key("a"));
     assert_eq!(streams.get(at(1), key("a")), None);
-    assert_eq!(streams.take_untold(at(2), |_| false), vec![]);
+    assert_eq!(streams.take_unannounced(at(2), |_| false), vec![]);
     let told = vec![(key("b"), Some(version("v1")))];
-    assert_eq!(streams.take_untold(at(3), |_| true), told);
-    assert_eq!(streams.take_untold(at(4), |_| true), vec![]);
+    assert_eq!(streams.take_unannounced(at(3), |_| true), told);
+    assert_eq!(streams.take_unannounced(at(4), |_| true), vec![]);
     // A stream that is taken up is remembered from then on.
-    streams.note_told(at(20_000), key("b"), Some(&version("v1")));
+    streams.note_announced(at(20_000), key("b"), Some(&version("v1")));
     assert_eq!(streams.get(at(45_000), key("b")), known("v1"));
     assert_eq!(streams.get(at(51_000), key("b")), None);
-    streams.note_told(at(51_000), key("c"), None);
+    streams.note_announced(at(51_000), key("c"), None);
     assert_eq!(streams.count(), 1);
 }
 
@@ -121,7 +121,7 @@
 fn the_oldest_streams_are_forgotten_when_there_are_too_many() {
     let mut streams = StreamVersions::new();
     for number in 0..100_000 {
-        streams.note_told(at(number / 100), StreamKey(number), Some(&version("v1")));
+        streams.note_announced(at(number / 100), StreamKey(number), Some(&version("v1")));
     }
     assert!(streams.count() <= 65_536, "{}", streams.count());
     assert_eq!(streams.get(at(1_000), StreamKey(0)), None);
@@ -134,7 +134,7 @@
     let mut streams = StreamVersions::new();
     for number in 0..400 {
         let name = version(&format!("v{number}"));
-        streams.note_told(at(0), StreamKey(number), Some(&name));
+        streams.note_announced(at(0), StreamKey(number), Some(&name));
     }
     assert_eq!(streams.get(at(0), StreamKey(7)), known("v7"));
     let last = streams.get(at(0), StreamKey(399));
@@ -240,7 +240,7 @@
             }
             StreamStep::Tells => {
                 let is_mixed = self.listed[FIRST].len() > 1;
-                let due = self.entries[FIRST].take_untold(now, |_| is_mixed);
+                let due = self.entries[FIRST].take_unannounced(now, |_| is_mixed);
                 if due.is_empty() {
                     return false;
                 }
@@ -249,7 +249,7 @@
             StreamStep::Arrives(keeper) => {
                 let notices = std::mem::take(&mut self.notices[keeper - KEEPERS[0]]);
                 for (key, version) in &notices {
-                    self.entries[keeper].note_told(now, *key, version.as_ref());
+                    self.entries[keeper].note_announced(now, *key, version.as_ref());
                 }
                 return !notices.is_empty();
             }
@@ -374,7 +374,7 @@
 #[test]
 fn a_stream_is_remembered_for_as_long_as_callers_wait() {
     let mut streams = StreamVersions::new();
-    streams.note_told(at(0), key("a"), Some(&version("v1")));
+    streams.note_announced(at(0), key("a"), Some(&version("v1")));
     let longest = Duration::from_secs(15);
     let now = at(0).after(longest);
     assert_eq!(streams.get(now, key("a")), known("v1"));
