call_dispatch: no lock and no second look-up where a request needs neither

A request that is bound to no version took the lock of the server list for its rule, and each send looked its server's limit up twice.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -597,8 +597,7 @@
     let is_first = retry_state.tried.is_empty();
     let work =
         work.map(|estimate| SentWork::begin(&mut backends, now, call, &choice, estimate, is_first));
-    let is_limited = limits.is_limited(&choice.id);
-    limits.note_sent(now, &choice.id);
+    let is_limited = limits.note_sent(now, &choice.id);
     let count_period = backends.count_period();
     drop(limits);
     drop(backends);
--- a/lib/src/gateway/rollout_routing.rs
+++ b/lib/src/gateway/rollout_routing.rs
@@ -24,7 +24,10 @@
     binding: &VersionBinding,
     is_first: bool,
 ) -> VersionRule {
-    let bound = binding.rule(&context.backends.lock(), &call.service);
+    let bound = match binding {
+        VersionBinding::Free => None,
+        VersionBinding::Bound(_) => binding.rule(&context.backends.lock(), &call.service),
+    };
     let Some(bounds) = &context.settings.rollout else {
         return bound.unwrap_or(VersionRule::Any);
     };
--- a/lib/src/gateway/server_limits.rs
+++ b/lib/src/gateway/server_limits.rs
@@ -47,11 +47,13 @@
         !self.is_limited(id) || self.permits.has_permit(now, id)
     }
 
-    /// Records that a request is sent to a server.
-    pub fn note_sent(&mut self, now: Timestamp, id: &BackendId) {
-        if self.is_limited(id) {
+    /// Records that a request is sent to a server. Returns whether the server has a limit.
+    pub fn note_sent(&mut self, now: Timestamp, id: &BackendId) -> bool {
+        let is_limited = self.is_limited(id);
+        if is_limited {
             self.permits.use_permit(now, id);
         }
+        is_limited
     }
 
     /// Returns how many requests this entry sent to each server with a limit
