call_dispatch: the choice of a server and a single send are modules of their own

The code is moved as it was; fields of RetryState and ChosenBackend that other modules use are public and documented. The page of modules names the new ones, and the lock order those of streams.

--- a/lib/src/gateway/call_shedding.rs
+++ b/lib/src/gateway/call_shedding.rs
@@ -11,7 +11,6 @@
 use crate::gateway::backend_choice::choose_free_backend;
 use crate::gateway::backend_set::BackendSet;
 use crate::gateway::call_admission::AdmittedCall;
-use crate::gateway::call_dispatch::request_hash;
 use crate::gateway::call_log::log_crowded_out;
 use crate::gateway::call_log::log_shed;
 use crate::gateway::call_return::ReturnDecision;
@@ -22,6 +21,7 @@
 use crate::gateway::load_shedding::SheddingQuery;
 use crate::gateway::load_shedding::retry_delay;
 use crate::gateway::load_shedding::shed_request;
+use crate::gateway::send_choice::request_hash;
 use crate::gateway::shared_admission::AdmissionRefusal;
 use crate::quantity::Timestamp;
 
--- a/lib/src/gateway/entry_wait.rs
+++ b/lib/src/gateway/entry_wait.rs
@@ -8,11 +8,11 @@
 use slog::info;
 
 use crate::gateway::call_admission::AdmittedCall;
-use crate::gateway::call_dispatch::RetryState;
 use crate::gateway::entry_queue::QueueWaiter;
 use crate::gateway::entry_queue::WaitQuery;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
+use crate::gateway::retry_state::RetryState;
 use crate::gateway::return_promises::ReturnStatus;
 use crate::quantity::Timestamp;
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -8,8 +8,9 @@
 //!    [`site_config`], reads the body with [`call_body`] and charges the account
 //!    with [`account_limits`].
 //! 4. [`call_dispatch`] sends the request, and retries it where that is safe.
-//!    [`backend_choice`] chooses the backend server, and [`backend_pool`] provides
-//!    the connection.
+//!    [`send_choice`] chooses the backend server by the costs of [`backend_choice`],
+//!    [`single_send`] sends the request there, and [`backend_pool`] provides the
+//!    connection.
 //! 5. One of three modules handles the response: [`event_relay`] relays event
 //!    streams, [`response_body`] buffers a response until it is complete, and
 //!    [`response_passthrough`] passes on a response that cannot be buffered.
@@ -46,6 +47,10 @@
 //! holds the lease, [`rollout_table`] has what every entry knows, and [`rollout_routing`]
 //! applies it to requests.
 //!
+//! A stream goes on only at servers of the version that began it: [`version_binding`]
+//! decides by [`stream_versions`] and [`version_history`], and [`stream_exchange`] shares
+//! what an entry knows with others.
+//!
 //! An entry that is cut off from backend servers has others relay its requests:
 //! [`path_monitor`] observes the [`server_paths`], which decide by the [`path_evidence`],
 //! [`relay_client`] sends on the path that they name, to one of the [`relay_helpers`], and
@@ -56,7 +61,7 @@
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
 //! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`,
 //! `work`, `work_history`, `promises`, `admission`, `rollouts`, `retry_budget`,
-//! `retry_pool`, `paths`, `helpers`. No lock is held across an await.
+//! `retry_pool`, `paths`, `helpers`, `streams`, `version_history`. No lock is held across an await.
 
 pub mod account_demand;
 pub mod account_limits;
@@ -148,6 +153,7 @@
 pub mod retry_budget;
 pub mod retry_exchange;
 pub mod retry_pool;
+pub mod retry_state;
 pub mod return_promises;
 pub mod return_schedule;
 pub mod rollout_evidence;
@@ -159,6 +165,7 @@
 pub mod rollout_table;
 pub mod rollout_task;
 pub mod room_shares;
+pub mod send_choice;
 pub mod send_guard;
 pub mod send_permits;
 pub mod sent_work;
@@ -170,6 +177,7 @@
 pub mod service_room;
 pub mod service_times;
 pub mod shared_admission;
+pub mod single_send;
 pub mod site_config;
 pub mod slot_forecast;
 pub mod stall_detector;
