report_table: an absurd age of a relayed report makes it no newer

Found in the read-through. An age of 2^61 ms and more, as a damaged frame can have, was cut to 64 bits in microseconds and became a small one, so that a report of no limit lifted one. a_report_of_an_absurd_age_does_not_lift_a_limit failed before and passes now; test_relayed_reports 12, test_damaged_input 7, test_gateway_peers 21 pass.

--- a/lib/src/gateway/report_frames.rs
+++ b/lib/src/gateway/report_frames.rs
@@ -64,7 +64,7 @@
             limit_bits: report.limit.map(|rate| rate.0.to_bits()),
             age_ms,
             leaving: report.draining,
-            uncertainty_ms: oldest_ms - age_ms,
+            uncertainty_ms: oldest_ms.saturating_sub(age_ms),
         }
     }
 }
--- a/lib/src/gateway/report_table.rs
+++ b/lib/src/gateway/report_table.rs
@@ -65,8 +65,10 @@
     /// Returns when the server wrote the report. `sent_after` is a time after which the
     /// message with the report was sent; none if that is unknown.
     pub fn span(&self, now: Timestamp, sent_after: Option<Timestamp>) -> ReportSpan {
-        let before =
-            |at: Timestamp, age: Duration| Timestamp(at.0.saturating_sub(age.as_micros() as u64));
+        let before = |at: Timestamp, age: Duration| {
+            let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+            Timestamp(at.0.saturating_sub(age_us))
+        };
         let oldest = self.age + self.uncertainty;
         ReportSpan {
             earliest: sent_after.map_or(Timestamp(0), |at| before(at, oldest)),
--- a/lib/tests/test_relayed_reports.rs
+++ b/lib/tests/test_relayed_reports.rs
@@ -97,6 +97,22 @@
     assert_eq!(table.limit(&incarnation(1)), None);
 }
 
+/// An age in a damaged frame may exceed any clock.
+#[test]
+fn a_report_of_an_absurd_age_does_not_lift_a_limit() {
+    let mut table = ReportTable::new();
+    table.apply_direct(at(2_000), at(1_900), &incarnation(1), &limited(2.0));
+    // In microseconds, these times are 0 and a little more in 64 bits.
+    for millis in [u64::MAX, 1 << 61, (1 << 61) + 1] {
+        let absurd = RelayedReport {
+            uncertainty: Duration::from_millis(millis),
+            ..relayed(1, None, millis)
+        };
+        assert!(!table.apply_relayed(at(5_000), Some(at(4_900)), &absurd));
+    }
+    assert_eq!(table.limit(&incarnation(1)), Some(RequestRate(2.0)));
+}
+
 #[test]
 fn an_unreadable_limit_changes_nothing() {
     let mut table = ReportTable::new();
