--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod lease_model;
 pub mod lease_step;
 pub mod lease_store;
+pub mod limit_day;
+pub mod limit_model;
 pub mod linear_fit;
 pub mod load_model;
 pub mod load_run;
