limit_exchange: the fraction that hubs permit, and relayed requests to servers with limits

Neither logs nor metrics could tell whether the fractions of all hubs add up to more than one, or requests that an entry relays for a cut-off one reach a server past its permits. cloverbend_permit_fraction and cloverbend_backend_limited_relays_total show both. Permits are issued as before.

--- a/lib/src/gateway/limit_exchange.rs
+++ b/lib/src/gateway/limit_exchange.rs
@@ -33,16 +33,20 @@
 /// other issues its own fraction to itself, so that entries without contact to
 /// each other also stay within a limit together.
 pub fn issue_permits(context: &GatewayContext, now: Timestamp) -> GrantedPermits {
-    if !sweep_limits(context, now) {
-        return GrantedPermits::new();
-    }
     let own = &context.settings.name;
-    let share = context.peers.lock().permit_share(now);
+    let share = match sweep_limits(context, now) {
+        true => context.peers.lock().permit_share(now),
+        false => PermitShare::Nobody,
+    };
     let (fraction, clients) = match share {
-        PermitShare::Nobody => return GrantedPermits::new(),
+        PermitShare::Nobody => (0.0, Vec::new()),
         PermitShare::Own { fraction } => (fraction, vec![own_client(context, now)]),
         PermitShare::Subscribers { fraction } => (fraction, subscriber_clients(context, now)),
     };
+    gauge!("cloverbend_permit_fraction").set(fraction);
+    if share == PermitShare::Nobody {
+        return GrantedPermits::new();
+    }
     let backends = context.backends.lock();
     let mut limits = context.server_limits.lock();
     if let PermitShare::Own { .. } = share {
@@ -89,6 +93,15 @@
     counter!("cloverbend_backend_limited_sends_total", "backend" => label).increment(1);
 }
 
+/// Counts a request of another entry that this one relays to a server with a limit. The
+/// other entry takes the permit.
+pub fn count_limited_relay(context: &GatewayContext, id: &BackendId) {
+    if context.server_limits.lock().is_limited(id) {
+        let label = context.server_labels.label(id);
+        counter!("cloverbend_backend_limited_relays_total", "backend" => label).increment(1);
+    }
+}
+
 fn own_client(context: &GatewayContext, now: Timestamp) -> PermitClient {
     let work = context.work.lock();
     let demand = work
--- a/lib/src/gateway/relay_server.rs
+++ b/lib/src/gateway/relay_server.rs
@@ -49,6 +49,7 @@
 use crate::gateway::call_body::discard_rest;
 use crate::gateway::gateway_context::CallGuard;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::limit_exchange::count_limited_relay;
 use crate::gateway::path_monitor::doubt_path;
 use crate::gateway::path_monitor::note_path_success;
 use crate::gateway::relay_client::RELAY_ENTRY;
@@ -191,6 +192,7 @@
     }
     parts.headers = strip_hop_headers(parts.headers);
     let request = Request::from_parts(parts, Full::new(body));
+    count_limited_relay(context, backend);
     let exchange = context.pool.exchange(backend, address, request);
     let exchange = match context.clock.timeout_at(deadline, exchange).await {
         Ok(Ok(exchange)) => exchange,
