--- a/lib/tests/test_limit_changes.rs
+++ b/lib/tests/test_limit_changes.rs
@@ -68,6 +68,30 @@
     assert!(used <= 1.0, "{used:.2} of what is allowed");
 }
 
+/// Servers stand still for a second or so and read at once what was sent to them meanwhile,
+/// just when callers come back after an idle time.
+#[rstest]
+fn requests_that_a_silent_server_reads_at_once_exceed_no_limit(
+    #[values(1.0, 6.0, 12.0, 24.0)] limit: f64,
+    #[values(CallPattern::Bursts, CallPattern::LongPause)] calls: CallPattern,
+    #[values(EntryTrouble::None, EntryTrouble::Joined)] trouble: EntryTrouble,
+) {
+    let day = LimitDay {
+        entries: 8,
+        limit,
+        limited_servers: SERVERS,
+        shape: LimitShape::Steady,
+        calls,
+        trouble,
+        paths: PathTrouble::SilentServers,
+        longest_answer_ms: 400,
+    };
+    let uses = (1..=12).map(|seed| day.use_with(seed));
+    let used = uses.fold(0.0, f64::max);
+    println!("{used:.2} of what is allowed: {day:?}");
+    assert!(used <= 1.0, "{used:.2} of what is allowed");
+}
+
 /// How soon after a limit was lifted all entries have to know it.
 const OVER_WITHIN: Duration = Duration::from_secs(2);
 
