permit_issuer: requests that arrive late exceed no limit

Cause: the bound counts arrivals, and permits bounded sends: what was saved up and the rate, with room for arrivals half a second late. A hub now issues no permit if all that was reported as sent in the last 5.25 s, and all that its open permits allow, would together be more than is tolerated in 4 s. Whatever arrives up to 1.25 s late, no window of 4 s then holds more.

The 148 other cases of test_limit_changes and the 135 of test_permit_issuer pass; these also ask that 0.8 of a limit is used.

--- a/lib/src/gateway/permit_issuer.rs
+++ b/lib/src/gateway/permit_issuer.rs
@@ -20,6 +20,7 @@
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::time::Duration;
@@ -47,6 +48,13 @@
 /// requests, and what 2 s of the rate earn, above a limit.
 const BURST_REQUESTS: f64 = 5.0;
 const BURST_TIME: Duration = Duration::from_millis(1_500);
+/// The window in which operators count the requests that arrive at a server, and what they
+/// tolerate in it, as a multiple of the limit, beside `BURST_REQUESTS`.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(4);
+const TOLERATED_FACTOR: f64 = 1.5;
+/// How much later than it was sent a request may arrive. A healthy server may stand still for
+/// a second, and then reads at once what was sent to it meanwhile.
+const LONGEST_DELAY: Duration = Duration::from_millis(1_250);
 /// The lowest rate at which a server gets requests, even if it reports a lower
 /// limit. Without requests, no entry would learn that the limit is lifted.
 const MIN_RATE: RequestRate = RequestRate(0.1);
@@ -100,6 +108,13 @@
     refilled_at: Timestamp,
     /// Permits that may still be used, or whose use may not be reported yet.
     open: Vec<OpenPermit>,
+    /// Requests reported as sent since the last refill.
+    newly_sent: u64,
+    /// Requests that may not have arrived yet, or count in a window that has not ended, by
+    /// the time of the refill after their report.
+    recent_sends: VecDeque<(Timestamp, u64)>,
+    /// The most requests that may be sent in `ARRIVAL_WINDOW` and `LONGEST_DELAY` together.
+    window_limit: f64,
     uses: HashMap<EntryName, ClientUse>,
 }
 
@@ -114,6 +129,9 @@
             level: hasher.finish() as f64 / u64::MAX as f64,
             refilled_at: now,
             open: Vec::new(),
+            newly_sent: 0,
+            recent_sends: VecDeque::new(),
+            window_limit: 0.0,
             uses: HashMap::new(),
         }
     }
@@ -128,10 +146,28 @@
         self.refilled_at = now;
         self.open
             .retain(|permit| now < permit.expires_at.after(REPORT_GRACE));
+        let tolerated = rate * ARRIVAL_WINDOW.as_secs_f64() * TOLERATED_FACTOR + BURST_REQUESTS;
+        self.window_limit = (tolerated * fraction).max(1.0);
+        let newly_sent = std::mem::take(&mut self.newly_sent);
+        if newly_sent > 0 {
+            self.recent_sends.push_back((now, newly_sent));
+        }
+        let is_over = |at: Timestamp| now.since(at) >= ARRIVAL_WINDOW + LONGEST_DELAY;
+        while self
+            .recent_sends
+            .front()
+            .is_some_and(|(at, _)| is_over(*at))
+        {
+            self.recent_sends.pop_front();
+        }
     }
 
+    /// Returns whether a request may be permitted: the rate has earned it, and even if all
+    /// requests that may be sent arrive together, the server gets no more than is tolerated.
     fn has_room(&self) -> bool {
-        self.level - self.open.len() as f64 >= 1.0
+        let open = self.open.len() as f64;
+        let sent: u64 = self.recent_sends.iter().map(|(_, count)| count).sum();
+        self.level - open >= 1.0 && self.window_limit - open - sent as f64 >= 1.0
     }
 
     fn count_open(&self, client: &EntryName) -> u64 {
@@ -153,6 +189,7 @@
             None => sent.min(self.count_open(client)),
         };
         self.level -= newly_sent as f64;
+        self.newly_sent += newly_sent;
         for _ in 0..newly_sent {
             let used = self.open.iter().position(|permit| permit.client == *client);
             let Some(used) = used else { break };
