call_log: a failed send names the parts of its prompt that others may share

Lines about a request named its digest, which is another one for each request. Whether requests that end servers have a part in common could not be told from them.

--- a/lib/src/gateway/call_head.rs
+++ b/lib/src/gateway/call_head.rs
@@ -66,10 +66,15 @@
 }
 
 impl CallHead {
+    /// Returns the blocks that other requests may share.
+    pub fn shared_blocks(&self) -> &[PromptBlock] {
+        let blocks = self.prompt_blocks.split_last();
+        blocks.map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the last block that other requests may share, if there is one.
     pub fn last_shared_block(&self) -> Option<PromptBlock> {
-        let count = self.prompt_blocks.len();
-        count.checked_sub(2).map(|index| self.prompt_blocks[index])
+        self.shared_blocks().last().copied()
     }
 
     /// Returns the number of prompt tokens.
--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -108,6 +108,18 @@
         "failure_share" => backend.failure_share);
 }
 
+/// The most shared blocks of a prompt that a log line names.
+const MAX_LOGGED_BLOCKS: usize = 8;
+
+/// Names the blocks of a prompt that other requests may share, as their callers do.
+fn shared_block_names(call: &AdmittedCall) -> String {
+    let shared = call.head.shared_blocks().iter();
+    let names = shared
+        .take(MAX_LOGGED_BLOCKS)
+        .map(|block| format!("{:x}", block.id));
+    names.collect::<Vec<_>>().join(",")
+}
+
 /// Counts and logs a send that failed.
 pub fn log_send_failed(
     context: &GatewayContext,
@@ -120,7 +132,8 @@
         return;
     }
     info!(context.log, "send failed"; "request" => %call.head.id, "digest" => %call.digest,
-        "route" => &call.route.name, "backend" => %backend, "outcome" => outcome, "left_ms" => call.time_left().as_millis() as u64);
+        "route" => &call.route.name, "backend" => %backend, "outcome" => outcome,
+        "shared_parts" => shared_block_names(call), "left_ms" => call.time_left().as_millis() as u64);
 }
 
 /// Counts and logs a response that was passed on completely.
