--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -12,13 +12,16 @@
 use http::Uri;
 use http::header;
 use hyper::body::Incoming;
+use metrics::counter;
 use slog::info;
+use slog::warn;
 use twox_hash::XxHash64;
 
 use crate::boot_clock::BootClock;
 use crate::gateway::call_body::BodyLimits;
 use crate::gateway::call_body::read_call_body;
 use crate::gateway::call_digest::CallDigest;
+use crate::gateway::call_feature::CallFeatures;
 use crate::gateway::call_head::CallHead;
 use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::gateway_context::GatewayContext;
@@ -46,6 +49,8 @@
     pub head: CallHead,
     /// The digest, which is the same for all attempts of the same request.
     pub digest: CallDigest,
+    /// What it may have in common with other requests.
+    pub features: CallFeatures,
     /// The matching route.
     pub route: RouteRule,
     /// The service that runs the request.
@@ -138,10 +143,11 @@
         &parts.uri,
         &body,
     );
-    // Callers retry a request at any entry. If entries only ejected crashed
-    // servers, a request that crashes them would end one server after another, such
-    // as 57 servers within 40 s.
-    if context.crashes.lock().refuses(context.now(), digest) {
+    let features = CallFeatures::new(digest, &service, head.shared_blocks());
+    // Callers retry a request at any entry, and requests share parts of their prompts. If
+    // entries only ejected crashed servers, requests that crash them would end one server
+    // after another.
+    if crashes_servers(context, &features) {
         log_fatal_request(context, &head, digest);
         return Err(CallRefusal::CrashesServers);
     }
@@ -149,6 +155,7 @@
     Ok(AdmittedCall {
         head,
         digest,
+        features,
         route,
         service,
         shortest_target,
@@ -164,6 +171,24 @@
     })
 }
 
+/// Returns whether a request is known to crash the servers that run it, and must not run. Now
+/// and then one runs at the first of all entries, to find out whether servers were fixed.
+fn crashes_servers(context: &GatewayContext, features: &CallFeatures) -> bool {
+    let now = context.now();
+    if !context.crashes.lock().refuses(now, features) {
+        return false;
+    }
+    let peers = context.peers.lock();
+    let is_first = peers.knows_entries(now) && peers.hub_rank(now) == 0;
+    drop(peers);
+    if !is_first || !context.crashes.lock().begin_trial(now, features) {
+        return true;
+    }
+    counter!("cloverbend_fatal_trials_total").increment(1);
+    warn!(context.log, "fatal request tried again");
+    false
+}
+
 fn log_fatal_request(context: &GatewayContext, head: &CallHead, digest: CallDigest) {
     if context.may_log(&head.id.0, LineClass::Failure) {
         info!(context.log, "fatal request recognized"; "request" => %head.id, "digest" => %digest);
--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -20,6 +20,7 @@
 use crate::gateway::entry_wait::join_entry_queue;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::platform_interface::ResponseHead;
+use crate::gateway::response_framing::ResponseFraming;
 use crate::gateway::retry_exchange::take_retry_budget;
 use crate::gateway::retry_state::MIN_TIME_LEFT;
 use crate::gateway::retry_state::RetryState;
@@ -68,7 +69,10 @@
             break;
         }
         if retry_state.possible_runs > 0
-            && context.crashes.lock().refuses(context.now(), call.digest)
+            && context
+                .crashes
+                .lock()
+                .refuses(context.now(), &call.features)
         {
             break;
         }
@@ -98,12 +102,13 @@
             SendResult::Responded(exchange, head) => {
                 retry_state.possible_runs += 1;
                 let status = exchange.response.status();
+                let framing = ResponseFraming::of(&exchange.response);
                 if !exchange.connection.is_relayed() {
                     note_answer(context, call, &chosen, resume_after, Some(status));
                 }
                 chosen
                     .guard
-                    .note_head(status, exchange.connection.is_relayed());
+                    .note_head(status, framing, exchange.connection.is_relayed());
                 log_request_sent(context, call, &chosen.guard, resume_after);
                 return Ok(BackendResponse {
                     exchange: *exchange,
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -6,13 +6,11 @@
 use rand::Rng;
 
 use crate::gateway::call_head::HeadError;
-use crate::gateway::crash_ledger::CRASH_RETENTION;
 
 /// The shortest time after which a caller should retry, unless the entry is
 /// draining.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-/// The longest time after which a caller should retry, unless its request crashes
-/// backend servers.
+/// The longest time after which a caller should retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// The shortest time after which a caller of an entry that is cut off should retry. Within
@@ -160,8 +158,6 @@
                 Some(MIN_RETRY_AFTER + MIN_RETRY_AFTER.mul_f64(rand::rng().random()))
             }
             Self::CutOff => Some(CUT_OFF_RETRY + CUT_OFF_RETRY.mul_f64(rand::rng().random())),
-            // The crash ledger keeps a request for this long after its last attempt.
-            Self::CrashesServers => Some(CRASH_RETENTION),
             Self::Draining => Some(Duration::from_millis(10)),
             _ => None,
         }
--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -18,8 +18,10 @@
 use slog::warn;
 
 use crate::gateway::backend_record::BackendId;
-use crate::gateway::call_digest::CallDigest;
+use crate::gateway::call_feature::CallFeature;
+use crate::gateway::call_feature::CallFeatures;
 use crate::gateway::crash_ledger::CrashReport;
+use crate::gateway::crash_ledger::ResponseEnd;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::path_monitor::note_path_failure;
@@ -31,10 +33,12 @@
 
 /// A run of a request that was interrupted because its server crashed, or may
 /// have crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InterruptedRun {
-    /// The request.
-    pub digest: CallDigest,
+    /// The features of the request.
+    pub features: CallFeatures,
+    /// Whether its response had begun.
+    pub has_begun: bool,
     /// When it started, as far as this entry knows.
     pub started_at: Timestamp,
     /// When it was interrupted.
@@ -136,25 +140,36 @@
 /// Records that a server crashed while requests ran on it.
 pub fn record_crash(context: &GatewayContext, id: &BackendId, runs: &[InterruptedRun]) {
     let mut is_new = false;
+    let mut is_urgent = false;
     {
         let mut ledger = context.crashes.lock();
         for run in runs {
-            is_new |= ledger.note_crash(run.interrupted_at, run.digest, id, run.started_at);
+            let (at, started_at) = (run.interrupted_at, run.started_at);
+            let features = match run.has_begun {
+                true => run.features.clone(),
+                false => run.features.whole_request(),
+            };
+            ledger.note_interrupted(at, &features, started_at);
+            if ledger.note_crash(at, &features, id, started_at) {
+                is_new = true;
+                is_urgent |= ledger.is_urgent(at, started_at);
+            }
         }
     }
-    // Only a newly found fatal request is gossiped at once; all else waits for
+    // What was newly found fatal is gossiped at once, and so are some crashes that may be
+    // the first of a series; all else waits for
     // the next round. Otherwise, hubs would exchange messages about a popular
     // request with each response to it, and each of hundreds of crashes would
     // cost a round.
-    if is_new && update_fatal(context) {
+    if is_new && (update_fatal(context) || is_urgent) {
         context.gossip_due.notify_one();
     }
 }
 
 /// Records that a server completed a request.
-pub fn note_completed(context: &GatewayContext, digest: CallDigest) {
+pub fn note_completed(context: &GatewayContext, features: &CallFeatures, end: ResponseEnd) {
     let now = context.now();
-    let may_clear = context.crashes.lock().note_completed(now, digest);
+    let may_clear = context.crashes.lock().note_completed(now, features, end);
     if may_clear {
         update_fatal(context);
     }
@@ -169,16 +184,19 @@
     }
 }
 
-/// Recomputes which requests are refused. Returns whether any was not refused
+/// Recomputes what is refused. Returns whether any of it was not refused
 /// before.
 fn update_fatal(context: &GatewayContext) -> bool {
     let server_count = context.backends.lock().iter().count();
     let newly_fatal = context.crashes.lock().update_fatal(server_count);
-    for (digest, record) in &newly_fatal {
-        counter!("cloverbend_fatal_requests_found_total").increment(1);
+    for (group, record) in &newly_fatal {
         let longest_run = record.crashes.values().max();
-        warn!(context.log, "request found fatal"; "digest" => %digest,
-            "crashes" => record.crashes.len(), "survivors" => record.survivors,
+        let features: Vec<String> = group.iter().map(CallFeature::to_string).collect();
+        let is_request = matches!(group.first(), Some(CallFeature::Request(_)));
+        let kind = if is_request { "request" } else { "part" };
+        counter!("cloverbend_fatal_requests_found_total", "kind" => kind).increment(1);
+        warn!(context.log, "request found fatal"; "kind" => kind, "features" => features.join(","),
+            "crashes" => record.crashes.len(), "survivors" => record.survivors.len(),
             "longest_run_ms" => longest_run.map(|ran| ran.as_millis() as u64));
     }
     !newly_fatal.is_empty()
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -1,9 +1,10 @@
-//! Records crashes of backend servers, and the requests that ran on them.
+//! Records crashes of backend servers, and the features of requests that ran on them.
 //!
 //! Pure: no I/O. Each entry records what it observes itself, and merges the
 //! reports of other entries. Both are sets that only grow, so a report that
 //! arrives twice, late or through another entry changes nothing.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -14,50 +15,72 @@
 use twox_hash::XxHash64;
 
 use crate::gateway::backend_record::BackendId;
-use crate::gateway::call_digest::CallDigest;
+use crate::gateway::call_feature::CallFeature;
+use crate::gateway::call_feature::CallFeatures;
 use crate::gateway::crash_verdict::CrashRecord;
 use crate::gateway::crash_verdict::CrashTimes;
+use crate::gateway::crash_verdict::FatalGroup;
 use crate::gateway::crash_verdict::IncarnationDigest;
 use crate::gateway::crash_verdict::MIN_CRASHES;
+use crate::gateway::crash_verdict::SurvivorTag;
 use crate::gateway::crash_verdict::find_fatal;
 use crate::quantity::Timestamp;
 
-/// How long a request under which servers crashed is remembered after it last
+/// How long a feature under which servers crashed is remembered after a request with it last
 /// ran or arrived. Operators deploy fixed servers within this time. A caller
 /// that repeats the request after it is forgotten crashes three servers at most
 /// before it is refused again.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
-/// The most requests that are remembered. It suffices for the requests that run
+/// The most features that are remembered. It suffices for the requests that run
 /// during a few hundred crashes.
 const MAX_RECORDS: usize = 1_024;
-/// The most crashes that are remembered of one request.
-const MAX_CRASHES_PER_REQUEST: usize = 8;
-/// The most survivors that are counted of one request. This many outweigh all
+/// The most crashes that are remembered of one feature.
+const MAX_CRASHES_PER_FEATURE: usize = 8;
+/// The most survivors that are counted of one feature. This many outweigh all
 /// its crashes four times, and entries then need not gossip about a popular
-/// request any more.
-const MAX_SURVIVORS_PER_REQUEST: usize = MAX_CRASHES_PER_REQUEST;
-/// The most crash times that are remembered, over all requests.
+/// one any more.
+const MAX_SURVIVORS_PER_FEATURE: usize = MAX_CRASHES_PER_FEATURE;
+/// The most crash times that are remembered, over all features.
 const MAX_CRASH_TIMES: usize = 1_024;
-/// The most completed requests whose digests are remembered: about 10 s of an
-/// entry's load. Popular requests repeat within that time.
-const MAX_COMPLETED: usize = 2_048;
+/// The most features of completed requests that are remembered: a few of each request of
+/// about 10 s of an entry's load. Popular ones repeat within that time.
+const MAX_COMPLETED: usize = 8_192;
+/// How many responses that only the end of a connection ended count as one survivor: a crash
+/// may have truncated each of them.
+const UNSURE_PER_SURVIVOR: usize = 8;
+/// A crash sooner after a request started is told to other entries at once, so that a fatal
+/// feature is known before its next requests arrive.
+const SUSPICIOUS_RUN: Duration = Duration::from_millis(250);
+/// A fatal part crashes its server within some tokens, so a response that went on for this
+/// long has survived its parts.
+const LONG_RUN: Duration = Duration::from_millis(500);
+/// The shortest time between two crashes that are told at once. In between, they wait for the
+/// next gossip round: hundreds of servers may crash together.
+const URGENT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long after the last crash a request with a fatal feature is let through again, to find
+/// out whether servers were fixed. The time doubles with each one that crashes its server.
+const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(60);
+/// The most times that it doubles.
+const MAX_DOUBLINGS: u32 = 6;
+/// The time to the next such request after one that a server survived.
+const NEXT_TRIAL_AFTER: Duration = Duration::from_secs(1);
 /// The shortest time that a server takes to restart. A request that reaches it
 /// sooner after a crash uses a connection to the old incarnation.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
 /// How long an entry repeats what it observed itself, in case a message is
 /// lost: four rounds.
 const REPORT_REPEAT_TIME: Duration = Duration::from_secs(1);
-/// The most reports in one message. A report takes 25 to 170 bytes.
+/// The most reports in one message. A report takes 25 to 180 bytes.
 const MAX_REPORTS: usize = 32;
 
-/// What an entry reports about a request under which servers crashed.
+/// What an entry reports about a feature under which servers crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
-    /// The request.
-    pub digest: CallDigest,
+    /// The feature.
+    pub feature: CallFeature,
     /// What is known about it.
     pub record: CrashRecord,
-    /// The time since it last arrived or crashed a server.
+    /// The time since a request with it last arrived or crashed a server.
     pub idle: Duration,
 }
 
@@ -68,6 +91,28 @@
     changed_at: Timestamp,
     /// When this entry last observed a crash or a survivor itself.
     observed_at: Option<Timestamp>,
+    /// When this entry last learned of a crash.
+    crashed_at: Timestamp,
+    /// Completed requests that make no survivor yet.
+    unsure: usize,
+}
+
+/// How a response ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseEnd {
+    /// By its length, or a last chunk.
+    Marked,
+    /// By the end of its connection, as a truncated one does.
+    Unsure,
+}
+
+/// The requests of a fatal group that this entry let through.
+#[derive(Clone, Copy, Debug)]
+struct FatalTrial {
+    started_at: Timestamp,
+    count: u32,
+    /// The survivors that were known before the last one.
+    survivors: usize,
 }
 
 impl KnownRecord {
@@ -80,11 +125,35 @@
 /// The crashes that are known at one entry.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
-    records: HashMap<CallDigest, KnownRecord>,
+    records: HashMap<CallFeature, KnownRecord>,
     crash_times: CrashTimes,
-    completed: HashMap<CallDigest, usize>,
-    completed_order: VecDeque<CallDigest>,
-    fatal: BTreeSet<CallDigest>,
+    completed: HashMap<CallFeature, usize>,
+    completed_order: VecDeque<CallFeature>,
+    fatal: BTreeSet<FatalGroup>,
+    trials: BTreeMap<FatalGroup, FatalTrial>,
+    urgent_at: Option<Timestamp>,
+    survivor_tags: SurvivorTags,
+}
+
+/// Draws tags that differ between entries.
+#[derive(Clone, Debug)]
+struct SurvivorTags {
+    next: u32,
+}
+
+impl Default for SurvivorTags {
+    fn default() -> Self {
+        Self {
+            next: rand::random(),
+        }
+    }
+}
+
+impl SurvivorTags {
+    fn draw(&mut self) -> SurvivorTag {
+        self.next = self.next.wrapping_add(1);
+        SurvivorTag(self.next)
+    }
 }
 
 /// Returns the digest of an incarnation, which is the same at all entries.
@@ -102,27 +171,68 @@
 
     /// Returns whether a request is known to crash the servers that run it. If
     /// so, records that it arrived.
-    pub fn refuses(&mut self, now: Timestamp, digest: CallDigest) -> bool {
-        if !self.fatal.contains(&digest) {
+    pub fn refuses(&mut self, now: Timestamp, features: &CallFeatures) -> bool {
+        let Some(group) = fatal_group(&self.fatal, features) else {
             return false;
+        };
+        for feature in group {
+            if let Some(known) = self.records.get_mut(feature) {
+                known.seen_at = known.seen_at.max(now);
+            }
         }
-        if let Some(known) = self.records.get_mut(&digest) {
-            known.seen_at = known.seen_at.max(now);
+        true
+    }
+
+    /// Returns whether a request that is refused may run all the same, to find out whether
+    /// servers still crash under it. If so, records that it runs. To be called at one entry
+    /// only.
+    pub fn begin_trial(&mut self, now: Timestamp, features: &CallFeatures) -> bool {
+        let Some(group) = fatal_group(&self.fatal, features) else {
+            return false;
+        };
+        let known = group.iter().filter_map(|feature| self.records.get(feature));
+        let crashed_at = known.clone().map(|known| known.crashed_at).max();
+        let survivors = known.map(|known| known.record.survivors.len()).min();
+        let survivors = survivors.unwrap_or(0);
+        let Some(crashed_at) = crashed_at else {
+            return false;
+        };
+        let trial = self.trials.get(group).copied();
+        let due_at = match trial {
+            None => crashed_at.after(FIRST_TRIAL_AFTER),
+            Some(trial) if survivors > trial.survivors => trial.started_at.after(NEXT_TRIAL_AFTER),
+            Some(trial) => {
+                let pause = FIRST_TRIAL_AFTER * 2_u32.pow(trial.count.min(MAX_DOUBLINGS));
+                trial.started_at.max(crashed_at).after(pause)
+            }
+        };
+        if now < due_at {
+            return false;
         }
+        let trial = FatalTrial {
+            started_at: now,
+            count: trial.map_or(1, |trial| trial.count + 1),
+            survivors,
+        };
+        let group = group.clone();
+        self.trials.insert(group, trial);
         true
     }
 
-    /// Returns the number of requests that are refused.
-    pub fn fatal_count(&self) -> usize {
-        self.fatal.len()
+    /// Returns what is refused.
+    pub fn fatal_groups(&self) -> &BTreeSet<FatalGroup> {
+        &self.fatal
     }
 
     /// Records that a server crashed while a request ran on it since
     /// `started_at`. Returns whether this is new.
+    ///
+    /// A request whose response had not begun may have waited there, so only
+    /// [`CallFeatures::whole_request`] counts then.
     pub fn note_crash(
         &mut self,
         now: Timestamp,
-        digest: CallDigest,
+        features: &CallFeatures,
         id: &BackendId,
         started_at: Timestamp,
     ) -> bool {
@@ -132,13 +242,50 @@
         self.crash_times.entry(incarnation).or_insert(now);
         let mut record = CrashRecord::default();
         record.crashes.insert(incarnation, now.since(started_at));
-        let changed = self.merge(now, digest, &record, now);
-        if let Some(known) = self.records.get_mut(&digest) {
-            known.observed_at = Some(now);
+        record.companions = features.tags();
+        let mut changed = false;
+        for feature in features.iter() {
+            changed |= self.merge(now, feature, &record, now);
+            if let Some(known) = self.records.get_mut(&feature) {
+                known.observed_at = Some(now);
+            }
         }
         changed
     }
 
+    /// Records that a request whose response had begun at `started_at` was interrupted by a
+    /// crash. If it had run for long by then, it did not crash its server, and clears the parts
+    /// of its prompt: popular ones run at each crash of their service, also at those that
+    /// another request causes.
+    pub fn note_interrupted(
+        &mut self,
+        now: Timestamp,
+        features: &CallFeatures,
+        started_at: Timestamp,
+    ) {
+        if now.since(started_at) < LONG_RUN {
+            return;
+        }
+        for feature in features.iter() {
+            if matches!(feature, CallFeature::Part(_)) {
+                self.note_survivor(now, feature, ResponseEnd::Marked);
+            }
+        }
+    }
+
+    /// Returns whether a crash that interrupted a request started at `started_at` is told to
+    /// other entries at once. If so, records that it is.
+    pub fn is_urgent(&mut self, now: Timestamp, started_at: Timestamp) -> bool {
+        let is_suspicious = now.since(started_at) <= SUSPICIOUS_RUN;
+        let may_tell = self
+            .urgent_at
+            .is_none_or(|at| now.since(at) >= URGENT_INTERVAL);
+        if is_suspicious && may_tell {
+            self.urgent_at = Some(now);
+        }
+        is_suspicious && may_tell
+    }
+
     /// Returns the incarnation that a request reached when it started, or
     /// `None` if the server had just crashed. The record of a new incarnation
     /// arrives after its first requests, so a server with a known crash may
@@ -160,19 +307,41 @@
 
     /// Records that a server completed a request and did not crash. Returns
     /// whether this may change which requests are refused.
-    pub fn note_completed(&mut self, now: Timestamp, digest: CallDigest) -> bool {
-        *self.completed.entry(digest).or_insert(0) += 1;
-        self.completed_order.push_back(digest);
-        if self.completed_order.len() > MAX_COMPLETED {
-            self.forget_oldest_completed();
+    pub fn note_completed(
+        &mut self,
+        now: Timestamp,
+        features: &CallFeatures,
+        end: ResponseEnd,
+    ) -> bool {
+        let mut may_clear = false;
+        for feature in features.iter() {
+            may_clear |= self.note_survivor(now, feature, end);
+        }
+        may_clear
+    }
+
+    fn note_survivor(&mut self, now: Timestamp, feature: CallFeature, end: ResponseEnd) -> bool {
+        if end == ResponseEnd::Marked {
+            *self.completed.entry(feature).or_insert(0) += 1;
+            self.completed_order.push_back(feature);
+            if self.completed_order.len() > MAX_COMPLETED {
+                self.forget_oldest_completed();
+            }
         }
-        let Some(known) = self.records.get_mut(&digest) else {
+        let Some(known) = self.records.get_mut(&feature) else {
             return false;
         };
-        if known.record.survivors >= MAX_SURVIVORS_PER_REQUEST {
+        if known.record.survivors.len() >= MAX_SURVIVORS_PER_FEATURE {
             return false;
         }
-        known.record.survivors += 1;
+        if end == ResponseEnd::Unsure {
+            known.unsure += 1;
+            if known.unsure < UNSURE_PER_SURVIVOR {
+                return false;
+            }
+            known.unsure = 0;
+        }
+        known.record.survivors.insert(self.survivor_tags.draw());
         known.changed_at = now;
         known.observed_at = Some(now);
         known.record.crashes.len() >= MIN_CRASHES
@@ -198,7 +367,7 @@
             for incarnation in report.record.crashes.keys() {
                 self.crash_times.entry(*incarnation).or_insert(now);
             }
-            changed |= self.merge(now, report.digest, &report.record, seen_at);
+            changed |= self.merge(now, report.feature, &report.record, seen_at);
         }
         changed
     }
@@ -206,102 +375,135 @@
     fn merge(
         &mut self,
         now: Timestamp,
-        digest: CallDigest,
+        feature: CallFeature,
         reported: &CrashRecord,
         seen_at: Timestamp,
     ) -> bool {
-        let completed = self.completed.get(&digest).copied().unwrap_or(0);
-        let known = self.records.entry(digest).or_insert_with(|| KnownRecord {
+        let completed = self.completed.get(&feature).copied().unwrap_or(0);
+        let known = self.records.entry(feature).or_insert_with(|| KnownRecord {
             record: CrashRecord {
-                survivors: completed.min(MAX_SURVIVORS_PER_REQUEST),
+                survivors: (0..completed.min(MAX_SURVIVORS_PER_FEATURE))
+                    .map(|_| self.survivor_tags.draw())
+                    .collect(),
+                companions: reported.companions.clone(),
                 ..CrashRecord::default()
             },
             seen_at,
             changed_at: now,
             observed_at: None,
+            crashed_at: seen_at,
+            unsure: 0,
         });
         known.seen_at = known.seen_at.max(seen_at);
         let mut changed = false;
+        let is_part = matches!(feature, CallFeature::Part(_));
         for (incarnation, ran) in &reported.crashes {
-            let is_full = known.record.crashes.len() >= MAX_CRASHES_PER_REQUEST;
+            let is_full = known.record.crashes.len() >= MAX_CRASHES_PER_FEATURE;
             match known.record.crashes.get_mut(incarnation) {
-                Some(shortest) if *shortest <= *ran => {}
-                Some(shortest) => {
-                    *shortest = *ran;
-                    changed = true;
+                // Several requests with a part may have run there. Had it been fatal, the
+                // first would have crashed the server.
+                Some(known_ran) if is_part => {
+                    changed |= *known_ran < *ran;
+                    *known_ran = (*known_ran).max(*ran);
+                }
+                Some(known_ran) => {
+                    changed |= *known_ran > *ran;
+                    *known_ran = (*known_ran).min(*ran);
                 }
                 None if is_full => {}
                 None => {
                     known.record.crashes.insert(*incarnation, *ran);
+                    known.crashed_at = known.crashed_at.max(seen_at);
                     changed = true;
                 }
             }
         }
-        let reported_survivors = reported.survivors.min(MAX_SURVIVORS_PER_REQUEST);
-        changed |= reported_survivors > known.record.survivors;
-        known.record.survivors = known.record.survivors.max(reported_survivors);
+        let companions = &mut known.record.companions;
+        let companion_count = companions.len();
+        companions.retain(|tag| reported.companions.contains(tag));
+        changed |= companions.len() != companion_count;
+        let survivors = &mut known.record.survivors;
+        for survivor in &reported.survivors {
+            if survivors.len() < MAX_SURVIVORS_PER_FEATURE {
+                changed |= survivors.insert(*survivor);
+            }
+        }
         if changed {
             known.changed_at = now;
         }
         changed
     }
 
-    /// Recomputes which requests are fatal, given the number of servers.
-    /// Returns those that were not fatal before.
-    pub fn update_fatal(&mut self, server_count: usize) -> Vec<(CallDigest, CrashRecord)> {
+    /// Recomputes what is fatal, given the number of servers.
+    /// Returns what was not fatal before.
+    pub fn update_fatal(&mut self, server_count: usize) -> Vec<(FatalGroup, CrashRecord)> {
         let records = self.records.iter();
-        let records = records.map(|(digest, known)| (*digest, &known.record));
+        let records = records.map(|(feature, known)| (*feature, &known.record));
         let fatal = find_fatal(records, &self.crash_times, server_count);
         let newly_fatal = fatal.difference(&self.fatal);
         let newly_fatal = newly_fatal
-            .filter_map(|digest| Some((*digest, self.records.get(digest)?.record.clone())))
+            .filter_map(|group| {
+                Some((
+                    group.clone(),
+                    self.records.get(group.first()?)?.record.clone(),
+                ))
+            })
             .collect();
+        self.trials.retain(|group, _| fatal.contains(group));
         self.fatal = fatal;
         newly_fatal
     }
 
-    /// Returns whether a record of a request with crashes changed recently.
+    /// Returns whether a record of a feature with crashes changed recently.
     pub fn has_recent_changes(&self, now: Timestamp) -> bool {
         let mut records = self.records.values();
         records.any(|known| now.since(known.changed_at) < REPORT_REPEAT_TIME)
     }
 
     /// Returns the reports to gossip: what this entry recently observed itself,
-    /// and all that is known about fatal requests. Hubs receive the reports of
-    /// all entries, so they find out which requests are fatal. If hubs relayed
+    /// and all that is known about what is fatal. Hubs receive the reports of
+    /// all entries, so they find out what is fatal. If hubs relayed
     /// all other reports to hundreds of entries, gossip would grow by half
     /// while many servers crash at once.
     pub fn reports(&self, now: Timestamp) -> Vec<CrashReport> {
-        let fatal = self
-            .fatal
-            .iter()
-            .filter_map(|digest| self.report(now, *digest));
-        let recent = self.records.iter().filter(|(digest, known)| {
-            known.was_recently_observed(now) && !self.fatal.contains(*digest)
+        let fatal = self.fatal_features();
+        let recent = self.records.iter().filter(|(feature, known)| {
+            known.was_recently_observed(now) && !fatal.contains(feature)
         });
-        let mut recent: Vec<(&CallDigest, &KnownRecord)> = recent.collect();
-        recent.sort_by_key(|(digest, known)| {
+        let mut recent: Vec<(&CallFeature, &KnownRecord)> = recent.collect();
+        recent.sort_by_key(|(feature, known)| {
             let rank = (known.record.crashes.len(), known.changed_at);
-            (std::cmp::Reverse(rank), **digest)
+            (
+                known.record.is_cleared(),
+                std::cmp::Reverse(rank),
+                **feature,
+            )
         });
         let recent = recent
             .iter()
-            .filter_map(|(digest, _)| self.report(now, **digest));
+            .filter_map(|(feature, _)| self.report(now, **feature));
+        let fatal = fatal
+            .iter()
+            .filter_map(|feature| self.report(now, *feature));
         fatal.chain(recent).take(MAX_REPORTS).collect()
     }
 
-    /// Returns the reports about fatal requests.
+    fn fatal_features(&self) -> BTreeSet<CallFeature> {
+        self.fatal.iter().flatten().copied().collect()
+    }
+
+    /// Returns the reports about what is fatal.
     pub fn fatal_reports(&self, now: Timestamp) -> Vec<CrashReport> {
-        let fatal = self.fatal.iter();
+        let fatal = self.fatal_features().into_iter();
         fatal
-            .filter_map(|digest| self.report(now, *digest))
+            .filter_map(|feature| self.report(now, feature))
             .collect()
     }
 
-    fn report(&self, now: Timestamp, digest: CallDigest) -> Option<CrashReport> {
-        let known = self.records.get(&digest)?;
+    fn report(&self, now: Timestamp, feature: CallFeature) -> Option<CrashReport> {
+        let known = self.records.get(&feature)?;
         Some(CrashReport {
-            digest,
+            feature,
             record: known.record.clone(),
             idle: now.since(known.seen_at),
         })
@@ -314,8 +516,10 @@
             .retain(|_, known| now.since(known.seen_at) < CRASH_RETENTION);
         self.crash_times
             .retain(|_, at| now.since(*at) < CRASH_RETENTION);
-        self.fatal
-            .retain(|digest| self.records.contains_key(digest));
+        let records = &self.records;
+        let is_known = |group: &FatalGroup| group.iter().all(|one| records.contains_key(one));
+        self.fatal.retain(is_known);
+        self.trials.retain(|group, _| is_known(group));
         drop_lowest(&mut self.records, MAX_RECORDS, |known| {
             (known.record.crashes.len(), known.seen_at)
         });
@@ -327,21 +531,30 @@
     }
 }
 
+/// Returns a fatal group all of whose features a request has.
+fn fatal_group<'a>(
+    fatal: &'a BTreeSet<FatalGroup>,
+    features: &CallFeatures,
+) -> Option<&'a FatalGroup> {
+    let mut groups = fatal.iter();
+    groups.find(|group| group.iter().all(|feature| features.contains(feature)))
+}
+
 /// Removes the records with the lowest ranks until `max_records` are left.
 fn drop_lowest<R: Ord>(
-    records: &mut HashMap<CallDigest, KnownRecord>,
+    records: &mut HashMap<CallFeature, KnownRecord>,
     max_records: usize,
     rank: impl Fn(&KnownRecord) -> R,
 ) {
     if records.len() <= max_records {
         return;
     }
-    let mut ranked: Vec<(R, CallDigest)> = records
+    let mut ranked: Vec<(R, CallFeature)> = records
         .iter()
-        .map(|(digest, known)| (rank(known), *digest))
+        .map(|(feature, known)| (rank(known), *feature))
         .collect();
     ranked.sort();
-    for (_, digest) in ranked.iter().take(records.len() - max_records) {
-        records.remove(digest);
+    for (_, feature) in ranked.iter().take(records.len() - max_records) {
+        records.remove(feature);
     }
 }
--- a/lib/src/gateway/crash_verdict.rs
+++ b/lib/src/gateway/crash_verdict.rs
@@ -1,30 +1,40 @@
-//! Finds the fatal requests: those that crash the backend servers that run
+//! Finds what is fatal: the features of requests that crash the backend servers that run
 //! them.
 //!
 //! Pure: no I/O. An entry observes that an incarnation of a server crashed
 //! while certain requests ran on it. One of them may be the cause, or none. A
-//! request is found fatal if
-//! - servers crash under it, and no other fatal request explains these crashes,
-//! - they crash sooner after it started than is likely by chance, and
-//! - hardly any server survives it.
+//! feature of requests, see [`CallFeature`], is found fatal if
+//! - servers crash under requests with it, and no other fatal feature explains these crashes,
+//! - they crash sooner after the request started than is likely by chance, and
+//! - hardly any server survives a request with it.
 //!
-//! Load pattern: callers repeat one request at all entries, next to many
+//! Features that come together in all of these requests cannot be told apart. Requests are
+//! refused that have all of them, so that one that has only some runs and tells them apart.
+//!
+//! Load pattern: callers repeat one request at all entries, or send requests that share one
+//! part of their prompts and nothing else, next to many
 //! requests that run once. Each of the many is interrupted as often as it
-//! shares a server with the repeated one. A popular request runs at every crash
-//! of a series that no request causes.
+//! shares a server with the fatal ones. A popular request, or a part that all requests of a
+//! service have, runs at every crash of a series that no request causes.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::gateway::call_digest::CallDigest;
+use crate::gateway::call_feature::CallFeature;
+use crate::gateway::call_feature::FeatureTag;
 use crate::quantity::Timestamp;
 
 /// The fewest crashes after which a request may be found fatal. The operators'
 /// requirement counts from the third crash on.
 pub const MIN_CRASHES: usize = 3;
+/// The same for a part of a prompt, where the requirement counts from the fifth crash on.
+/// Many requests have the same part, and what crashes their servers by chance is never seen
+/// without it.
+const MIN_PART_CRASHES: usize = 4;
 /// The fewest crashes after which a request is fatal, however likely each crash
-/// is by chance, unless servers survive the request.
+/// is by chance, unless servers survive the request. A part of a prompt may run at any crash
+/// of a service, so this does not hold for parts.
 const CERTAIN_CRASHES: usize = 5;
 /// The lowest assumed probability per second that a server crashes for another
 /// reason. 1 in 50 is above the rate in any hour of a bad day.
@@ -43,6 +53,9 @@
 /// unknown length looks complete, so one survivor proves nothing against many
 /// crashes.
 const CRASHES_PER_SURVIVOR: usize = 4;
+/// The share of the crashes under a fatal feature at which another one has to be present to
+/// be indistinguishable from it.
+const TOGETHER_SHARE: f64 = 0.75;
 /// How many unobserved crashes are added to the observed ones to estimate the
 /// hazard. Entries observe a crash only by the requests that run on the server.
 const UNOBSERVED_CRASHES: usize = 2;
@@ -54,60 +67,134 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct IncarnationDigest(pub u64);
 
-/// What is known about a request under which servers crashed.
+/// Names a run that a server survived. Each entry draws its own, so that those of several
+/// entries add up, however often they are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SurvivorTag(pub u32);
+
+/// What is known about a feature of requests under which servers crashed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashRecord {
-    /// The incarnations that crashed while it ran on them, and how long it had
-    /// run.
+    /// The incarnations that crashed while a request with it ran on them, and for how long
+    /// it had run: of several runs of a whole request the shortest, of several requests with
+    /// a part the longest.
     pub crashes: BTreeMap<IncarnationDigest, Duration>,
-    /// How many servers completed it.
-    pub survivors: usize,
+    /// The runs of requests with it that servers survived.
+    pub survivors: BTreeSet<SurvivorTag>,
+    /// The features of all requests with it under which servers crashed, as far as known.
+    pub companions: BTreeSet<FeatureTag>,
 }
 
 impl CrashRecord {
-    /// Returns whether enough servers survived the request to rule it out as
-    /// the cause.
-    fn is_cleared(&self) -> bool {
-        self.survivors * CRASHES_PER_SURVIVOR >= self.crashes.len() && self.survivors > 0
+    /// Returns whether enough servers survived to rule out the feature as the cause.
+    pub fn is_cleared(&self) -> bool {
+        let survivors = self.survivors.len();
+        survivors * CRASHES_PER_SURVIVOR >= self.crashes.len() && survivors > 0
+    }
+
+    /// Returns whether most crashes of another record are also in this one.
+    fn covers(&self, other: &Self) -> bool {
+        let crashes = other.crashes.keys();
+        let common = crashes.filter(|incarnation| self.crashes.contains_key(incarnation));
+        common.count() as f64 >= other.crashes.len() as f64 * TOGETHER_SHARE
     }
 }
 
 /// When incarnations of servers crashed.
 pub type CrashTimes = BTreeMap<IncarnationDigest, Timestamp>;
 
-/// Returns the fatal requests. `server_count` is the number of servers that may
+/// Features of which a request has to have all to be refused.
+pub type FatalGroup = BTreeSet<CallFeature>;
+
+/// A feature that may be fatal.
+struct Suspect<'a> {
+    score: f64,
+    feature: CallFeature,
+    record: &'a CrashRecord,
+}
+
+/// Returns what is fatal. `server_count` is the number of servers that may
 /// crash.
 pub fn find_fatal<'a>(
-    records: impl Iterator<Item = (CallDigest, &'a CrashRecord)>,
+    records: impl Iterator<Item = (CallFeature, &'a CrashRecord)>,
     crash_times: &CrashTimes,
     server_count: usize,
-) -> BTreeSet<CallDigest> {
-    let candidates = records.filter(|(_, record)| record.crashes.len() >= MIN_CRASHES);
+) -> BTreeSet<FatalGroup> {
+    let candidates =
+        records.filter(|(feature, record)| record.crashes.len() >= min_crashes(feature));
     let suspects = candidates.filter(|(_, record)| !record.is_cleared());
-    let mut suspects: Vec<_> = suspects
-        .map(|(digest, record)| (score(record, crash_times, server_count), digest, record))
+    let mut suspects: Vec<Suspect<'_>> = suspects
+        .map(|(feature, record)| Suspect {
+            score: score(record, crash_times, server_count),
+            feature,
+            record,
+        })
         .collect();
     // The most likely cause comes first, so that requests that ran beside it
     // are not blamed for the crashes that it explains.
-    suspects.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+    suspects.sort_by(|a, b| {
+        let by_score = b.score.total_cmp(&a.score);
+        by_score.then(a.feature.cmp(&b.feature))
+    });
     let mut explained = BTreeSet::new();
-    let mut fatal = BTreeSet::new();
-    for (score, digest, record) in suspects {
-        let incarnations = record.crashes.keys().copied();
+    let mut groups = BTreeSet::new();
+    for suspect in &suspects {
+        let incarnations = suspect.record.crashes.keys().copied();
         let unexplained: Vec<IncarnationDigest> = incarnations
             .filter(|incarnation| !explained.contains(incarnation))
             .collect();
-        let is_likely = score >= MIN_SCORE && unexplained.len() >= MIN_CRASHES;
-        if is_likely || unexplained.len() >= CERTAIN_CRASHES {
-            fatal.insert(digest);
+        let is_likely =
+            suspect.score >= MIN_SCORE && unexplained.len() >= min_crashes(&suspect.feature);
+        let is_certain = match suspect.feature {
+            CallFeature::Request(_) => unexplained.len() >= CERTAIN_CRASHES,
+            CallFeature::Part(_) => false,
+        };
+        if is_likely || is_certain {
+            let cause = most_specific(suspect, &suspects);
+            groups.insert(group_of(cause, &suspects));
             explained.extend(unexplained);
+            explained.extend(cause.record.crashes.keys().copied());
         }
     }
-    fatal
+    groups
+}
+
+fn min_crashes(feature: &CallFeature) -> usize {
+    match feature {
+        CallFeature::Request(_) => MIN_CRASHES,
+        CallFeature::Part(_) => MIN_PART_CRASHES,
+    }
+}
+
+/// Returns the suspect with the most companions of those that were present at the same crashes
+/// as `suspect`. A part that all requests of a service have is present wherever another one of
+/// their parts crashes a server.
+fn most_specific<'a>(suspect: &'a Suspect<'a>, suspects: &'a [Suspect<'a>]) -> &'a Suspect<'a> {
+    let same = suspects.iter().filter(|other| {
+        other.score >= MIN_SCORE
+            && other.record.covers(suspect.record)
+            && suspect.record.covers(other.record)
+    });
+    // Of several, the last one is returned, and the most likely one comes first.
+    let best = same.rev().max_by_key(|other| other.record.companions.len());
+    best.filter(|best| best.record.companions.len() > suspect.record.companions.len())
+        .unwrap_or(suspect)
+}
+
+/// Returns a suspect and the others that were part of all its requests, and cannot be told
+/// from it.
+fn group_of(cause: &Suspect<'_>, suspects: &[Suspect<'_>]) -> FatalGroup {
+    let companions = suspects.iter().filter(|other| {
+        let is_companion = cause.record.companions.contains(&other.feature.tag());
+        is_companion && other.record.covers(cause.record)
+    });
+    let mut group: FatalGroup = companions.map(|other| other.feature).collect();
+    group.insert(cause.feature);
+    group
 }
 
-/// Returns how much less likely the crashes under a request are by chance than
-/// if the request causes them, as a natural logarithm.
+/// Returns how much less likely the crashes under a feature are by chance than
+/// if it causes them, as a natural logarithm.
 fn score(record: &CrashRecord, crash_times: &CrashTimes, server_count: usize) -> f64 {
     let hazard = background_hazard(record, crash_times, server_count);
     let chances = record.crashes.values().map(|ran| {
@@ -117,7 +204,7 @@
     chances.map(|chance| -chance.ln()).sum()
 }
 
-/// Returns the crashes per second and server that happened without the request,
+/// Returns the crashes per second and server that happened without the feature,
 /// around the time of the crashes under it.
 fn background_hazard(record: &CrashRecord, crash_times: &CrashTimes, server_count: usize) -> f64 {
     let own_times = record
--- a/lib/src/gateway/fatal_sync.rs
+++ b/lib/src/gateway/fatal_sync.rs
@@ -1,5 +1,5 @@
-//! Keeps the fatal requests in the store, so that they survive the loss of all
-//! entries at once.
+//! Keeps what is fatal to servers, requests and parts of prompts, in the store, so that it
+//! is known after the loss of all entries at once.
 //!
 //! The lease holder reads them when it acquires the lease and once a minute,
 //! and writes each change. Its writes carry no fencing token: a write of a
@@ -19,11 +19,13 @@
 use slog::info;
 use slog::warn;
 
-use crate::gateway::call_digest::CallDigest;
+use crate::gateway::call_feature::CallFeature;
+use crate::gateway::call_feature::FeatureTag;
 use crate::gateway::crash_detector::merge_crash_reports;
 use crate::gateway::crash_ledger::CrashReport;
 use crate::gateway::crash_verdict::CrashRecord;
 use crate::gateway::crash_verdict::IncarnationDigest;
+use crate::gateway::crash_verdict::SurvivorTag;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_table::HUB_COUNT;
 use crate::gateway::platform_interface::LogSlice;
@@ -41,13 +43,20 @@
 /// that was suspended may have removed a request since.
 const MAX_READ_AGE: Duration = Duration::from_secs(60);
 
-/// The record of a fatal request in the store. Its key is the request's digest.
+/// The record of a fatal feature in the store. Its key is the feature.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct StoredRecord {
     /// The incarnations that crashed under it, and how long it had run, in
     /// microseconds.
     crashes: BTreeMap<u64, u64>,
+    /// The number of survivors, for entries of earlier versions.
     survivors: usize,
+    /// The survivors. Entries of earlier versions write none.
+    #[serde(default)]
+    survivor_tags: BTreeSet<u32>,
+    /// The tags of the features that come with it. Entries of earlier versions write none.
+    #[serde(default)]
+    companions: BTreeSet<u32>,
 }
 
 impl StoredRecord {
@@ -56,7 +65,9 @@
         let crashes = crashes.map(|(incarnation, ran)| (incarnation.0, ran.as_micros() as u64));
         Self {
             crashes: crashes.collect(),
-            survivors: record.survivors,
+            survivors: record.survivors.len(),
+            survivor_tags: record.survivors.iter().map(|tag| tag.0).collect(),
+            companions: record.companions.iter().map(|tag| tag.0).collect(),
         }
     }
 
@@ -66,7 +77,8 @@
             .map(|(incarnation, ran)| (IncarnationDigest(incarnation), Duration::from_micros(ran)));
         CrashRecord {
             crashes: crashes.collect(),
-            survivors: self.survivors,
+            survivors: self.survivor_tags.into_iter().map(SurvivorTag).collect(),
+            companions: self.companions.into_iter().map(FeatureTag).collect(),
         }
     }
 }
@@ -74,7 +86,7 @@
 /// The fatal requests in the store, as far as the holder knows.
 #[derive(Clone, Debug, Default)]
 struct StoredRequests {
-    digests: BTreeSet<CallDigest>,
+    features: BTreeSet<CallFeature>,
     read_at: Timestamp,
 }
 
@@ -84,9 +96,9 @@
     /// Read all fatal requests.
     Read,
     /// Write a request that was found fatal.
-    Write(CallDigest),
+    Write(CallFeature),
     /// Remove a request that is no longer fatal.
-    Remove(CallDigest),
+    Remove(CallFeature),
     /// Do nothing, because nothing changed.
     Wait,
 }
@@ -113,15 +125,15 @@
             return;
         }
         let known = context.crashes.lock().fatal_reports(now);
-        let known: BTreeMap<CallDigest, CrashRecord> = known
+        let known: BTreeMap<CallFeature, CrashRecord> = known
             .into_iter()
-            .map(|report| (report.digest, report.record))
+            .map(|report| (report.feature, report.record))
             .collect();
-        let digests = known.keys().copied().collect();
-        let result = match self.next_step(now, &digests) {
+        let features = known.keys().copied().collect();
+        let result = match self.next_step(now, &features) {
             SyncStep::Read => self.read(context, now).await,
-            SyncStep::Write(digest) => self.write(context, digest, known.get(&digest)).await,
-            SyncStep::Remove(digest) => self.write(context, digest, None).await,
+            SyncStep::Write(feature) => self.write(context, feature, known.get(&feature)).await,
+            SyncStep::Remove(feature) => self.write(context, feature, None).await,
             SyncStep::Wait => Ok(()),
         };
         if let Err(error) = result {
@@ -131,7 +143,7 @@
     }
 
     /// Returns the next step, given that the requests `known` are fatal.
-    pub fn next_step(&self, now: Timestamp, known: &BTreeSet<CallDigest>) -> SyncStep {
+    pub fn next_step(&self, now: Timestamp, known: &BTreeSet<CallFeature>) -> SyncStep {
         let Some(stored) = &self.stored else {
             return SyncStep::Read;
         };
@@ -139,11 +151,11 @@
         if now.since(stored.read_at) >= MAX_READ_AGE {
             return SyncStep::Read;
         }
-        let new = known.difference(&stored.digests).next();
-        let outdated = stored.digests.difference(known).next();
+        let new = known.difference(&stored.features).next();
+        let outdated = stored.features.difference(known).next();
         match (new, outdated) {
-            (Some(digest), _) => SyncStep::Write(*digest),
-            (None, Some(digest)) => SyncStep::Remove(*digest),
+            (Some(feature), _) => SyncStep::Write(*feature),
+            (None, Some(feature)) => SyncStep::Remove(*feature),
             (None, None) => SyncStep::Wait,
         }
     }
@@ -153,11 +165,11 @@
     pub fn note_read(
         &mut self,
         read_at: Timestamp,
-        digests: BTreeSet<CallDigest>,
-    ) -> BTreeSet<CallDigest> {
+        features: BTreeSet<CallFeature>,
+    ) -> BTreeSet<CallFeature> {
         let previous = self.stored.take().unwrap_or_default();
-        let new = digests.difference(&previous.digests).copied().collect();
-        self.stored = Some(StoredRequests { digests, read_at });
+        let new = features.difference(&previous.features).copied().collect();
+        self.stored = Some(StoredRequests { features, read_at });
         new
     }
 
@@ -167,10 +179,10 @@
         now: Timestamp,
     ) -> Result<(), PlatformError> {
         let reports = read_stored(context).await?;
-        let digests = reports.iter().map(|report| report.digest).collect();
-        let new = self.note_read(now, digests);
+        let features = reports.iter().map(|report| report.feature).collect();
+        let new = self.note_read(now, features);
         let new_reports = reports.into_iter();
-        let new_reports = new_reports.filter(|report| new.contains(&report.digest));
+        let new_reports = new_reports.filter(|report| new.contains(&report.feature));
         let new_reports: Vec<CrashReport> = new_reports.collect();
         merge_crash_reports(context, &new_reports);
         Ok(())
@@ -180,12 +192,12 @@
     async fn write(
         &mut self,
         context: &GatewayContext,
-        digest: CallDigest,
+        feature: CallFeature,
         record: Option<&CrashRecord>,
     ) -> Result<(), PlatformError> {
         // An empty value removes the key.
         let value = record.map_or(Ok(Bytes::new()), encode)?;
-        let key = digest.to_string();
+        let key = feature.to_string();
         let store = &context.platform.store;
         store
             .append(LogTopic::FatalCalls, Some(&key), value, None)
@@ -194,9 +206,9 @@
             return Ok(());
         };
         if record.is_some() {
-            stored.digests.insert(digest);
+            stored.features.insert(feature);
         } else {
-            stored.digests.remove(&digest);
+            stored.features.remove(&feature);
         }
         Ok(())
     }
@@ -259,11 +271,11 @@
 fn read_reports(context: &GatewayContext, slice: &LogSlice) -> Vec<CrashReport> {
     let mut reports = Vec::new();
     for record in &slice.records {
-        let digest = record.key.as_deref().and_then(|key| key.parse().ok());
+        let feature = record.key.as_deref().and_then(|key| key.parse().ok());
         let stored = serde_json::from_slice::<StoredRecord>(&record.value);
-        match (digest, stored) {
-            (Some(digest), Ok(stored)) => reports.push(CrashReport {
-                digest,
+        match (feature, stored) {
+            (Some(feature), Ok(stored)) => reports.push(CrashReport {
+                feature,
                 record: stored.into_record(),
                 idle: Duration::ZERO,
             }),
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -80,6 +80,7 @@
 pub mod call_body;
 pub mod call_digest;
 pub mod call_dispatch;
+pub mod call_feature;
 pub mod call_head;
 pub mod call_log;
 pub mod call_refusal;
--- a/lib/src/gateway/send_choice.rs
+++ b/lib/src/gateway/send_choice.rs
@@ -146,7 +146,7 @@
         backend: choice.id,
         address,
         version,
-        digest: call.digest,
+        features: call.features.clone(),
         prefill_tokens: choice.prefill_tokens,
         tokens_ahead,
         had_free_slot,
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -10,15 +10,17 @@
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_record::BackendOutcome;
 use crate::gateway::backend_set::CountPeriod;
-use crate::gateway::call_digest::CallDigest;
+use crate::gateway::call_feature::CallFeatures;
 use crate::gateway::call_log::note_outcome;
 use crate::gateway::call_work::WorkEstimate;
 use crate::gateway::crash_detector::InterruptedRun;
 use crate::gateway::crash_detector::note_completed;
 use crate::gateway::crash_detector::probe_for_crash;
 use crate::gateway::crash_detector::record_crash;
+use crate::gateway::crash_ledger::ResponseEnd;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::path_monitor::doubt_path;
+use crate::gateway::response_framing::ResponseFraming;
 use crate::gateway::sent_work::SentWork;
 use crate::gateway::server_paths::ServerPath;
 use crate::id::ServerVersion;
@@ -46,8 +48,8 @@
     pub address: SocketAddr,
     /// The version of the backend server, if it is known.
     pub version: Option<ServerVersion>,
-    /// The digest of the request.
-    pub digest: CallDigest,
+    /// The features of the request.
+    pub features: CallFeatures,
     /// Prompt tokens of the request that the server has to prefill.
     pub prefill_tokens: u64,
     /// Prompt tokens of other requests whose prefill is pending there.
@@ -75,6 +77,8 @@
     has_head: bool,
     /// Whether another entry relays the response.
     is_relayed: bool,
+    /// How the end of the response is marked.
+    framing: ResponseFraming,
     /// Canceled when the server is known to have restarted.
     pub restart_token: CancellationToken,
 }
@@ -90,6 +94,7 @@
             is_success: false,
             has_head: false,
             is_relayed: false,
+            framing: ResponseFraming::Length,
             request,
         }
     }
@@ -125,7 +130,8 @@
     }
 
     /// Notes that the head of the response has arrived.
-    pub fn note_head(&mut self, status: StatusCode, is_relayed: bool) {
+    pub fn note_head(&mut self, status: StatusCode, framing: ResponseFraming, is_relayed: bool) {
+        self.framing = framing;
         self.has_head = true;
         self.is_relayed = is_relayed;
         self.started_at = self.context.now();
@@ -183,7 +189,11 @@
     /// Notes that the response is complete.
     pub fn note_completed(&self) {
         self.context.note_first_response();
-        note_completed(&self.context, self.request.digest);
+        let end = match self.framing {
+            ResponseFraming::Length | ResponseFraming::Chunks => ResponseEnd::Marked,
+            ResponseFraming::Close => ResponseEnd::Unsure,
+        };
+        note_completed(&self.context, &self.request.features, end);
         if let Some(work) = self.request.work.as_ref().filter(|_| self.is_success) {
             work.note_completed(&self.context);
         }
@@ -191,7 +201,8 @@
 
     fn run(&self) -> InterruptedRun {
         InterruptedRun {
-            digest: self.request.digest,
+            features: self.request.features.clone(),
+            has_begun: self.has_head,
             started_at: self.started_at,
             interrupted_at: self.context.now(),
         }
--- a/lib/tests/test_crash_ledger.rs
+++ b/lib/tests/test_crash_ledger.rs
@@ -6,12 +6,17 @@
 use cloverbend::gateway::backend_record::BackendName;
 use cloverbend::gateway::backend_record::StartTime;
 use cloverbend::gateway::call_digest::CallDigest;
+use cloverbend::gateway::call_feature::CallFeature;
+use cloverbend::gateway::call_feature::CallFeatures;
+use cloverbend::gateway::call_feature::FeatureTag;
 use cloverbend::gateway::crash_frames::CrashReportFrame;
 use cloverbend::gateway::crash_ledger::CRASH_RETENTION;
 use cloverbend::gateway::crash_ledger::CrashLedger;
 use cloverbend::gateway::crash_ledger::CrashReport;
+use cloverbend::gateway::crash_ledger::ResponseEnd;
 use cloverbend::gateway::crash_verdict::CrashRecord;
 use cloverbend::gateway::crash_verdict::IncarnationDigest;
+use cloverbend::gateway::crash_verdict::SurvivorTag;
 use cloverbend::quantity::Timestamp;
 use prost::Message;
 use rstest::rstest;
@@ -20,6 +25,11 @@
 const FATAL: CallDigest = CallDigest(7);
 const HARMLESS: CallDigest = CallDigest(8);
 
+/// Returns the features of a request that shares no part of its prompt.
+fn whole(digest: CallDigest) -> CallFeatures {
+    CallFeatures::of_request(digest)
+}
+
 fn server(number: u64) -> BackendId {
     BackendId {
         name: BackendName(format!("server-{number}")),
@@ -33,7 +43,7 @@
 
 /// Records that a server crashed 80 ms after a request started on it.
 fn crash(ledger: &mut CrashLedger, digest: CallDigest, number: u64, millis: u64) {
-    ledger.note_crash(at(millis), digest, &server(number), at(millis - 80));
+    ledger.note_crash(at(millis), &whole(digest), &server(number), at(millis - 80));
     ledger.update_fatal(SERVERS);
 }
 
@@ -42,7 +52,7 @@
     let mut ledgers: Vec<CrashLedger> = (0..3).map(|_| CrashLedger::new()).collect();
     for (number, ledger) in ledgers.iter_mut().enumerate() {
         crash(ledger, FATAL, number as u64, 1_000);
-        assert!(!ledger.refuses(at(1_000), FATAL));
+        assert!(!ledger.refuses(at(1_000), &whole(FATAL)));
     }
     let reports: Vec<Vec<CrashReport>> = ledgers
         .iter()
@@ -53,7 +63,7 @@
         ledgers[0].merge_reports(at(1_200), reports);
     }
     ledgers[0].update_fatal(SERVERS);
-    assert!(ledgers[0].refuses(at(1_200), FATAL));
+    assert!(ledgers[0].refuses(at(1_200), &whole(FATAL)));
 }
 
 #[test]
@@ -62,7 +72,7 @@
     for entry in 0..9 {
         crash(&mut ledger, FATAL, 1, 1_000 + entry);
     }
-    assert!(!ledger.refuses(at(1_100), FATAL));
+    assert!(!ledger.refuses(at(1_100), &whole(FATAL)));
 }
 
 /// A server that restarts under its name and crashes again crashes as another
@@ -73,7 +83,7 @@
     for millis in [1_000, 4_000, 7_000] {
         crash(&mut ledger, FATAL, 1, millis);
     }
-    assert!(ledger.refuses(at(7_100), FATAL));
+    assert!(ledger.refuses(at(7_100), &whole(FATAL)));
 }
 
 /// A request that is sent to a server that has just crashed meets connections
@@ -83,7 +93,7 @@
     let mut ledger = CrashLedger::new();
     for number in 1..=3 {
         crash(&mut ledger, HARMLESS, number, 1_000);
-        let is_new = ledger.note_crash(at(1_020), FATAL, &server(number), at(1_010));
+        let is_new = ledger.note_crash(at(1_020), &whole(FATAL), &server(number), at(1_010));
         assert!(!is_new);
     }
 }
@@ -93,12 +103,20 @@
     let mut ledger = CrashLedger::new();
     for number in 1..=4 {
         let millis = number * 1_000;
-        ledger.note_crash(at(millis), HARMLESS, &server(number), at(millis - 600));
+        ledger.note_crash(
+            at(millis),
+            &whole(HARMLESS),
+            &server(number),
+            at(millis - 600),
+        );
         crash(&mut ledger, FATAL, number, millis);
     }
     let now = at(4_000);
     assert_eq!(
-        (ledger.refuses(now, FATAL), ledger.refuses(now, HARMLESS)),
+        (
+            ledger.refuses(now, &whole(FATAL)),
+            ledger.refuses(now, &whole(HARMLESS))
+        ),
         (true, false)
     );
 }
@@ -111,10 +129,10 @@
     for number in 1..=4 {
         crash(&mut ledger, FATAL, number, 1_000 * number);
     }
-    assert!(ledger.refuses(at(4_000), FATAL));
-    assert!(ledger.note_completed(at(4_100), FATAL));
+    assert!(ledger.refuses(at(4_000), &whole(FATAL)));
+    assert!(ledger.note_completed(at(4_100), &whole(FATAL), ResponseEnd::Marked));
     ledger.update_fatal(SERVERS);
-    assert!(!ledger.refuses(at(4_200), FATAL));
+    assert!(!ledger.refuses(at(4_200), &whole(FATAL)));
 }
 
 #[rstest]
@@ -129,7 +147,7 @@
     for _ in 0..3 {
         now = now.after(later);
         ledger.drop_old(now);
-        assert_eq!(ledger.refuses(now, FATAL), refused);
+        assert_eq!(ledger.refuses(now, &whole(FATAL)), refused);
     }
 }
 
@@ -143,8 +161,12 @@
     }
     for number in 0..5_000 {
         let harmless = CallDigest(100 + number);
-        ledger.note_crash(at(2_000), harmless, &server(number), at(1_500));
-        ledger.note_completed(at(2_000), CallDigest(10_000 + number));
+        ledger.note_crash(at(2_000), &whole(harmless), &server(number), at(1_500));
+        ledger.note_completed(
+            at(2_000),
+            &whole(CallDigest(10_000 + number)),
+            ResponseEnd::Marked,
+        );
     }
     ledger.drop_old(at(2_000));
     ledger.update_fatal(SERVERS);
@@ -153,7 +175,7 @@
         .iter()
         .map(|report| CrashReportFrame::from(report.clone()).encoded_len())
         .sum();
-    insta::assert_debug_snapshot!((reports.len(), reports[0].digest, bytes));
+    insta::assert_debug_snapshot!((reports.len(), reports[0].feature, bytes));
 }
 
 /// A popular request is completed many times a second. Once the count is at its
@@ -163,11 +185,11 @@
     let mut ledger = CrashLedger::new();
     crash(&mut ledger, HARMLESS, 1, 1_000);
     for number in 0..100 {
-        ledger.note_completed(at(1_000 + number), HARMLESS);
+        ledger.note_completed(at(1_000 + number), &whole(HARMLESS), ResponseEnd::Marked);
     }
     let reports = ledger.reports(at(2_000));
-    assert_eq!(reports[0].record.survivors, 8);
-    ledger.note_completed(at(4_000), HARMLESS);
+    assert_eq!(reports[0].record.survivors.len(), 8);
+    ledger.note_completed(at(4_000), &whole(HARMLESS), ResponseEnd::Marked);
     assert_eq!(ledger.reports(at(4_000)), []);
 }
 
@@ -176,23 +198,24 @@
 #[test]
 fn a_run_completed_before_the_crashes_clears_a_request() {
     let mut ledger = CrashLedger::new();
-    ledger.note_completed(at(500), FATAL);
+    ledger.note_completed(at(500), &whole(FATAL), ResponseEnd::Marked);
     let mut other = CrashLedger::new();
     for number in 1..=4 {
         crash(&mut other, FATAL, number, 1_000);
     }
     ledger.merge_reports(at(1_100), &other.reports(at(1_100)));
     ledger.update_fatal(SERVERS);
-    assert!(!ledger.refuses(at(1_100), FATAL));
+    assert!(!ledger.refuses(at(1_100), &whole(FATAL)));
 }
 
 #[test]
 fn reports_survive_encoding_and_decoding() {
     let report = CrashReport {
-        digest: FATAL,
+        feature: CallFeature::Request(FATAL),
         record: CrashRecord {
             crashes: [(IncarnationDigest(u64::MAX), Duration::from_micros(81_250))].into(),
-            survivors: 3,
+            survivors: [SurvivorTag(1), SurvivorTag(2), SurvivorTag(3)].into(),
+            companions: [FeatureTag(9)].into(),
         },
         idle: Duration::from_millis(250),
     };
--- a/lib/tests/test_crash_verdict.rs
+++ b/lib/tests/test_crash_verdict.rs
@@ -3,7 +3,9 @@
 //!
 //! Replays a load under which one request once crashed 57 servers: callers at
 //! all entries, many requests that arrive once, and one that is repeated again
-//! and again.
+//! and again; and one under which requests with one part of their prompts in common, no two
+//! alike, crashed 150. All requests share the first part of their prompts, and each shares
+//! the second with some others.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -14,8 +16,12 @@
 use cloverbend::gateway::backend_record::BackendName;
 use cloverbend::gateway::backend_record::StartTime;
 use cloverbend::gateway::call_digest::CallDigest;
+use cloverbend::gateway::call_feature::CallFeatures;
+use cloverbend::gateway::call_head::PromptBlock;
 use cloverbend::gateway::crash_ledger::CrashLedger;
+use cloverbend::gateway::crash_ledger::ResponseEnd;
 use cloverbend::quantity::Timestamp;
+use cloverbend::quantity::TokenCount;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -38,15 +44,58 @@
 /// chance look like those of a fatal request, which must be refused before its
 /// seventh crash.
 const HARMLESS_PER_REFUSED: usize = 10_000;
+/// The number of crashes after which a fatal part must be known, and how soon.
+const PART_CRASHES: usize = 5;
+const PART_KNOWN_WITHIN: Duration = Duration::from_secs(1);
 /// The digests of fatal requests start here. That of the popular request is 1.
 const FIRST_FATAL: u64 = 1_000_000_000;
 const POPULAR: u64 = 1;
+/// The digests of requests with the first fatal part start here, those with the next one so
+/// many further.
+const FIRST_WITH_PART: u64 = 2_000_000_000;
+const PART_STEP: u64 = 1_000_000;
+/// The part of all requests, the first of the parts that some share, their number, and the
+/// first of the fatal parts.
+const COMMON_PART: u64 = 1;
+const FIRST_SHARED_PART: u64 = 100;
+const SHARED_PARTS: u64 = 20;
+const FIRST_FATAL_PART: u64 = 1_000;
+
+fn is_fatal(digest: CallDigest) -> bool {
+    digest.0 >= FIRST_FATAL
+}
+
+/// Returns the fatal part of a request, if it has one.
+fn fatal_part(digest: CallDigest) -> Option<u64> {
+    let beyond = digest.0.checked_sub(FIRST_WITH_PART)?;
+    Some(FIRST_FATAL_PART + beyond / PART_STEP)
+}
+
+fn features_of(digest: CallDigest) -> CallFeatures {
+    let shared = [COMMON_PART, FIRST_SHARED_PART + digest.0 % SHARED_PARTS];
+    let ids = shared.into_iter().chain(fatal_part(digest));
+    let blocks = ids.map(|id| PromptBlock {
+        id,
+        tokens: TokenCount(100),
+    });
+    let blocks: Vec<PromptBlock> = blocks.collect();
+    CallFeatures::new(digest, &"pool".parse().unwrap(), &blocks)
+}
+
+/// Returns what is fatal of a fatal request: the whole request, or its part.
+fn cause_of(digest: CallDigest) -> u64 {
+    fatal_part(digest).unwrap_or(digest.0)
+}
 
 /// The parameters of a simulated day, of which `LENGTH` is replayed.
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
     servers: usize,
     fatal_requests: u64,
+    /// Parts of prompts that are fatal in each request that has them.
+    fatal_parts: u64,
+    /// Harmless requests per second.
+    calls_per_s: f64,
     /// Crashes per server and second that no request causes.
     hazard: f64,
     /// Whether one request is sent twelve times a second.
@@ -107,9 +156,9 @@
     /// Requests to be retried after a crash: when, and how many runs they had.
     waiting: VecDeque<(Timestamp, CallDigest, usize)>,
     next_digest: u64,
-    /// The crashes that each fatal request caused, and how often it was sent
+    /// The crashes that each fatal request or part caused, and how often it was sent
     /// after it had to be known.
-    fatal: BTreeMap<CallDigest, (Vec<Timestamp>, usize)>,
+    fatal: BTreeMap<u64, (Vec<Timestamp>, usize)>,
     outcome: Outcome,
 }
 
@@ -160,7 +209,7 @@
     }
 
     fn send_new(&mut self) {
-        if self.happens(60.0) {
+        if self.happens(self.scenario.calls_per_s) {
             self.next_digest += 1;
             self.send(CallDigest(self.next_digest), 0);
         }
@@ -173,6 +222,14 @@
                 self.send(CallDigest(FIRST_FATAL + number), MAX_RUNS - 2);
             }
         }
+        for number in 0..self.scenario.fatal_parts {
+            let has_started = self.now > Timestamp::from_millis(2_000);
+            if has_started && self.happens(4.0) {
+                self.next_digest += 1;
+                let digest = FIRST_WITH_PART + number * PART_STEP + self.next_digest;
+                self.send(CallDigest(digest), MAX_RUNS - 2);
+            }
+        }
     }
 
     fn retry_due(&mut self) {
@@ -184,12 +241,12 @@
     }
 
     fn send(&mut self, digest: CallDigest, runs_before: usize) {
-        let is_fatal = digest.0 >= FIRST_FATAL;
+        let is_fatal = is_fatal(digest);
         let entry = self.random.random_range(0..ENTRIES);
         if !is_fatal && runs_before == 0 {
             self.outcome.sent += 1;
         }
-        if self.scenario.refusing && self.ledgers[entry].refuses(self.now, digest) {
+        if self.scenario.refusing && self.ledgers[entry].refuses(self.now, &features_of(digest)) {
             self.outcome.wrongly_refused += usize::from(!is_fatal);
             return;
         }
@@ -200,8 +257,13 @@
         }
         let server = up[self.random.random_range(0..up.len())];
         if is_fatal {
-            let (crashes, late_sends) = self.fatal.entry(digest).or_default();
-            let known = crashes.get(2).map(|third| third.after(KNOWN_WITHIN));
+            let (crashes, late_sends) = self.fatal.entry(cause_of(digest)).or_default();
+            let known = match fatal_part(digest) {
+                Some(_) => crashes
+                    .get(PART_CRASHES - 1)
+                    .map(|last| last.after(PART_KNOWN_WITHIN)),
+                None => crashes.get(2).map(|third| third.after(KNOWN_WITHIN)),
+            };
             *late_sends += usize::from(known.is_some_and(|known| self.now > known));
         }
         let run_millis = if is_fatal { 20..120 } else { 200..2_000 };
@@ -238,7 +300,9 @@
         let interrupted: Vec<Run> = interrupted;
         for run in interrupted {
             if self.scenario.refusing {
-                self.ledgers[run.entry].note_crash(self.now, run.digest, &id, run.started_at);
+                let features = features_of(run.digest);
+                self.ledgers[run.entry].note_interrupted(self.now, &features, run.started_at);
+                self.ledgers[run.entry].note_crash(self.now, &features, &id, run.started_at);
                 self.ledgers[run.entry].update_fatal(self.scenario.servers);
             }
             if run.runs_before + 1 < MAX_RUNS {
@@ -246,7 +310,7 @@
                 self.waiting
                     .push_back((retry_at, run.digest, run.runs_before + 1));
             } else {
-                self.outcome.failed += usize::from(run.digest.0 < FIRST_FATAL);
+                self.outcome.failed += usize::from(!is_fatal(run.digest));
             }
         }
     }
@@ -256,9 +320,11 @@
             self.runs.iter().partition(|run| run.ends_at <= self.now);
         self.runs = open;
         for run in ended {
-            if run.digest.0 < FIRST_FATAL {
-                if self.ledgers[run.entry].note_completed(self.now, run.digest) {
-                    self.ledgers[run.entry].update_fatal(self.scenario.servers);
+            if !is_fatal(run.digest) {
+                let ledger = &mut self.ledgers[run.entry];
+                let features = features_of(run.digest);
+                if ledger.note_completed(self.now, &features, ResponseEnd::Marked) {
+                    ledger.update_fatal(self.scenario.servers);
                 }
                 continue;
             }
@@ -266,7 +332,7 @@
             if self.servers[run.server].back_at > self.now {
                 continue;
             }
-            let (crashes, _) = self.fatal.entry(run.digest).or_default();
+            let (crashes, _) = self.fatal.entry(cause_of(run.digest)).or_default();
             crashes.push(self.now);
             self.runs.push(run);
             self.crash(run.server);
@@ -312,19 +378,34 @@
 const CALM: Scenario = Scenario {
     servers: 24,
     fatal_requests: 1,
+    fatal_parts: 0,
+    calls_per_s: 60.0,
     hazard: 0.0,
     popular: false,
     refusing: true,
 };
 
 /// Compares each day with refusals to the same day without. From 3 s after its
-/// third crash on, a fatal request may be sent at most three more times.
+/// third crash on, a fatal request may be sent at most three more times, and requests with a
+/// fatal part from 1 s after its fifth crash on.
 #[rstest]
 #[case::one_fatal("one_fatal", CALM)]
 #[case::one_fatal_few_servers("one_fatal_few_servers", Scenario { servers: 8, ..CALM })]
 #[case::two_fatal("two_fatal", Scenario { fatal_requests: 2, ..CALM })]
 #[case::fatal_among_crashes("fatal_among_crashes",
     Scenario { hazard: 0.05, popular: true, ..CALM })]
+#[case::one_fatal_part("one_fatal_part", Scenario { fatal_requests: 0, fatal_parts: 1, ..CALM })]
+#[case::fatal_part_few_servers("fatal_part_few_servers",
+    Scenario { servers: 8, fatal_requests: 0, fatal_parts: 1, ..CALM })]
+#[case::fatal_part_among_crashes("fatal_part_among_crashes",
+    Scenario { fatal_requests: 0, fatal_parts: 1, hazard: 0.05, popular: true, ..CALM })]
+#[case::fatal_part_few_calls("fatal_part_few_calls",
+    Scenario { fatal_requests: 0, fatal_parts: 1, calls_per_s: 2.0, ..CALM })]
+#[case::two_fatal_parts("two_fatal_parts",
+    Scenario { fatal_requests: 0, fatal_parts: 2, ..CALM })]
+#[case::fatal_request_and_part("fatal_request_and_part", Scenario { fatal_parts: 1, ..CALM })]
+#[case::few_calls_without_cause("few_calls_without_cause",
+    Scenario { fatal_requests: 0, calls_per_s: 2.0, hazard: 0.1, ..CALM })]
 #[case::crashes_without_cause("crashes_without_cause",
     Scenario { fatal_requests: 0, hazard: 0.1, popular: true, ..CALM })]
 fn only_fatal_requests_are_refused(#[case] name: &str, #[case] scenario: Scenario) {
--- a/lib/tests/test_damaged_input.rs
+++ b/lib/tests/test_damaged_input.rs
@@ -14,9 +14,12 @@
 use cloverbend::gateway::account_demand::ServiceDemands;
 use cloverbend::gateway::account_demand::add_demands;
 use cloverbend::gateway::call_digest::CallDigest;
+use cloverbend::gateway::call_feature::CallFeature;
+use cloverbend::gateway::call_feature::FeatureTag;
 use cloverbend::gateway::crash_ledger::CrashReport;
 use cloverbend::gateway::crash_verdict::CrashRecord;
 use cloverbend::gateway::crash_verdict::IncarnationDigest;
+use cloverbend::gateway::crash_verdict::SurvivorTag;
 use cloverbend::gateway::document_parts::DocumentPart;
 use cloverbend::gateway::document_parts::DocumentPull;
 use cloverbend::gateway::duty_record::DutyRecord;
@@ -152,10 +155,11 @@
         crowded_demand: vec![crowded_demand()],
         crowded_sums: vec![crowded_demand()],
         crashes: vec![CrashReport {
-            digest: CallDigest(5),
+            feature: CallFeature::Request(CallDigest(5)),
             record: CrashRecord {
                 crashes: crashes.into(),
-                survivors: 1,
+                survivors: [SurvivorTag(1), SurvivorTag(2), SurvivorTag(3)].into(),
+                companions: [FeatureTag(9)].into(),
             },
             idle: Duration::from_millis(8),
         }],
--- a/lib/tests/test_fatal_sync.rs
+++ b/lib/tests/test_fatal_sync.rs
@@ -4,12 +4,17 @@
 use std::time::Duration;
 
 use cloverbend::gateway::call_digest::CallDigest;
+use cloverbend::gateway::call_feature::CallFeature;
 use cloverbend::gateway::fatal_sync::FatalSync;
 use cloverbend::gateway::fatal_sync::SyncStep;
 use cloverbend::quantity::Timestamp;
 
-fn set(digests: &[u64]) -> BTreeSet<CallDigest> {
-    digests.iter().map(|digest| CallDigest(*digest)).collect()
+fn request(digest: u64) -> CallFeature {
+    CallFeature::Request(CallDigest(digest))
+}
+
+fn set(digests: &[u64]) -> BTreeSet<CallFeature> {
+    digests.iter().map(|digest| request(*digest)).collect()
 }
 
 #[test]
@@ -19,9 +24,9 @@
     assert_eq!(sync.next_step(now, &set(&[1])), SyncStep::Read);
     assert_eq!(sync.note_read(now, set(&[2])), set(&[2]));
     let missing = sync.next_step(now, &set(&[1, 2]));
-    assert_eq!(missing, SyncStep::Write(CallDigest(1)));
+    assert_eq!(missing, SyncStep::Write(request(1)));
     let forgotten = sync.next_step(now, &set(&[]));
-    assert_eq!(forgotten, SyncStep::Remove(CallDigest(2)));
+    assert_eq!(forgotten, SyncStep::Remove(request(2)));
     assert_eq!(sync.next_step(now, &set(&[2])), SyncStep::Wait);
     sync.reset();
     assert_eq!(sync.next_step(now, &set(&[2])), SyncStep::Read);
@@ -40,5 +45,5 @@
     let new = sync.note_read(later, set(&[2, 3]));
     assert_eq!(new, set(&[3]), "only these are new to the holder");
     let step = sync.next_step(later, &set(&[1, 2, 3]));
-    assert_eq!(step, SyncStep::Write(CallDigest(1)));
+    assert_eq!(step, SyncStep::Write(request(1)));
 }
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -9,9 +9,12 @@
 use cloverbend::gateway::backend_record::BackendRecord;
 use cloverbend::gateway::backend_record::StartTime;
 use cloverbend::gateway::call_digest::CallDigest;
+use cloverbend::gateway::call_feature::CallFeature;
+use cloverbend::gateway::call_feature::FeatureTag;
 use cloverbend::gateway::crash_ledger::CrashReport;
 use cloverbend::gateway::crash_verdict::CrashRecord;
 use cloverbend::gateway::crash_verdict::IncarnationDigest;
+use cloverbend::gateway::crash_verdict::SurvivorTag;
 use cloverbend::gateway::event_splitter::EventSplitter;
 use cloverbend::gateway::gossip_frame::GatewayGossipFrame;
 use cloverbend::gateway::hub_capacity::HubCapacity;
@@ -504,10 +507,11 @@
         evidence,
     }];
     full.crashes = vec![CrashReport {
-        digest: CallDigest(5),
+        feature: CallFeature::Request(CallDigest(5)),
         record: CrashRecord {
             crashes: [(IncarnationDigest(6), Duration::from_millis(7))].into(),
-            survivors: 1,
+            survivors: [SurvivorTag(1), SurvivorTag(2), SurvivorTag(3)].into(),
+            companions: [FeatureTag(9)].into(),
         },
         idle: Duration::from_millis(8),
     }];
