--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -157,10 +157,9 @@
         }
     }
     // What was newly found fatal is gossiped at once, and so are some crashes that may be
-    // the first of a series; all else waits for
-    // the next round. Otherwise, hubs would exchange messages about a popular
-    // request with each response to it, and each of hundreds of crashes would
-    // cost a round.
+    // the first of a series; all else waits for the next round. Otherwise, hubs would
+    // exchange messages about a popular request with each response to it, and each of
+    // hundreds of crashes would cost a round.
     if is_new && (update_fatal(context) || is_urgent) {
         context.gossip_due.notify_one();
     }
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -70,7 +70,7 @@
 /// How long an entry repeats what it observed itself, in case a message is
 /// lost: four rounds.
 const REPORT_REPEAT_TIME: Duration = Duration::from_secs(1);
-/// The most reports in one message. A report takes 25 to 180 bytes.
+/// The most reports in one message. A report takes 30 to 270 bytes.
 const MAX_REPORTS: usize = 32;
 
 /// What an entry reports about a feature under which servers crashed.
--- a/lib/src/gateway/crash_verdict.rs
+++ b/lib/src/gateway/crash_verdict.rs
@@ -12,10 +12,10 @@
 //! refused that have all of them, so that one that has only some runs and tells them apart.
 //!
 //! Load pattern: callers repeat one request at all entries, or send requests that share one
-//! part of their prompts and nothing else, next to many
-//! requests that run once. Each of the many is interrupted as often as it
-//! shares a server with the fatal ones. A popular request, or a part that all requests of a
-//! service have, runs at every crash of a series that no request causes.
+//! part of their prompts and nothing else, next to many requests that run once. Each of the
+//! many is interrupted as often as it shares a server with the fatal ones. A popular request,
+//! or a part that all requests of a service have, runs at every crash of a series that no
+//! request causes.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -29,8 +29,8 @@
 /// requirement counts from the third crash on.
 pub const MIN_CRASHES: usize = 3;
 /// The same for a part of a prompt, where the requirement counts from the fifth crash on.
-/// Many requests have the same part, and what crashes their servers by chance is never seen
-/// without it.
+/// A part that all requests of a service have is present at each of its crashes, so that the
+/// rate of crashes without it is not known.
 const MIN_PART_CRASHES: usize = 4;
 /// The fewest crashes after which a request is fatal, however likely each crash
 /// is by chance, unless servers survive the request. A part of a prompt may run at any crash
--- /dev/null
+++ b/lib/tests/test_crash_parts.rs
@@ -0,0 +1,224 @@
+//! Checks which parts of prompts are refused, and whose requests that concerns.
+
+use std::time::Duration;
+
+use cloverbend::gateway::backend_record::BackendId;
+use cloverbend::gateway::backend_record::BackendName;
+use cloverbend::gateway::backend_record::StartTime;
+use cloverbend::gateway::call_digest::CallDigest;
+use cloverbend::gateway::call_feature::CallFeature;
+use cloverbend::gateway::call_feature::CallFeatures;
+use cloverbend::gateway::call_feature::FeatureError;
+use cloverbend::gateway::call_feature::PromptPart;
+use cloverbend::gateway::call_head::PromptBlock;
+use cloverbend::gateway::crash_frames::CrashReportFrame;
+use cloverbend::gateway::crash_ledger::CrashLedger;
+use cloverbend::gateway::crash_ledger::CrashReport;
+use cloverbend::gateway::crash_ledger::ResponseEnd;
+use cloverbend::quantity::Timestamp;
+use cloverbend::quantity::TokenCount;
+use prost::Message;
+use rstest::rstest;
+
+const SERVERS: usize = 20;
+const SOUND: u64 = 1;
+const FATAL: u64 = 2;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// Returns the features of a request to a service.
+fn features_at(service: &str, digest: u64, parts: &[u64]) -> CallFeatures {
+    let block = |id: &u64| PromptBlock {
+        id: *id,
+        tokens: TokenCount(100),
+    };
+    let blocks: Vec<PromptBlock> = parts.iter().map(block).collect();
+    CallFeatures::new(CallDigest(digest), &service.parse().unwrap(), &blocks)
+}
+
+fn features(digest: u64, parts: &[u64]) -> CallFeatures {
+    features_at("pool", digest, parts)
+}
+
+/// Crashes one server after another, each 80 ms after a response began, under requests that
+/// have only these parts in common.
+fn crash_all(ledger: &mut CrashLedger, parts: &[u64], servers: std::ops::Range<u64>) {
+    for number in servers {
+        let crashed_at = at(10_000 + 200 * number);
+        let id = BackendId {
+            name: BackendName(format!("server-{number}")),
+            start: StartTime(1),
+        };
+        let begun_at = at(10_000 + 200 * number - 80);
+        let features = features(1_000 + number, parts);
+        ledger.note_crash(crashed_at, &features, &id, begun_at);
+        ledger.update_fatal(SERVERS);
+    }
+}
+
+fn complete(ledger: &mut CrashLedger, millis: u64, features: &CallFeatures, end: ResponseEnd) {
+    if ledger.note_completed(at(millis), features, end) {
+        ledger.update_fatal(SERVERS);
+    }
+}
+
+/// What a client account's crashing requests cost others: those whose requests with the part
+/// were answered are served as before, the others are refused; other services are not concerned.
+#[test]
+fn a_part_is_refused_for_all_accounts_unless_servers_survive_it() {
+    let mut ledger = CrashLedger::new();
+    crash_all(&mut ledger, &[SOUND, FATAL], 0..4);
+    let now = at(12_000);
+    assert!(ledger.refuses(now, &features(7, &[SOUND, FATAL])));
+    assert!(!ledger.refuses(now, &features_at("other", 7, &[SOUND, FATAL])));
+
+    let mut ledger = CrashLedger::new();
+    complete(
+        &mut ledger,
+        9_000,
+        &features(8, &[FATAL]),
+        ResponseEnd::Marked,
+    );
+    crash_all(&mut ledger, &[SOUND, FATAL], 0..4);
+    assert!(!ledger.refuses(now, &features(7, &[FATAL])));
+}
+
+#[test]
+fn parts_that_came_together_are_told_apart_by_a_request_with_one_of_them() {
+    let mut ledger = CrashLedger::new();
+    crash_all(&mut ledger, &[SOUND, FATAL], 0..4);
+    let now = at(12_000);
+    assert!(ledger.refuses(now, &features(7, &[SOUND, FATAL, 3])));
+    assert!(!ledger.refuses(now, &features(7, &[SOUND])));
+    assert!(!ledger.refuses(now, &features(7, &[FATAL])));
+
+    complete(
+        &mut ledger,
+        12_100,
+        &features(8, &[SOUND]),
+        ResponseEnd::Marked,
+    );
+    let refused = [[SOUND, 3], [FATAL, 3]].map(|parts| ledger.refuses(now, &features(7, &parts)));
+    assert_eq!(refused, [false, true]);
+}
+
+/// A part that all requests of a service have runs at each crash, also for long.
+#[test]
+fn a_part_of_all_requests_is_not_blamed_for_a_fatal_one() {
+    let mut ledger = CrashLedger::new();
+    for number in 0..4 {
+        let begun_at = at(10_000 + 200 * number - 900);
+        let beside = features(500 + number, &[SOUND, 50 + number]);
+        ledger.note_interrupted(at(10_000 + 200 * number), &beside, begun_at);
+        crash_all(&mut ledger, &[SOUND, FATAL], number..number + 1);
+    }
+    let now = at(12_000);
+    let refused = [[SOUND, 3], [FATAL, 3]].map(|parts| ledger.refuses(now, &features(7, &parts)));
+    assert_eq!(refused, [false, true]);
+}
+
+#[test]
+fn responses_without_a_marked_end_prove_little() {
+    let mut ledger = CrashLedger::new();
+    crash_all(&mut ledger, &[FATAL], 0..4);
+    let other = features(7, &[FATAL]);
+    let now = at(12_000);
+    let mut refused = Vec::new();
+    for _ in 0..8 {
+        refused.push(ledger.refuses(now, &other));
+        complete(&mut ledger, 12_000, &other, ResponseEnd::Unsure);
+    }
+    assert_eq!(refused, [true; 8]);
+    assert!(!ledger.refuses(now, &other));
+}
+
+/// Callers go on all the time. Two survivors are needed for eight crashes.
+#[rstest]
+#[case::fixed(true, &[70_000, 71_000])]
+#[case::not_fixed(false, &[70_000, 190_000, 430_000])]
+fn a_fatal_part_is_tried_again_now_and_then(#[case] is_fixed: bool, #[case] expected: &[u64]) {
+    let mut ledger = CrashLedger::new();
+    crash_all(&mut ledger, &[FATAL], 0..8);
+    let mut tried = Vec::new();
+    for second in 12..440 {
+        let millis = second * 1_000;
+        let request = features(second, &[FATAL]);
+        if ledger.refuses(at(millis), &request) && ledger.begin_trial(at(millis), &request) {
+            tried.push(millis);
+            if is_fixed {
+                complete(&mut ledger, millis + 500, &request, ResponseEnd::Marked);
+            }
+        }
+        ledger.drop_old(at(millis));
+    }
+    let rounded: Vec<u64> = tried.iter().map(|millis| millis / 10_000).collect();
+    let expected: Vec<u64> = expected.iter().map(|millis| millis / 10_000).collect();
+    assert_eq!(rounded, expected, "{tried:?}");
+    let refused = ledger.refuses(at(440_000), &features(1, &[FATAL]));
+    assert_eq!(refused, !is_fixed);
+}
+
+/// A request may name hundreds of parts, and one of them twice.
+#[test]
+fn the_parts_of_a_request_are_bounded() {
+    let parts: Vec<u64> = (0..300).chain(0..300).collect();
+    let request = features(1, &parts);
+    let kept: Vec<CallFeature> = request.iter().collect();
+    assert_eq!(kept.len(), 129);
+    assert_eq!(request.tags().len(), 16);
+    let turned: Vec<u64> = parts.iter().rev().copied().collect();
+    assert_eq!(features(1, &turned), request);
+}
+
+#[test]
+fn features_survive_encoding_and_text() {
+    let mut ledger = CrashLedger::new();
+    crash_all(&mut ledger, &[SOUND, u64::MAX], 0..4);
+    let survived = features(8, &[SOUND]);
+    complete(&mut ledger, 10_700, &survived, ResponseEnd::Marked);
+    let reports = ledger.reports(at(10_700));
+    assert!(reports.len() > 3);
+    for report in reports {
+        let bytes = CrashReportFrame::from(report.clone()).encode_to_vec();
+        let decoded = CrashReportFrame::decode(bytes.as_slice()).unwrap();
+        assert_eq!(report.feature.to_string().parse(), Ok(report.feature));
+        assert_eq!(CrashReport::from(decoded), report);
+    }
+}
+
+#[rstest]
+#[case("", None)]
+#[case("00000000000000ff", Some(CallFeature::Request(CallDigest(255))))]
+#[case("part-a1-0000002a", Some(CallFeature::Part(PromptPart { id: 161, service: 42 })))]
+#[case("part-a1", None)]
+#[case("part--2a", None)]
+#[case("part-a1-2a-3", None)]
+#[case("part-10000000000000000-2a", None)]
+fn keys_of_the_store_are_read(#[case] text: &str, #[case] expected: Option<CallFeature>) {
+    assert_eq!(text.parse(), expected.ok_or(FeatureError));
+}
+
+/// The time that the look-up takes, where nothing is fatal and where much is.
+#[test]
+fn a_look_up_takes_little_time() {
+    let request = features(1, &[SOUND, 3, 4, 5]);
+    let mut ledger = CrashLedger::new();
+    let time_of = |ledger: &mut CrashLedger| {
+        let begun = std::time::Instant::now();
+        let refused = (0..10_000).filter(|_| ledger.refuses(at(12_000), &request));
+        assert_eq!(refused.count(), 0);
+        begun.elapsed() / 10_000
+    };
+    let without = time_of(&mut ledger);
+    for part in 0..40 {
+        crash_all(&mut ledger, &[100 + part], part * 4..part * 4 + 4);
+    }
+    let with = time_of(&mut ledger);
+    println!(
+        "{without:?} without, {with:?} with {}",
+        ledger.fatal_groups().len()
+    );
+    assert!(without < Duration::from_micros(20) && with < Duration::from_micros(20));
+}
