crash_detector: servers known to have crashed tell nothing of the paths

An entry records a crash only if it reaches most of three other servers. Where requests crash many of a few servers within a fraction of a second, most of the three are down as well, so the entry blamed its paths and noted none of the crashes that followed.

Servers with a known crash are no longer drawn.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -110,11 +110,15 @@
     failed * 2 <= reached.len() && !context.paths.lock().is_cut_off()
 }
 
-/// Draws some servers other than `id` that accept requests.
+/// Draws some servers other than `id` that accept requests. Those that are known to have
+/// crashed tell nothing of the paths; many crash in a short time if requests crash them.
 fn draw_others(context: &GatewayContext, id: &BackendId) -> Vec<BackendId> {
     let backends = context.backends.lock();
+    let crashes = context.crashes.lock();
     let others = backends.iter().filter(|backend| {
-        backend.record.id != *id && backend.accepts_requests() && !backend.is_missing()
+        let is_listed = backend.accepts_requests() && !backend.is_missing();
+        let other = &backend.record.id;
+        is_listed && other != id && !crashes.knows_crash(other)
     });
     let others = others.choose_multiple(&mut rand::rng(), OTHER_SERVERS);
     let ids = others.into_iter().map(|backend| backend.record.id.clone());
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -305,6 +305,11 @@
         Some(incarnation)
     }
 
+    /// Returns whether an incarnation is known to have crashed.
+    pub fn knows_crash(&self, id: &BackendId) -> bool {
+        self.crash_times.contains_key(&incarnation_digest(id))
+    }
+
     /// Records that a server completed a request and did not crash. Returns
     /// whether this may change which requests are refused.
     pub fn note_completed(
