crash_ledger: no second server once two have crashed under a part

Once two servers have crashed within 250 ms under a part that none has survived, requests with it get no second server.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -68,12 +68,7 @@
         if call.time_left() <= MIN_TIME_LEFT {
             break;
         }
-        if retry_state.possible_runs > 0
-            && context
-                .crashes
-                .lock()
-                .refuses(context.now(), &call.features)
-        {
+        if retry_state.possible_runs > 0 && must_not_run_again(context, call) {
             break;
         }
         let mut step = choose_next_step(context, call, retry_state);
@@ -161,6 +156,12 @@
     Err(final_refusal(context, call, retry_state, not_executed))
 }
 
+/// Returns whether a request that may have run must not run again, since servers crash under it.
+fn must_not_run_again(context: &GatewayContext, call: &AdmittedCall) -> bool {
+    let mut ledger = context.crashes.lock();
+    ledger.refuses(context.now(), &call.features) || ledger.forbids_retry(&call.features)
+}
+
 /// Waits until a server with a free slot is chosen or the wait is over. Returns the next
 /// step, which is `refusal` if there is no free slot.
 async fn wait_at_entry(
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -51,6 +51,10 @@
 /// A crash sooner after a request started is told to other entries at once, so that a fatal
 /// feature is known before its next requests arrive.
 const SUSPICIOUS_RUN: Duration = Duration::from_millis(250);
+/// After this many crashes sooner than `SUSPICIOUS_RUN` under a part that no server has
+/// survived, requests with it get no second server. Each retry would cost a server before the
+/// part is known to be fatal.
+const CRASHES_BEFORE_LAST_RETRY: usize = 2;
 /// A fatal part crashes its server within some tokens, so a response that went on for this
 /// long has survived its parts.
 const LONG_RUN: Duration = Duration::from_millis(500);
@@ -183,6 +187,20 @@
         true
     }
 
+    /// Returns whether a request must not run again at another server after its server may have
+    /// crashed: a part of its prompt may become fatal with the next crashes.
+    pub fn forbids_retry(&self, features: &CallFeatures) -> bool {
+        let mut known = features.iter().filter_map(|feature| match feature {
+            CallFeature::Request(_) => None,
+            CallFeature::Part(_) => self.records.get(&feature),
+        });
+        known.any(|known| {
+            let crashes = &known.record.crashes;
+            let is_quick = crashes.values().all(|ran| *ran <= SUSPICIOUS_RUN);
+            crashes.len() >= CRASHES_BEFORE_LAST_RETRY && is_quick && !known.record.is_cleared()
+        })
+    }
+
     /// Returns whether a request that is refused may run all the same, to find out whether
     /// servers still crash under it. If so, records that it runs. To be called at one entry
     /// only.
--- a/lib/tests/test_crash_parts.rs
+++ b/lib/tests/test_crash_parts.rs
@@ -119,6 +119,22 @@
     assert_eq!(refused, [false, true]);
 }
 
+/// The third request with a part gets no second server, unless one has survived the part.
+#[test]
+fn a_part_that_two_servers_crashed_under_costs_no_second_server() {
+    let request = features(7, &[SOUND, FATAL]);
+    let mut ledger = CrashLedger::new();
+    let mut forbidden = Vec::new();
+    for number in 0..3 {
+        forbidden.push(ledger.forbids_retry(&request));
+        crash_all(&mut ledger, &[FATAL], number..number + 1);
+    }
+    assert_eq!(forbidden, [false, false, true]);
+    assert!(!ledger.forbids_retry(&features(7, &[SOUND])));
+    complete(&mut ledger, 12_000, &request, ResponseEnd::Marked);
+    assert!(!ledger.forbids_retry(&request));
+}
+
 #[test]
 fn responses_without_a_marked_end_prove_little() {
     let mut ledger = CrashLedger::new();
