crash_detector: a cut-off entry does not take all servers for crashed

Where all paths of an entry break at once, responses of all servers are interrupted, and all are being probed. With those left out of the servers that it asks, none was left to ask, which counted as reaching enough. They come last now.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -14,6 +14,7 @@
 use metrics::counter;
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use slog::info;
 use slog::warn;
 
@@ -28,9 +29,11 @@
 use crate::gateway::path_monitor::probe_path;
 use crate::quantity::Timestamp;
 
-/// The number of other servers that are probed before a crash is recorded.
+/// The number of other servers that are probed before a crash is recorded, and the number of
+/// those of which they are chosen.
 const OTHER_SERVERS: usize = 5;
-/// The share of them that must be reached. An entry that is cut off reaches none, and
+const OTHER_CANDIDATES: usize = 20;
+/// The share of the probed ones that must be reached. An entry that is cut off reaches none, and
 /// requests that crash servers may have ended more than half of a small service.
 const REACHED_SHARE: f64 = 0.4;
 
@@ -118,20 +121,23 @@
     is_enough && !context.paths.lock().is_cut_off()
 }
 
-/// Draws some servers other than `id` that accept requests. Those that have crashed, or may
-/// have, tell nothing of the paths; many crash in a short time if requests crash them.
+/// Draws some servers other than `id` that accept requests. Those that have crashed tell
+/// nothing of the paths; many crash in a short time if requests crash them. Those that are
+/// being probed themselves come last: all are if this entry is cut off.
 fn draw_others(context: &GatewayContext, id: &BackendId) -> Vec<BackendId> {
     let backends = context.backends.lock();
     let crashes = context.crashes.lock();
-    let others = backends.iter().filter(|backend| {
-        let is_listed = backend.accepts_requests() && !backend.is_missing();
-        let other = &backend.record.id;
-        let may_be_down = crashes.knows_crash(other) || context.crash_detector.is_probing(other);
-        is_listed && other != id && !may_be_down
+    let listed = backends.iter().filter(|backend| {
+        let is_other = backend.record.id != *id && backend.accepts_requests();
+        is_other && !backend.is_missing() && !crashes.knows_crash(&backend.record.id)
     });
-    let others = others.choose_multiple(&mut rand::rng(), OTHER_SERVERS);
-    let ids = others.into_iter().map(|backend| backend.record.id.clone());
-    ids.collect()
+    let drawn = listed.choose_multiple(&mut rand::rng(), OTHER_CANDIDATES);
+    let drawn = drawn.into_iter().map(|backend| backend.record.id.clone());
+    let mut others: Vec<BackendId> = drawn.collect();
+    others.shuffle(&mut rand::rng());
+    others.sort_by_key(|other| context.crash_detector.is_probing(other));
+    others.truncate(OTHER_SERVERS);
+    others
 }
 
 /// Logs a crash if the log budget allows it: hundreds of entries observe
