--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -147,7 +147,7 @@
     // Callers retry a request at any entry, and requests share parts of their prompts. If
     // entries only ejected crashed servers, requests that crash them would end one server
     // after another.
-    if crashes_servers(context, &features) {
+    if crashes_servers(context, &head, &features) {
         log_fatal_request(context, &head, digest);
         return Err(CallRefusal::CrashesServers);
     }
@@ -173,7 +173,7 @@
 
 /// Returns whether a request is known to crash the servers that run it, and must not run. Now
 /// and then one runs at the first of all entries, to find out whether servers were fixed.
-fn crashes_servers(context: &GatewayContext, features: &CallFeatures) -> bool {
+fn crashes_servers(context: &GatewayContext, head: &CallHead, features: &CallFeatures) -> bool {
     let now = context.now();
     if !context.crashes.lock().refuses(now, features) {
         return false;
@@ -185,7 +185,7 @@
         return true;
     }
     counter!("cloverbend_fatal_trials_total").increment(1);
-    warn!(context.log, "fatal request tried again");
+    warn!(context.log, "fatal request tried again"; "request" => %head.id);
     false
 }
 
