crash_ledger: one call for each interrupted run

Callers had to pair note_crash with note_interrupted in the right order; note_crash does both. The tags of survivors are drawn at random where they are needed, without a type of their own. is_urgent changed state: it is claim_urgent_report now. Wording of comments.

One test notes a whole crash in place of its half.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -165,13 +165,12 @@
         for run in runs {
             let (at, started_at) = (run.interrupted_at, run.started_at);
             let features = match run.has_begun {
-                true => run.features.clone(),
-                false => run.features.whole_request(),
+                true => &run.features,
+                false => &run.features.whole_request(),
             };
-            ledger.note_interrupted(at, &features, started_at);
-            if ledger.note_crash(at, &features, id, started_at) {
+            if ledger.note_crash(at, features, id, started_at) {
                 is_new = true;
-                is_urgent |= ledger.is_urgent(at, started_at);
+                is_urgent |= ledger.claim_urgent_report(at, started_at);
             }
         }
     }
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -48,8 +48,8 @@
 /// How many responses that only the end of a connection ended count as one survivor: a crash
 /// may have truncated each of them.
 const UNSURE_PER_SURVIVOR: usize = 8;
-/// A crash sooner after a request started is told to other entries at once, so that a fatal
-/// feature is known before its next requests arrive.
+/// A crash sooner after a request started is reported to other entries at once, so that a
+/// fatal feature is known before its next requests arrive.
 const SUSPICIOUS_RUN: Duration = Duration::from_millis(250);
 /// After this many crashes sooner than `SUSPICIOUS_RUN` under a part that no server has
 /// survived, requests with it get no second server. Each retry would cost a server before the
@@ -58,8 +58,8 @@
 /// A fatal part crashes its server within some tokens, so a response that went on for this
 /// long has survived its parts.
 const LONG_RUN: Duration = Duration::from_millis(500);
-/// The shortest time between two crashes that are told at once. In between, they wait for the
-/// next gossip round: hundreds of servers may crash together.
+/// The shortest time between two such reports. Crashes in between wait for the next gossip
+/// round: hundreds of servers may crash together.
 const URGENT_INTERVAL: Duration = Duration::from_millis(500);
 /// How long after the last crash a request with a fatal feature is let through again, to find
 /// out whether servers were fixed. The time doubles with each one that crashes its server.
@@ -135,29 +135,7 @@
     completed_order: VecDeque<CallFeature>,
     fatal: BTreeSet<FatalGroup>,
     trials: BTreeMap<FatalGroup, FatalTrial>,
-    urgent_at: Option<Timestamp>,
-    survivor_tags: SurvivorTags,
-}
-
-/// Draws tags that differ between entries.
-#[derive(Clone, Debug)]
-struct SurvivorTags {
-    next: u32,
-}
-
-impl Default for SurvivorTags {
-    fn default() -> Self {
-        Self {
-            next: rand::random(),
-        }
-    }
-}
-
-impl SurvivorTags {
-    fn draw(&mut self) -> SurvivorTag {
-        self.next = self.next.wrapping_add(1);
-        SurvivorTag(self.next)
-    }
+    urgent_report_at: Option<Timestamp>,
 }
 
 /// Returns the digest of an incarnation, which is the same at all entries.
@@ -254,13 +232,19 @@
         id: &BackendId,
         started_at: Timestamp,
     ) -> bool {
+        let ran = now.since(started_at);
+        if ran >= LONG_RUN {
+            self.note_long_run(now, features);
+        }
         let Some(incarnation) = self.incarnation_at(id, started_at) else {
             return false;
         };
         self.crash_times.entry(incarnation).or_insert(now);
-        let mut record = CrashRecord::default();
-        record.crashes.insert(incarnation, now.since(started_at));
-        record.companions = features.tags();
+        let record = CrashRecord {
+            crashes: [(incarnation, ran)].into(),
+            survivors: BTreeSet::new(),
+            companions: features.tags(),
+        };
         let mut changed = false;
         for feature in features.iter() {
             changed |= self.merge(now, feature, &record, now);
@@ -271,37 +255,25 @@
         changed
     }
 
-    /// Records that a request whose response had begun at `started_at` was interrupted by a
-    /// crash. If it had run for long by then, it did not crash its server, and clears the parts
-    /// of its prompt: popular ones run at each crash of their service, also at those that
-    /// another request causes.
-    pub fn note_interrupted(
-        &mut self,
-        now: Timestamp,
-        features: &CallFeatures,
-        started_at: Timestamp,
-    ) {
-        if now.since(started_at) < LONG_RUN {
-            return;
-        }
-        for feature in features.iter() {
-            if matches!(feature, CallFeature::Part(_)) {
-                self.note_survivor(now, feature, ResponseEnd::Marked);
-            }
+    /// Counts a survivor for the parts of a request that ran for long before its server
+    /// crashed. A popular part runs at each crash of its service, whatever the cause.
+    fn note_long_run(&mut self, now: Timestamp, features: &CallFeatures) {
+        let parts = features.iter();
+        for part in parts.filter(|feature| matches!(feature, CallFeature::Part(_))) {
+            self.note_survivor(now, part, ResponseEnd::Marked);
         }
     }
 
-    /// Returns whether a crash that interrupted a request started at `started_at` is told to
-    /// other entries at once. If so, records that it is.
-    pub fn is_urgent(&mut self, now: Timestamp, started_at: Timestamp) -> bool {
+    /// Returns whether a crash that interrupted a request started at `started_at` is reported to
+    /// other entries at once. If so, the next ones have to wait.
+    pub fn claim_urgent_report(&mut self, now: Timestamp, started_at: Timestamp) -> bool {
         let is_suspicious = now.since(started_at) <= SUSPICIOUS_RUN;
-        let may_tell = self
-            .urgent_at
-            .is_none_or(|at| now.since(at) >= URGENT_INTERVAL);
-        if is_suspicious && may_tell {
-            self.urgent_at = Some(now);
+        let last = self.urgent_report_at;
+        let is_due = last.is_none_or(|at| now.since(at) >= URGENT_INTERVAL);
+        if is_suspicious && is_due {
+            self.urgent_report_at = Some(now);
         }
-        is_suspicious && may_tell
+        is_suspicious && is_due
     }
 
     /// Returns the incarnation that a request reached when it started, or
@@ -364,7 +336,7 @@
             }
             known.unsure = 0;
         }
-        known.record.survivors.insert(self.survivor_tags.draw());
+        known.record.survivors.insert(SurvivorTag(rand::random()));
         known.changed_at = now;
         known.observed_at = Some(now);
         known.record.crashes.len() >= MIN_CRASHES
@@ -406,7 +378,7 @@
         let known = self.records.entry(feature).or_insert_with(|| KnownRecord {
             record: CrashRecord {
                 survivors: (0..completed.min(MAX_SURVIVORS_PER_FEATURE))
-                    .map(|_| self.survivor_tags.draw())
+                    .map(|_| SurvivorTag(rand::random()))
                     .collect(),
                 companions: reported.companions.clone(),
                 ..CrashRecord::default()
--- a/lib/src/gateway/crash_verdict.rs
+++ b/lib/src/gateway/crash_verdict.rs
@@ -8,7 +8,7 @@
 //! - they crash sooner after the request started than is likely by chance, and
 //! - hardly any server survives a request with it.
 //!
-//! Features that come together in all of these requests cannot be told apart. Requests are
+//! Features that come together in all of these requests are indistinguishable. Requests are
 //! refused that have all of them, so that one that has only some runs and tells them apart.
 //!
 //! Load pattern: callers repeat one request at all entries, or send requests that share one
@@ -42,12 +42,11 @@
 /// The shortest run that counts: a crash shows no sooner than a few tokens
 /// after the request started.
 const MIN_RUN: Duration = Duration::from_millis(50);
-/// How much less likely the crashes under a request must be by chance than if
-/// the request causes them, as a natural logarithm. Three crashes within 0.1 s
+/// How much less likely the crashes under a feature must be by chance than if
+/// it causes them, as a natural logarithm. Three crashes within 0.1 s
 /// each reach this while one server in eleven crashes each second; three within
 /// 0.7 s never do. Lower values refuse more requests that only ran during
-/// unrelated crashes: 10 without `UNOBSERVED_CRASHES` refuses 3 of 57,632 at 40
-/// crashes per simulated day, instead of 1.
+/// unrelated crashes.
 const MIN_SCORE: f64 = 14.0;
 /// How many crashes one surviving server outweighs. A truncated response of
 /// unknown length looks complete, so one survivor proves nothing against many
@@ -68,7 +67,7 @@
 pub struct IncarnationDigest(pub u64);
 
 /// Names a run that a server survived. Each entry draws its own, so that those of several
-/// entries add up, however often they are told.
+/// entries add up, however often they are reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SurvivorTag(pub u32);
 
@@ -181,8 +180,7 @@
         .unwrap_or(suspect)
 }
 
-/// Returns a suspect and the others that were part of all its requests, and cannot be told
-/// from it.
+/// Returns a suspect and the others that all its requests have, too.
 fn group_of(cause: &Suspect<'_>, suspects: &[Suspect<'_>]) -> FatalGroup {
     let companions = suspects.iter().filter(|other| {
         let is_companion = cause.record.companions.contains(&other.feature.tag());
--- a/lib/tests/test_crash_parts.rs
+++ b/lib/tests/test_crash_parts.rs
@@ -42,19 +42,22 @@
     features_at("pool", digest, parts)
 }
 
+/// Crashes a server while a request runs there whose response began some time before.
+fn crash(ledger: &mut CrashLedger, features: &CallFeatures, number: u64, ran_ms: u64) {
+    let millis = 10_000 + 200 * number;
+    let id = BackendId {
+        name: BackendName(format!("server-{number}")),
+        start: StartTime(1),
+    };
+    ledger.note_crash(at(millis), features, &id, at(millis - ran_ms));
+    ledger.update_fatal(SERVERS);
+}
+
 /// Crashes one server after another, each 80 ms after a response began, under requests that
 /// have only these parts in common.
 fn crash_all(ledger: &mut CrashLedger, parts: &[u64], servers: std::ops::Range<u64>) {
     for number in servers {
-        let crashed_at = at(10_000 + 200 * number);
-        let id = BackendId {
-            name: BackendName(format!("server-{number}")),
-            start: StartTime(1),
-        };
-        let begun_at = at(10_000 + 200 * number - 80);
-        let features = features(1_000 + number, parts);
-        ledger.note_crash(crashed_at, &features, &id, begun_at);
-        ledger.update_fatal(SERVERS);
+        crash(ledger, &features(1_000 + number, parts), number, 80);
     }
 }
 
@@ -109,9 +112,8 @@
 fn a_part_of_all_requests_is_not_blamed_for_a_fatal_one() {
     let mut ledger = CrashLedger::new();
     for number in 0..4 {
-        let begun_at = at(10_000 + 200 * number - 900);
         let beside = features(500 + number, &[SOUND, 50 + number]);
-        ledger.note_interrupted(at(10_000 + 200 * number), &beside, begun_at);
+        crash(&mut ledger, &beside, number, 900);
         crash_all(&mut ledger, &[SOUND, FATAL], number..number + 1);
     }
     let now = at(12_000);
--- a/lib/tests/test_crash_verdict.rs
+++ b/lib/tests/test_crash_verdict.rs
@@ -301,7 +301,6 @@
         for run in interrupted {
             if self.scenario.refusing {
                 let features = features_of(run.digest);
-                self.ledgers[run.entry].note_interrupted(self.now, &features, run.started_at);
                 self.ledgers[run.entry].note_crash(self.now, &features, &id, run.started_at);
                 self.ledgers[run.entry].update_fatal(self.scenario.servers);
             }
