--- a/daemon/tests/test_config_spread.rs
+++ b/daemon/tests/test_config_spread.rs
@@ -4,11 +4,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use cloverbend_platform_standin::config_documents::large_document;
 use cloverbend_platform_standin::config_spread::SpreadEnd;
 use cloverbend_platform_standin::config_spread::SpreadPlan;
 use cloverbend_platform_standin::config_spread::measure_spread;
 use cloverbend_platform_standin::entry_process::ByteCount;
-use cloverbend_platform_standin::gateway_cluster::large_document;
 
 const ENTRIES: usize = 3;
 const ROUTES: usize = 20;
