--- a/lib/src/gateway/gossip_task.rs
+++ b/lib/src/gateway/gossip_task.rs
@@ -1,9 +1,8 @@
-//! Exchanges gossip with the hubs, and replies as a hub, several times a second.
+//! Sends gossip to the hubs, and replies as a hub, several times a second.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use metrics::counter;
 use metrics::gauge;
@@ -15,49 +14,40 @@
 use crate::gateway::account_limits::AdmittedUnits;
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::account_limits::ShareView;
-use crate::gateway::admission_exchange::apply_demand;
 use crate::gateway::admission_exchange::crowded_sums;
 use crate::gateway::admission_exchange::own_crowded_demand;
 use crate::gateway::admission_exchange::reported_demands;
 use crate::gateway::admission_exchange::update_admission;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::backend_state::BackendState;
-use crate::gateway::call_return::apply_promises;
 use crate::gateway::call_return::purge_promises;
-use crate::gateway::crash_detector::merge_crash_reports;
 use crate::gateway::document_parts::DocumentPart;
 use crate::gateway::document_parts::DocumentPull;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::hub_capacity::HubCapacity;
 use crate::gateway::limit_exchange::GrantedPermits;
-use crate::gateway::limit_exchange::apply_server_gossip;
 use crate::gateway::limit_exchange::issue_permits;
 use crate::gateway::limit_exchange::reports_for;
 use crate::gateway::list_exchange::ListFormat;
 use crate::gateway::list_exchange::SentList;
-use crate::gateway::list_exchange::adopt_sent_list;
 use crate::gateway::list_exchange::draining_backends;
 use crate::gateway::list_exchange::list_for;
 use crate::gateway::peer_gossip::BackendLoad;
-use crate::gateway::peer_gossip::FreshnessEcho;
 use crate::gateway::peer_gossip::GatewayGossip;
 use crate::gateway::peer_gossip::HubSummary;
 use crate::gateway::peer_gossip::HubView;
 use crate::gateway::peer_gossip::ServiceDemand;
 use crate::gateway::peer_gossip::WindowCount;
 use crate::gateway::peer_table::DueMessage;
-use crate::gateway::peer_table::SenderIncarnation;
-use crate::gateway::peer_table::add_loads;
+use crate::gateway::peer_table::reported_state::add_loads;
 use crate::gateway::relay_helpers::MAX_HELPERS;
 use crate::gateway::relay_helpers::RelayHelper;
-use crate::gateway::retry_exchange::apply_retry_gossip;
 use crate::gateway::retry_exchange::credit_for;
 use crate::gateway::retry_exchange::own_pool_draws;
 use crate::gateway::retry_exchange::update_retry_budget;
 use crate::gateway::return_promises::PromiseList;
 use crate::gateway::server_pace::PaceCounts;
 use crate::gateway::store_task::adopt_received;
-use crate::gateway::store_task::note_draining;
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::quantity::Timestamp;
@@ -65,9 +55,6 @@
 
 /// How many past usage windows the reported counts cover.
 const REPORTED_WINDOWS: u64 = 2;
-/// If an entry has run for longer than this when its first message arrives, the
-/// units that it admitted before that message are not counted.
-const NEW_ENTRY_AGE: Duration = Duration::from_secs(3);
 
 /// Sends gossip until the entry stops. A new configuration triggers a round at once.
 pub async fn run_gossip(context: Arc<GatewayContext>) {
@@ -357,7 +344,7 @@
 }
 
 /// Adopts the entries that relay requests of this one, if there are any.
-fn adopt_helpers(context: &GatewayContext, helpers: &[RelayHelper]) {
+pub fn adopt_helpers(context: &GatewayContext, helpers: &[RelayHelper]) {
     let is_other = |helper: &&RelayHelper| helper.incarnation != context.incarnation;
     let others: Vec<RelayHelper> = helpers.iter().filter(is_other).copied().collect();
     if !others.is_empty() {
@@ -368,7 +355,7 @@
 
 /// Pulls the next part of the configuration from an entry with a newer revision,
 /// unless this entry is up to date or a pull is pending.
-fn pull_document(context: &GatewayContext, now: Timestamp) {
+pub fn pull_document(context: &GatewayContext, now: Timestamp) {
     let own_revision = context.config.lock().revision();
     let address = context.settings.peer_advertised;
     let mut fetcher = context.transfer.lock();
@@ -480,164 +467,6 @@
         .collect()
 }
 
-/// Receives a gossip message of another entry.
-pub fn receive_gossip(context: &GatewayContext, gossip: GatewayGossip) {
-    let now = context.now();
-    if gossip.incarnation == context.incarnation {
-        return;
-    }
-    // The next echo of this entry is a promise to the holder, so the lease state
-    // must record the holder's token first.
-    if let Some(fencing_token) = gossip.fencing_token {
-        let mut lease = context.lease.lock();
-        lease.note_holder_gossip(now, fencing_token, gossip.duty_log_end);
-    }
-    let mut peers = context.peers.lock();
-    let earlier_token = peers.fencing_token_of(&gossip.name);
-    let sender = peers.apply_gossip(now, &gossip);
-    let has_ended_lease = earlier_token.is_some() && peers.fencing_token_of(&gossip.name).is_none();
-    drop(peers);
-    if has_ended_lease {
-        context.lease.lock().request_read();
-    }
-    if let SenderIncarnation::New { replaced } = sender {
-        if let Some(replaced) = replaced {
-            context.account_limits.lock().retire(replaced);
-        }
-        info!(context.log, "entry heard"; "other" => %gossip.name,
-            "incarnation" => %gossip.incarnation, "address" => %gossip.address);
-    }
-    if gossip.revision > context.config.lock().revision() {
-        pull_document(context, now);
-    }
-    if gossip.reports_state {
-        apply_admitted(context, &gossip);
-        apply_window_counts(context, &gossip);
-    }
-    if !gossip.crashes.is_empty() {
-        merge_crash_reports(context, &gossip.crashes);
-    }
-    apply_server_gossip(context, now, &gossip);
-    apply_promises(context, now, &gossip);
-    apply_demand(context, now, &gossip);
-    apply_retry_gossip(context, now, &gossip);
-    apply_rollouts(context, now, &gossip);
-    if let Some(summary) = &gossip.summary {
-        apply_summary(context, &gossip, summary, now);
-    }
-    let own_incarnation = context.incarnation;
-    if let Some(echo) = gossip
-        .echo
-        .filter(|echo| echo.incarnation == own_incarnation)
-    {
-        confirm_state(context, &gossip, echo);
-        apply_promise(context, &gossip, echo);
-    }
-}
-
-/// Returns the time, by the clock of this entry, at which the sender of an echo
-/// confirmed its state: `age` before this entry sent the echoed message at
-/// `sent_at`, or after it if `age` is negative. The transit time of that message is
-/// ignored, so this is the earliest possible time.
-///
-/// Returns none if the time is before the start of this entry. With time 0 in its
-/// place, the state would seem fresher than it is, here and at the entries to which
-/// this one reports it.
-fn confirmation_time(sent_at: u64, age: i64) -> Option<Timestamp> {
-    let at = sent_at.checked_add_signed(age.saturating_neg());
-    at.map(Timestamp)
-}
-
-/// Records that another entry echoed this entry's fencing token, and so promised
-/// not to claim the lease.
-fn apply_promise(context: &GatewayContext, gossip: &GatewayGossip, echo: FreshnessEcho) {
-    if let Some(fencing_token) = echo.fence {
-        let sent_at = Timestamp(echo.sent_at);
-        let mut lease = context.lease.lock();
-        lease.note_promise(context.now(), &gossip.name, fencing_token, sent_at);
-    }
-}
-
-/// Confirms the state of this entry as of the time at which the sender confirmed
-/// it, if the sender has the same state.
-fn confirm_state(context: &GatewayContext, gossip: &GatewayGossip, echo: FreshnessEcho) {
-    let confirmed_at = |age: Option<i64>| confirmation_time(echo.sent_at, age?);
-    if let Some(at) = confirmed_at(echo.config_age) {
-        context.config.lock().confirm(gossip.revision, at);
-    }
-    if let Some(at) = confirmed_at(echo.backends_age) {
-        let mut backends = context.backends.lock();
-        if backends.list_digest() == gossip.backends_digest {
-            backends.confirm(at);
-        }
-    }
-}
-
-/// Takes in news of roll-outs and the answers that the sender counted, if this entry takes
-/// part in roll-outs.
-fn apply_rollouts(context: &GatewayContext, now: Timestamp, gossip: &GatewayGossip) {
-    if context.settings.rollout.is_none() {
-        return;
-    }
-    let mut rollouts = context.rollouts.lock();
-    for news in &gossip.rollouts {
-        rollouts.note_news(now, news.clone(), rand::random());
-    }
-    for report in &gossip.rollout_evidence {
-        rollouts.note_report(gossip.incarnation, report);
-    }
-}
-
-fn apply_admitted(context: &GatewayContext, gossip: &GatewayGossip) {
-    let is_new = gossip.sent_at < NEW_ENTRY_AGE.as_micros() as u64;
-    let mut limits = context.account_limits.lock();
-    for item in &gossip.admitted {
-        limits.note_peer_total(gossip.incarnation, &item.account, item.units, is_new);
-    }
-    let accounts = gossip.admitted.iter().map(|item| &item.account);
-    limits.merge_peer_totals(context.now(), context.incarnation, accounts);
-}
-
-fn apply_window_counts(context: &GatewayContext, gossip: &GatewayGossip) {
-    let mut usage = context.usage.lock();
-    for item in &gossip.window_counts {
-        usage.note_peer_count(gossip.incarnation, item.window, &item.account, item.count);
-    }
-}
-
-fn apply_summary(
-    context: &GatewayContext,
-    gossip: &GatewayGossip,
-    summary: &HubSummary,
-    now: Timestamp,
-) {
-    let mut limits = context.account_limits.lock();
-    limits.note_gossip(now);
-    for item in &summary.admitted {
-        limits.merge_total(now, gossip.incarnation, &item.account, item.units);
-    }
-    drop(limits);
-    adopt_helpers(context, &summary.helpers);
-    let mut peers = context.peers.lock();
-    for (name, address, hub_capacity) in &summary.hubs {
-        peers.note_listed(now, name.clone(), *address, *hub_capacity);
-    }
-    drop(peers);
-    let own_incarnation = context.incarnation;
-    let echo = gossip
-        .echo
-        .filter(|echo| echo.incarnation == own_incarnation);
-    // A list that was confirmed before this entry started is better than none, but
-    // does not confirm the list that this entry has.
-    let start = Timestamp(0);
-    let or_start = |age, sent_at| confirmation_time(sent_at, age).unwrap_or(start);
-    let confirmed_at = echo.and_then(|echo| Some(or_start(echo.backends_age?, echo.sent_at)));
-    if let Some(confirmed_at) = confirmed_at {
-        adopt_sent_list(context, gossip, summary, confirmed_at);
-    }
-    note_draining(context, &summary.draining);
-}
-
 fn update_peer_loads(context: &GatewayContext, now: Timestamp) {
     let sums = context.peers.lock().backend_loads(now);
     if context.settings.load.server_pace {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -115,6 +115,7 @@
 pub mod gateway_daemon;
 pub mod gateway_settings;
 pub mod gossip_frame;
+pub mod gossip_receiver;
 pub mod gossip_task;
 pub mod hub_capacity;
 pub mod incarnation_tracker;
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -12,11 +12,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use twox_hash::XxHash64;
-
 use crate::gateway::account_demand::CrowdedDemand;
 use crate::gateway::account_limits::ShareView;
-use crate::gateway::backend_record::BackendId;
 use crate::gateway::document_transfer::DocumentSource;
 use crate::gateway::hub_capacity::HubCapacity;
 use crate::gateway::peer_gossip::BackendLoad;
@@ -29,9 +26,11 @@
 use crate::id::FenceToken;
 use crate::id::Incarnation;
 use crate::id::RevisionNumber;
-use crate::id::ServiceName;
 use crate::quantity::Timestamp;
 
+mod hub_order;
+pub mod reported_state;
+
 /// The number of hubs. An entry has one primary hub, which replies in every
 /// round; the others are standbys with the same state.
 pub const HUB_COUNT: usize = 3;
@@ -55,11 +54,6 @@
 /// One round in this many is a slow one, in which standby hubs send their
 /// summaries and entries probe hubs that do not reply.
 const SLOW_ROUND_INTERVAL: u32 = 4;
-/// The most requests of all entries that count at one backend server, so that sums of
-/// false reports do not overflow.
-const MAX_SERVER_LOAD: u32 = 1 << 20;
-/// The most pending prompt tokens of all entries that count at one backend server.
-const MAX_SERVER_TOKENS: u64 = 1 << 40;
 
 /// What this entry knows about another entry.
 #[derive(Clone, Debug)]
@@ -241,14 +235,6 @@
     is_list_read: bool,
 }
 
-/// The sort key of hubs: the highest capacity first, ties by hash.
-type OrderKey<'a> = (Reverse<HubCapacity>, u64, &'a EntryName);
-
-fn order_key(name: &EntryName, hub_capacity: HubCapacity) -> OrderKey<'_> {
-    let hash = XxHash64::oneshot(0, name.as_str().as_bytes());
-    (Reverse(hub_capacity), hash, name)
-}
-
 impl PeerTable {
     /// Returns an empty table.
     pub fn new(own_name: EntryName, own_capacity: HubCapacity) -> Self {
@@ -516,61 +502,6 @@
         }
     }
 
-    /// Returns the primary hub of this entry, which replies in every round.
-    /// Entries choose different hubs, so that no single link carries all replies.
-    fn primary(&self, hubs: &[EntryName]) -> Option<EntryName> {
-        let number = XxHash64::oneshot(1, self.own_name.as_str().as_bytes());
-        let index = number.checked_rem(hubs.len() as u64)?;
-        hubs.get(index as usize).cloned()
-    }
-
-    fn first_hubs(&self, count: usize) -> Vec<EntryName> {
-        first_in_order(self.peers.iter(), count)
-    }
-
-    /// Returns the hubs to which this entry sends its state, in order.
-    fn hubs(&self, now: Timestamp) -> Vec<EntryName> {
-        let responsive = self.peers.iter().filter(|(_, peer)| !peer.is_suspect(now));
-        first_in_order(responsive, HUB_COUNT)
-    }
-
-    /// Returns the addresses of the entries that keep the streams of this one: its hubs.
-    pub fn stream_keepers(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let hubs = self.hubs(now).into_iter();
-        let peers = hubs.filter_map(|name| self.peers.get(&name));
-        let keepers = peers.filter(|peer| peer.keeps_streams);
-        keepers.map(|peer| peer.address).collect()
-    }
-
-    /// Returns the names of the hubs, in order.
-    pub fn hub_names(&self, now: Timestamp) -> Vec<EntryName> {
-        self.hubs(now)
-    }
-
-    /// Returns the hubs with their addresses, to be sent to other entries. Hubs
-    /// from which no gossip has arrived yet are omitted.
-    pub fn hub_addresses(&self, now: Timestamp) -> Vec<(EntryName, SocketAddr, HubCapacity)> {
-        let hubs = self.hubs(now);
-        let address = |name: EntryName| {
-            let peer = self.peers.get(&name)?;
-            peer.has_gossiped
-                .then_some((name, peer.address, peer.hub_capacity))
-        };
-        hubs.into_iter().filter_map(address).collect()
-    }
-
-    /// Returns the place of this entry in the order of hubs: how many responsive
-    /// entries come before it.
-    pub fn hub_rank(&self, now: Timestamp) -> usize {
-        let own_key = order_key(&self.own_name, self.own_capacity);
-        let is_earlier = |name, peer: &PeerState| order_key(name, peer.hub_capacity) < own_key;
-        let before = self
-            .peers
-            .iter()
-            .filter(|(name, peer)| is_earlier(name, peer));
-        before.filter(|(_, peer)| !peer.is_suspect(now)).count()
-    }
-
     /// Removes entries from which no gossip came for `PEER_EXPIRY`; returns their
     /// incarnations.
     pub fn remove_unreachable(&mut self, now: Timestamp) -> Vec<Incarnation> {
@@ -643,123 +574,4 @@
         };
         chosen.into_iter().filter_map(helper).collect()
     }
-
-    /// Returns the highest fencing token that another entry reports, directly or
-    /// through a hub.
-    pub fn highest_fence(&self, now: Timestamp) -> Option<FenceToken> {
-        let direct = self.peers.values().filter(|peer| peer.is_reporting(now));
-        let direct = direct.filter_map(|peer| peer.fencing_token);
-        let views = self.peers.values().filter_map(|peer| peer.recent_view(now));
-        direct
-            .chain(views.filter_map(|view| view.fencing_token))
-            .max()
-    }
-
-    /// Returns the fencing token in the last gossip of an entry.
-    pub fn fencing_token_of(&self, name: &EntryName) -> Option<FenceToken> {
-        self.peers.get(name)?.fencing_token
-    }
-
-    /// Returns the highest fencing token in the gossip that came here directly.
-    pub fn highest_direct_fence(&self, now: Timestamp) -> Option<FenceToken> {
-        let direct = self.peers.values().filter(|peer| peer.is_reporting(now));
-        direct.filter_map(|peer| peer.fencing_token).max()
-    }
-
-    /// Iterates over the demand for a service at each entry that sends its state
-    /// here.
-    pub fn service_demand<'a>(
-        &'a self,
-        now: Timestamp,
-        service: &'a ServiceName,
-    ) -> impl Iterator<Item = &'a ServiceDemand> {
-        let reporting = self
-            .peers
-            .values()
-            .filter(move |peer| peer.is_reporting(now));
-        reporting
-            .flat_map(|peer| &peer.service_demand)
-            .filter(|demand| demand.service == service.as_str())
-    }
-
-    /// Iterates over what callers of the entries that send their state here ask of
-    /// crowded services.
-    pub fn crowded_demand(&self, now: Timestamp) -> impl Iterator<Item = &[CrowdedDemand]> {
-        let reporting = self
-            .peers
-            .values()
-            .filter(move |peer| peer.is_reporting(now));
-        reporting.map(|peer| peer.crowded_demand.as_slice())
-    }
-
-    /// Sums the load that other entries put on each backend server. The sums come
-    /// from the hub that reaches the most entries, or from the gossip that came
-    /// here directly if this entry reaches as many.
-    pub fn backend_loads(&self, now: Timestamp) -> BTreeMap<BackendId, BackendLoad> {
-        let direct = self.direct_entry_counts(now).reachable;
-        let views = self.peers.values().filter_map(|peer| peer.recent_view(now));
-        match views.max_by_key(|view| view.reachable) {
-            Some(view) if view.reachable > direct => sum_loads(&view.backend_loads),
-            _ => self.direct_backend_loads(now),
-        }
-    }
-
-    /// Sums the load that other entries reported here directly, to be sent to
-    /// other entries.
-    pub fn direct_backend_loads(&self, now: Timestamp) -> BTreeMap<BackendId, BackendLoad> {
-        let reporting = self.peers.values().filter(|peer| peer.is_reporting(now));
-        sum_loads(reporting.flat_map(|peer| &peer.backend_loads))
-    }
-
-    /// Returns the load that one entry reported, to be subtracted in its summary.
-    pub fn backend_loads_of(&self, name: &EntryName) -> &[BackendLoad] {
-        self.peers.get(name).map_or(&[], |peer| &peer.backend_loads)
-    }
-}
-
-fn first_in_order<'a>(
-    peers: impl Iterator<Item = (&'a EntryName, &'a PeerState)>,
-    count: usize,
-) -> Vec<EntryName> {
-    let mut ordered: Vec<OrderKey<'_>> = peers
-        .map(|(name, peer)| order_key(name, peer.hub_capacity))
-        .collect();
-    ordered.sort();
-    ordered.truncate(count);
-    ordered
-        .into_iter()
-        .map(|(_, _, name)| name.clone())
-        .collect()
-}
-
-fn sum_loads<'a>(
-    loads: impl IntoIterator<Item = &'a BackendLoad>,
-) -> BTreeMap<BackendId, BackendLoad> {
-    let mut sums = BTreeMap::new();
-    add_loads(&mut sums, loads);
-    sums
-}
-
-/// Adds loads to the sums by backend server.
-pub fn add_loads<'a>(
-    sums: &mut BTreeMap<BackendId, BackendLoad>,
-    loads: impl IntoIterator<Item = &'a BackendLoad>,
-) {
-    for load in loads {
-        match sums.get_mut(&load.id()) {
-            Some(sum) => {
-                sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
-                sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
-                sum.unread = sum.unread.saturating_add(load.unread);
-                sum.unread = sum.unread.min(MAX_SERVER_TOKENS);
-                sum.set_pace(sum.pace_counts().plus(load.pace_counts()));
-            }
-            None => {
-                let mut sum = load.clone();
-                sum.in_flight = sum.in_flight.min(MAX_SERVER_LOAD);
-                sum.unread = sum.unread.min(MAX_SERVER_TOKENS);
-                sums.insert(load.id(), sum);
-            }
-        }
-    }
 }
--- a/lib/tests/test_damaged_input.rs
+++ b/lib/tests/test_damaged_input.rs
@@ -29,7 +29,7 @@
 use cloverbend::gateway::peer_gossip::BackendLoad;
 use cloverbend::gateway::peer_gossip::GatewayGossip;
 use cloverbend::gateway::peer_gossip::HubView;
-use cloverbend::gateway::peer_table::add_loads;
+use cloverbend::gateway::peer_table::reported_state::add_loads;
 use cloverbend::gateway::return_promises::PromiseKey;
 use cloverbend::gateway::return_promises::PromiseList;
 use cloverbend::gateway::return_promises::PromiseNews;
--- a/lib/tests/test_operations_page.rs
+++ b/lib/tests/test_operations_page.rs
@@ -11,12 +11,22 @@
     let link_files = ["peer_link.rs", "frame_reader.rs"];
     let read = |name: &str| fs::read_to_string(folder.join(name)).unwrap();
     let mut text: String = link_files.map(read).concat();
-    for entry in fs::read_dir(folder.join("gateway")).unwrap() {
-        text.push_str(&fs::read_to_string(entry.unwrap().path()).unwrap());
-    }
+    add_sources(&folder.join("gateway"), &mut text);
     text
 }
 
+/// Adds the sources in a folder and in those below it.
+fn add_sources(folder: &Path, text: &mut String) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            add_sources(&path, text);
+        } else {
+            text.push_str(&fs::read_to_string(path).unwrap());
+        }
+    }
+}
+
 /// Returns the first quoted text after each occurrence of `mark`.
 fn quoted_after(text: &str, mark: &str) -> BTreeSet<String> {
     let tails = text.split(mark).skip(1);
--- a/lib/tests/test_server_pace.rs
+++ b/lib/tests/test_server_pace.rs
@@ -12,7 +12,7 @@
 use cloverbend::gateway::call_head::PromptBlock;
 use cloverbend::gateway::event_pauses::EventPauses;
 use cloverbend::gateway::peer_gossip::BackendLoad;
-use cloverbend::gateway::peer_table::add_loads;
+use cloverbend::gateway::peer_table::reported_state::add_loads;
 use cloverbend::gateway::prompt_pacing::ReadingQuery;
 use cloverbend::gateway::prompt_pacing::StreamTargets;
 use cloverbend::gateway::rollout_exposure::VersionRule;
