Wording: what is reported, received or passed on, in place of told, heard and lives

Keys of log lines and the line 'entry heard' stay, since operators search for them. Behaviour unchanged; one assertion names its variable anew.

--- a/lib/src/backend_table.rs
+++ b/lib/src/backend_table.rs
@@ -154,7 +154,7 @@
     }
 
     /// Marks a VM as leaving, known or not: it gets no new work from now on,
-    /// and work in progress on it is told to move.
+    /// and work in progress on it has to move.
     pub fn set_leaving(&mut self, vm: &VmId) {
         self.left.insert(vm.clone());
         let Some(known) = self.vms.get(vm) else {
--- a/lib/src/boot_clock.rs
+++ b/lib/src/boot_clock.rs
@@ -147,7 +147,7 @@
                 biased;
                 output = &mut future => return Ok(output),
                 () = tokio::time::sleep(self.left(until)) => {}
-                // The sender lives as long as the clock.
+                // The sender exists as long as the clock.
                 _ = woken.changed() => {}
             }
             if self.left(until).is_zero() {
--- a/lib/src/chat_runner.rs
+++ b/lib/src/chat_runner.rs
@@ -131,7 +131,7 @@
                     failures += 1;
                     cut_streams += u32::from(matches!(error, HttpError::Interrupted(_)));
                     if cut_streams >= MAX_CUT_STREAMS {
-                        // A caller who is told when to come back would bring it again.
+                        // A caller who knows when to come back would bring it again.
                         self.refuse(RefusalCode::BackendFailed, &error.to_string(), None);
                         return;
                     }
@@ -255,7 +255,7 @@
         if self.cancel.is_cancelled() {
             let engines = self.engines.clone();
             tokio::spawn(async move {
-                // A cancelled attempt that is not told so only wastes work.
+                // An attempt whose cancellation fails only wastes work.
                 let _ = engines.cancel(address, &request_id).await;
             });
             return;
--- a/lib/src/config_task.rs
+++ b/lib/src/config_task.rs
@@ -259,8 +259,8 @@
         }
     }
 
-    /// Adopts what another entry sent if it is newer; nothing is told of a
-    /// document that cannot be read. One that is no newer is not even parsed.
+    /// Adopts what another entry sent if it is newer; a
+    /// document that cannot be read is ignored. One that is no newer is not even parsed.
     fn adopt_transfer(&self, transfer: &ConfigTransfer) -> Option<RecordOutcome> {
         if transfer.number <= self.tables.config.read().number() {
             return Some(RecordOutcome::Ignored);
--- a/lib/src/entry_context.rs
+++ b/lib/src/entry_context.rs
@@ -89,7 +89,7 @@
     pub log: Logger,
     /// Ends everything, without draining.
     pub stop: CancellationToken,
-    /// Told when the pair, or one mirrored here, may have to change.
+    /// Notified when the pair, or one mirrored here, may have to change.
     pub pair_check: Notify,
     /// How many configurations other entries have sent.
     pub config_answers: AtomicU64,
--- a/lib/src/gateway/gossip_frame.rs
+++ b/lib/src/gateway/gossip_frame.rs
@@ -75,7 +75,7 @@
     #[prost(uint64, tag = "1")]
     entries: u64,
     #[prost(uint64, tag = "2")]
-    heard: u64,
+    reachable: u64,
     #[prost(uint64, optional, tag = "3")]
     fence: Option<u64>,
     #[prost(message, repeated, tag = "4")]
@@ -366,7 +366,7 @@
             backends_hash: gossip.backends_digest,
             view: gossip.view.map(|view| ViewFrame {
                 entries: view.entries as u64,
-                heard: view.reachable as u64,
+                reachable: view.reachable as u64,
                 fence: view.fencing_token.map(|token| token.0),
                 uses: view.backend_loads,
             }),
@@ -423,7 +423,7 @@
             wants_helpers: frame.wants_helpers,
             view: frame.view.map(|view| HubView {
                 entries: view.entries as usize,
-                reachable: view.heard as usize,
+                reachable: view.reachable as usize,
                 fencing_token: view.fence.map(FenceToken),
                 backend_loads: view.uses,
             }),
--- a/lib/src/gateway/retry_budget.rs
+++ b/lib/src/gateway/retry_budget.rs
@@ -12,7 +12,7 @@
 //! An entry that restarts does not know what its predecessor took. An entry without a
 //! connection to the store, direct or through hubs, may not know how many others there are,
 //! and others may not count it. Both have no part of the reserve until they have been
-//! connected for a whole window, and give no credit. Such an entry lives on its own requests
+//! connected for a whole window, and give no credit. Such an entry depends on its own requests
 //! and on the credit of a hub that knows what its predecessor drew.
 //!
 //! [`EarnedRetries`]: crate::gateway::earned_retries::EarnedRetries
--- a/lib/src/holder.rs
+++ b/lib/src/holder.rs
@@ -349,7 +349,7 @@
     pub fn receive(&mut self, message: PairMessage<MirrorReply>) -> Vec<HolderAction<P>> {
         let refused = matches!(message.body, MirrorReply::Resigned | MirrorReply::Adopted);
         if refused && message.carrier == self.pair && !self.leaving {
-            // The mirror refuses everything in this pair. It lives, since it
+            // The mirror refuses everything in this pair. It runs, since it
             // answers, and will do for a fresh one until the entry chooses
             // another; what else is carried in the old pair it will answer.
             self.renew_pair(self.pair.mirror);
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -77,7 +77,7 @@
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let pooled = Client::builder(TokioExecutor::new()).build(connector.clone());
         // A kept connection may be closed just as a request goes out, which
-        // cannot be told from a server that ran it and died. Requests that
+        // looks the same as a server that ran it and died. Requests that
         // may run only once therefore get a connection of their own.
         let fresh = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -2,7 +2,7 @@
 //!
 //! Pure. Each entry grants its share of an account's rate and concurrency.
 //! The share is one over the number of entries that may be granting: those
-//! that serve, and those that served when they were last heard of. An entry
+//! that serve, and those that served in their last report. An entry
 //! that died without a word is forgotten after ten minutes; until then its
 //! share is unused, and entries cut off from each other grant no share twice.
 //! After that, each part of a partition grants the whole limit.
@@ -17,7 +17,7 @@
 
 /// How much of a second's rate may be used in one burst.
 const BURST_SECONDS: f64 = 1.0;
-/// The smallest and largest time after which a caller is told to come back.
+/// The smallest and largest time after which a caller should come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -68,7 +68,7 @@
     Send(SocketAddr, GossipMessage),
     /// A member's record changed.
     Changed(MemberRecord),
-    /// A VM of a backend server is leaving; told once.
+    /// A VM of a backend server is leaving; emitted once.
     VmLeaving(VmId),
 }
 
@@ -175,14 +175,14 @@
     }
 
     /// Returns whether an incarnation is gone, or was replaced by a newer one
-    /// of the same entry. One that was never heard of is not.
+    /// of the same entry. One that was never known is not.
     pub fn is_gone(&self, incarnation: Incarnation) -> bool {
-        let heard = self.mirrors.contains_key(&incarnation)
+        let is_known = self.mirrors.contains_key(&incarnation)
             || self
                 .members
                 .values()
                 .any(|record| record.incarnation == incarnation);
-        heard && self.find(incarnation).is_none()
+        is_known && self.find(incarnation).is_none()
     }
 
     /// Returns whether a VM is known to be leaving.
--- a/lib/src/mirror.rs
+++ b/lib/src/mirror.rs
@@ -246,7 +246,7 @@
     }
 
     /// Forgets a request that ended. Tickets of its pair up to its own can no
-    /// longer be told from unused ones, and are reported as absent.
+    /// longer be distinguished from unused ones, and are reported as absent.
     pub fn forget(&mut self, key: RequestKey) {
         for (pair, table) in &mut self.pairs {
             let held = matches!(table.copies.get(&key), Some(CopyState::Held { .. }));
@@ -353,7 +353,7 @@
     fn pass_on(&mut self, key: RequestKey) -> (MirrorReply, bool) {
         match self.copies.get(&key) {
             // A holder that hands over in this pair has not moved elsewhere,
-            // even if it was told that it might.
+            // even if it was allowed to.
             None | Some(CopyState::Held { .. } | CopyState::Licensed | CopyState::Released) => {
                 self.copies.insert(key, CopyState::Adopted);
                 (MirrorReply::Adopted, true)
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -56,7 +56,7 @@
 const BUSY_BYTES: usize = 48 * 1024;
 /// The size from which on a frame is written from where it lies instead of
 /// being collected with others, in bytes. The collecting buffer would keep the
-/// capacity of the largest frame for as long as the connection lives.
+/// capacity of the largest frame for as long as the connection is open.
 const DIRECT_FRAME: usize = 8 * 1024;
 /// The pause between log lines about frames that did not fit.
 const REFUSAL_LOG_PAUSE: Duration = Duration::from_secs(5);
--- a/lib/src/plan_task.rs
+++ b/lib/src/plan_task.rs
@@ -111,7 +111,7 @@
         let Ok(body) = serde_json::to_string(record) else {
             return;
         };
-        // Whether it counts is told by reading it back.
+        // Reading it back shows whether it counts.
         if let Err(error) = self.context.log_service.append(LEASE_STREAM, body).await {
             slog::debug!(self.context.log, "an append was not answered"; "error" => %error);
         }
--- a/lib/src/revision.rs
+++ b/lib/src/revision.rs
@@ -21,7 +21,7 @@
 use crate::id::RevisionNumber;
 
 /// Identifies one attempt of an operator to publish, so that a lost answer
-/// can be told from a record that was never appended.
+/// can be distinguished from a record that was never appended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct PublicationId(pub String);
--- a/lib/src/vm_roster.rs
+++ b/lib/src/vm_roster.rs
@@ -41,7 +41,7 @@
         /// When it is stopped.
         stop_at: Timestamp,
     },
-    /// The cloud was told to stop it.
+    /// The cloud was asked to stop it.
     Stopped,
 }
 
--- a/lib/tests/test_crash_verdict.rs
+++ b/lib/tests/test_crash_verdict.rs
@@ -1,11 +1,9 @@
 //! Checks which requests are refused while servers crash: the fatal request
 //! that causes the crashes, and none of those that run beside it.
 //!
-//! Replays a load under which one request once crashed 57 servers: callers at
-//! all entries, many requests that arrive once, and one that is repeated again
-//! and again; and one under which requests with one part of their prompts in common, no two
-//! alike, crashed 150. All requests share the first part of their prompts, and each shares
-//! the second with some others.
+//! Replays callers at all entries, many requests that arrive once, and one that is repeated
+//! again and again or requests with one part of their prompts in common. All requests share
+//! the first part of their prompts, and each shares the second with some others.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
--- a/lib/tests/test_limit_changes.rs
+++ b/lib/tests/test_limit_changes.rs
@@ -1,6 +1,6 @@
 //! Servers name limits, lower them, lift them and name them again, while entries are frozen,
 //! lost or started and answers arrive late. Counted are the requests that arrive at a server
-//! from the entries that it has told.
+//! from the entries that have passed its answers on.
 
 use std::time::Duration;
 
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -104,7 +104,7 @@
     phase: RolloutPhase,
     news_age: Duration,
     cut_off: bool,
-    /// Whether it counted something that it has not told.
+    /// Whether it counted something that it has not reported.
     has_more: bool,
 }
 
@@ -161,8 +161,8 @@
     for tick in 0..ticks {
         let age = TICK * tick as u32;
         news.push_back(phase);
-        let told = news.pop_front().unwrap();
-        let heard_answers = total.answers(VersionSide::New);
+        let reported = news.pop_front().unwrap();
+        let reported_answers = total.answers(VersionSide::New);
         for state in &mut states {
             if rng.random_bool(0.001) {
                 *state = EntryState::new(&mut rng);
@@ -172,7 +172,7 @@
             }
             state.news_age += TICK;
             if !state.cut_off && rng.random_bool(0.7) {
-                state.phase = told;
+                state.phase = reported;
                 state.news_age = TICK * NEWS_TICKS as u32;
                 if std::mem::take(&mut state.has_more) {
                     table.note(Incarnation(state.incarnation), &state.evidence);
@@ -190,7 +190,7 @@
                 phase: state.phase,
                 news_age: state.news_age,
                 age,
-                new_answers: heard_answers,
+                new_answers: reported_answers,
             };
             let may_repeat = route != 3;
             let rule = version_rule(&view, state.credit, may_repeat);
@@ -517,13 +517,13 @@
 )]
 fn news_does_not_follow_a_verdict(
     #[case] known: RolloutPhase,
-    #[case] told: RolloutPhase,
+    #[case] reported: RolloutPhase,
     #[case] fence: u64,
     #[case] news_ms: u64,
     #[case] expected: RolloutPhase,
 ) {
     let mut table = table_with(news(known, 1, 300));
-    table.note_news(NOW, news(told, fence, news_ms), 0.5);
+    table.note_news(NOW, news(reported, fence, news_ms), 0.5);
     assert_eq!(phase_of(&table), expected);
 }
 
@@ -537,10 +537,10 @@
     let mut now = NOW;
     for round in 0..40 {
         now = now.after(Duration::from_millis(250));
-        let [told] = &tables[round % 2].current_news(now)[..] else {
+        let [reported] = &tables[round % 2].current_news(now)[..] else {
             panic!("the news is lost");
         };
-        tables[(round + 1) % 2].note_news(now, told.clone(), 1.0);
+        tables[(round + 1) % 2].note_news(now, reported.clone(), 1.0);
     }
     for table in &mut tables {
         table.note_arrival(&order().service, &bounds());
@@ -615,11 +615,11 @@
         phase in prop::sample::select(RolloutPhase::ALL.to_vec()),
     ) {
         let [duration, age, news_age] = millis.map(Duration::from_millis);
-        let mut told = news(phase, 1, 0);
-        told.order.duration = duration;
-        told.number = LogOffset(number);
-        (told.age, told.news_age) = (age, news_age);
-        let mut table = table_with(told);
+        let mut reported = news(phase, 1, 0);
+        reported.order.duration = duration;
+        reported.number = LogOffset(number);
+        (reported.age, reported.news_age) = (age, news_age);
+        let mut table = table_with(reported);
         table.note_arrival(&order().service, &bounds());
         table.rule(NOW, &order().service, true);
         for news in table.current_news(NOW) {
--- a/lib/tests/test_shared_admission.rs
+++ b/lib/tests/test_shared_admission.rs
@@ -190,11 +190,11 @@
 }
 
 fn gather_news(entries: &mut [Entry], now: Timestamp, is_nonsense: bool) -> HubNews {
-    let told = |entry: &mut Entry| EntryNews {
+    let report = |entry: &mut Entry| EntryNews {
         demands: write_demands(&entry.admission.crowded_demands(now)),
         in_flight: entry.in_flight,
     };
-    let mut entries: Vec<EntryNews> = entries.iter_mut().map(told).collect();
+    let mut entries: Vec<EntryNews> = entries.iter_mut().map(report).collect();
     if is_nonsense {
         entries[0].demands = vec![nonsense_demand()];
     }
--- a/lib/tests/test_stream_memory.rs
+++ b/lib/tests/test_stream_memory.rs
@@ -106,8 +106,8 @@
     streams.note_completed(key("a"));
     assert_eq!(streams.get(at(1), key("a")), None);
     assert_eq!(streams.take_unannounced(at(2), |_| false), vec![]);
-    let told = vec![(key("b"), Some(version("v1")))];
-    assert_eq!(streams.take_unannounced(at(3), |_| true), told);
+    let announced = vec![(key("b"), Some(version("v1")))];
+    assert_eq!(streams.take_unannounced(at(3), |_| true), announced);
     assert_eq!(streams.take_unannounced(at(4), |_| true), vec![]);
     // A stream that is taken up is remembered from then on.
     streams.note_announced(at(20_000), key("b"), Some(&version("v1")));
@@ -128,7 +128,7 @@
     assert_eq!(streams.get(at(1_000), StreamKey(99_999)), known("v1"));
 }
 
-/// Names of versions beyond a few hundred are not told apart, and never taken for others.
+/// Names of versions beyond a few hundred are not distinguished, and never taken for others.
 #[test]
 fn too_many_versions_are_conflicting() {
     let mut streams = StreamVersions::new();
@@ -307,7 +307,7 @@
         *seen += 1;
         let bound = world.take_up(true);
         // Entries list a new version within a second. Until one that is asked has done so,
-        // a stream that nobody was told of cannot be told from one that began before.
+        // a stream that was announced to nobody looks like one that began before.
         if let Some(VersionBinding::Bound(version)) = &bound
             && world.knows_new()
         {
@@ -337,8 +337,8 @@
     }
 }
 
-/// Whatever the order of beginning, telling, losses and lists: a stream goes on at the version
-/// that began it or not at all, and goes on if a keeper that was told is asked.
+/// Whatever the order of beginning, announcing, losses and lists: a stream goes on at the version
+/// that began it or not at all, and goes on if a keeper that knows of it is asked.
 #[test]
 fn every_order_binds_a_stream_to_its_version_or_refuses_it() {
     let mut seen = 0;
--- a/testutils/src/lease_model.rs
+++ b/testutils/src/lease_model.rs
@@ -68,9 +68,9 @@
     pub broken: BrokenLease,
 }
 
-/// News that an entry heard of a holder.
+/// News that an entry received of a holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct HeardNews {
+struct ReceivedNews {
     life: u64,
     sent_at: Timestamp,
     fence: FenceToken,
@@ -99,13 +99,13 @@
     News {
         to: EntryIndex,
         from: EntryIndex,
-        news: HeardNews,
+        news: ReceivedNews,
         end: LogOffset,
     },
     Echo {
         to: EntryIndex,
         from: EntryIndex,
-        news: HeardNews,
+        news: ReceivedNews,
     },
 }
 
@@ -117,9 +117,9 @@
     life: u64,
     open: Option<OpenAppend>,
     /// By entry.
-    heard: Vec<Option<HeardNews>>,
-    /// When any holder was last heard.
-    heard_at: Timestamp,
+    received: Vec<Option<ReceivedNews>>,
+    /// When any holder last sent news.
+    received_at: Timestamp,
     /// A tenure that was given up and whose release may be appended.
     ended: Option<TenureInfo>,
 }
@@ -146,7 +146,7 @@
     fast: Vec<bool>,
     entries: Vec<Option<Arc<ModelEntry>>>,
     calls: Vec<Option<OpenCall>>,
-    lives: u64,
+    incarnations: u64,
     store: ModelStore,
     late: Vec<LateAppend>,
     flights: Vec<PeerFlight>,
@@ -175,7 +175,7 @@
             fast: setup.fast.clone(),
             entries: vec![None; count],
             calls: vec![None; count],
-            lives: 0,
+            incarnations: 0,
             store: ModelStore::default(),
             late: Vec::new(),
             flights: Vec::new(),
@@ -347,7 +347,7 @@
                     steps.push(LeaseStep::Tell(index, other));
                 }
             }
-            if entry.heard[other].is_some() && self.promises(entry) {
+            if entry.received[other].is_some() && self.promises(entry) {
                 for speed in self.speeds(self.faults.slow_news) {
                     steps.push(LeaseStep::Echo(index, other, speed));
                 }
@@ -365,7 +365,7 @@
         let short = self.terms().short_term * (100 + self.terms().drift_percent) / 100;
         let is_short_over = |(_, last_sign_at)| now.since(last_sign_at) >= short;
         let may_early = match self.setup.broken {
-            BrokenLease::NewsAlone => return now.since(entry.heard_at) >= short,
+            BrokenLease::NewsAlone => return now.since(entry.received_at) >= short,
             BrokenLease::ShortWait => lease.known_holder().is_some_and(is_short_over),
             BrokenLease::RestartClaim => entry.life >= self.entries.len() as u64,
             _ => false,
@@ -428,8 +428,8 @@
     }
 
     fn start(&mut self, index: EntryIndex, first_start: bool) {
-        let life = self.lives;
-        self.lives += 1;
+        let life = self.incarnations;
+        self.incarnations += 1;
         let now = Timestamp(0);
         let own = Incarnation(life);
         let lease = LeaseState::new(now, entry_name(index), own, self.terms(), first_start);
@@ -438,8 +438,8 @@
             now,
             life,
             open: None,
-            heard: vec![None; self.entries.len()],
-            heard_at: now,
+            received: vec![None; self.entries.len()],
+            received_at: now,
             ended: None,
         }));
     }
--- a/testutils/src/lease_model/exchanges.rs
+++ b/testutils/src/lease_model/exchanges.rs
@@ -1,8 +1,8 @@
 //! News of the holder between entries, and the promises that answer them.
 
-use crate::lease_model::HeardNews;
 use crate::lease_model::LeaseWorld;
 use crate::lease_model::PeerFlight;
+use crate::lease_model::ReceivedNews;
 use crate::lease_model::entry_name;
 use crate::lease_model::lose_oldest;
 use crate::lease_step::BrokenLease;
@@ -32,7 +32,7 @@
         Some(PeerFlight::News {
             to,
             from,
-            news: HeardNews {
+            news: ReceivedNews {
                 life: entry.life,
                 sent_at: entry.now,
                 fence,
@@ -48,7 +48,7 @@
         if !self.promises(entry) {
             return;
         }
-        let Some(news) = entry.heard[to] else {
+        let Some(news) = entry.received[to] else {
             return;
         };
         let echo = PeerFlight::Echo { to, from, news };
@@ -78,26 +78,26 @@
         &mut self,
         to: EntryIndex,
         from: EntryIndex,
-        news: HeardNews,
+        news: ReceivedNews,
         end: LogOffset,
     ) {
         let is_foreign = self.breaks(BrokenLease::ForeignEnd);
         let Some(entry) = self.entry_mut(to) else {
             return;
         };
-        entry.heard_at = entry.now;
+        entry.received_at = entry.now;
         let fence = match entry.lease.generation() {
             Some(generation) if is_foreign => FenceToken::of_claim(generation, end),
             _ => news.fence,
         };
         entry.lease.note_holder_gossip(entry.now, fence, end);
-        let known = entry.heard[from].filter(|known| known.life == news.life);
+        let known = entry.received[from].filter(|known| known.life == news.life);
         if known.is_none_or(|known| known.sent_at < news.sent_at) {
-            entry.heard[from] = Some(news);
+            entry.received[from] = Some(news);
         }
     }
 
-    pub(super) fn hear_echo(&mut self, to: EntryIndex, from: EntryIndex, news: HeardNews) {
+    pub(super) fn hear_echo(&mut self, to: EntryIndex, from: EntryIndex, news: ReceivedNews) {
         let broken = self.setup.broken;
         let is_late = matches!(
             broken,
--- a/testutils/src/lease_step.rs
+++ b/testutils/src/lease_step.rs
@@ -116,7 +116,7 @@
     Exchange(EntryIndex, EntryIndex),
     /// A holder sends news to another entry.
     Tell(EntryIndex, EntryIndex),
-    /// An entry answers, now, to the last news it heard of another one.
+    /// An entry answers, now, to the last news it received of another one.
     Echo(EntryIndex, EntryIndex, MessageSpeed),
     /// A slow message between entries arrives.
     Hear(usize),
--- a/testutils/src/limit_model.rs
+++ b/testutils/src/limit_model.rs
@@ -1,8 +1,8 @@
 //! A model of rate limits that backend servers name, over many entries in virtual time.
 //!
 //! Reports, gossip and permits are those in use. Counted are the requests that arrive at a
-//! server from the entries that it has told: in some 4 s at most one and a half times what
-//! its limit allows, and five requests.
+//! server from the entries that passed its answers on: in some 4 s at most one and a half
+//! times what its limit allows, and five requests.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -44,7 +44,7 @@
 const TOLERATED_FACTOR: f64 = 1.5;
 const TOLERATED_REQUESTS: f64 = 5.0;
 /// How long after an answer the entry that got it is held to the limit in it.
-const TOLD_AFTER: Duration = Duration::from_millis(500);
+const HELD_AFTER: Duration = Duration::from_millis(500);
 /// How long after a server first names a limit requests count against it.
 const NAMED_AFTER: Duration = Duration::from_secs(3);
 /// How long a process needs to start.
@@ -143,7 +143,7 @@
     /// Until when it stands still: requests arrive, in its sense, when it goes on.
     silent_until: Timestamp,
     /// When each process first got an answer with the limit in force.
-    told: BTreeMap<Incarnation, Timestamp>,
+    passed_on: BTreeMap<Incarnation, Timestamp>,
     /// Requests that count against the limit in force.
     counted: Vec<Timestamp>,
     /// When it first named a limit, since it last named none.
@@ -339,7 +339,7 @@
                     server.named_at = None;
                 }
                 server.limit = limit;
-                server.told.clear();
+                server.passed_on.clear();
                 server.counted.clear();
             }
         }
@@ -395,7 +395,10 @@
         for answer in due {
             let server = &mut self.servers[answer.server];
             if answer.limit.is_some() && answer.limit == server.limit {
-                server.told.entry(answer.incarnation).or_insert(self.now);
+                server
+                    .passed_on
+                    .entry(answer.incarnation)
+                    .or_insert(self.now);
             }
             let report = ServerReport {
                 limit: answer.limit.map_or(LimitReport::Unlimited, |limit| {
@@ -548,16 +551,16 @@
         let now = self.now;
         let entry = &self.entries[request.entry];
         let server = &mut self.servers[request.server];
-        let is_told = server
-            .told
+        let has_passed_on = server
+            .passed_on
             .get(&request.incarnation)
-            .is_some_and(|at| now.since(*at) >= TOLD_AFTER);
+            .is_some_and(|at| now.since(*at) >= HELD_AFTER);
         if server.limit.is_some() {
             server.named_at.get_or_insert(now);
         }
         let named_for = server.named_at.map(|at| now.since(at));
         let is_undisturbed = now.since(entry.disturbed_at) >= NAMED_AFTER;
-        let counts = is_told && is_undisturbed && named_for >= Some(NAMED_AFTER);
+        let counts = has_passed_on && is_undisturbed && named_for >= Some(NAMED_AFTER);
         if let Some(limit) = server.limit.filter(|_| counts) {
             server.counted.push(now);
             let counted = server.counted.iter().rev();
--- a/testutils/src/world_explorer.rs
+++ b/testutils/src/world_explorer.rs
@@ -51,7 +51,7 @@
 }
 
 /// Visits every state that can be reached from `start` within `bounds`, breadth
-/// first. States are told apart by a hash of 64 bits, so that a few million of
+/// first. States are distinguished by a hash of 64 bits, so that a few million of
 /// them are confused with a chance of less than one in a million.
 ///
 /// # Panics
--- a/testutils/tests/test_deployment.rs
+++ b/testutils/tests/test_deployment.rs
@@ -244,7 +244,7 @@
     platform
         .cloud
         .give_notice(leaving.vm.clone(), Duration::from_secs(600));
-    eventually("the notice was not heard", known_everywhere).await;
+    eventually("the notice did not arrive", known_everywhere).await;
     let before = leaving.engine.computed();
     for first in 0..6 {
         let (body, expected) = sample_chat(&format!("truck {first}"), 3);
