crash_detector: crashes of most of a service are noted too

An entry threw away a crash that it had seen if it took itself for cut off, or reached less than two fifths of five others. When requests end most of a service within half a second, both follow from the crashes alone.

Change: two servers of up to twenty must be reached, asked in groups of five; whether the entry is cut off does not count. The refusal of a connection says that the path is whole. A crash that another entry has noted needs no further proof. An interrupted response that was relayed is looked into as well, unless the path to its server had failed before.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -29,13 +29,13 @@
 use crate::gateway::path_monitor::probe_path;
 use crate::quantity::Timestamp;
 
-/// The number of other servers that are probed before a crash is recorded, and the number of
-/// those of which they are chosen.
-const OTHER_SERVERS: usize = 5;
+/// The number of other servers that must be reached before a crash is recorded. An entry that
+/// is cut off reaches none. Requests that crash servers may have ended most of a service, so
+/// this is no share of those that are probed.
+const NEEDED_OTHERS: usize = 2;
+/// How many are probed at once, and the number of those of which they are chosen.
+const OTHERS_AT_ONCE: usize = 5;
 const OTHER_CANDIDATES: usize = 20;
-/// The share of the probed ones that must be reached. An entry that is cut off reaches none, and
-/// requests that crash servers may have ended more than half of a small service.
-const REACHED_SHARE: f64 = 0.4;
 
 /// A run of a request that was interrupted because its server crashed, or may
 /// have crashed.
@@ -97,7 +97,8 @@
         if refuses_connections {
             note_path_failure(&context, &id);
         }
-        let has_crashed = refuses_connections && reaches_others(&context, &id).await;
+        let is_known = context.crashes.lock().knows_crash(&id);
+        let has_crashed = refuses_connections && (is_known || reaches_others(&context, &id).await);
         let runs = context.crash_detector.take(&id);
         if has_crashed {
             counter!("cloverbend_backend_crashes_total").increment(1);
@@ -107,18 +108,21 @@
     });
 }
 
-/// Returns whether this entry reaches enough of some other servers. If it does not, its own
-/// paths may have failed, and it cannot tell which servers crashed.
+/// Returns whether this entry reaches some other servers. If it does not, its own paths may
+/// have failed, and it cannot tell which servers crashed. Whether it takes itself for cut off
+/// does not matter: the crashes themselves may be the reason.
 async fn reaches_others(context: &Arc<GatewayContext>, id: &BackendId) -> bool {
-    if context.paths.lock().is_cut_off() {
-        return false;
-    }
     let others = draw_others(context, id);
-    let probes = others.iter().map(|other| probe_path(context, other));
-    let reached = join_all(probes).await;
-    let count = reached.iter().filter(|reached| **reached).count();
-    let is_enough = count as f64 >= reached.len() as f64 * REACHED_SHARE;
-    is_enough && !context.paths.lock().is_cut_off()
+    let needed = others.len().div_ceil(2).min(NEEDED_OTHERS);
+    let mut count = 0;
+    for group in others.chunks(OTHERS_AT_ONCE) {
+        let reached = join_all(group.iter().map(|other| probe_path(context, other))).await;
+        count += reached.iter().filter(|reached| **reached).count();
+        if count >= needed {
+            break;
+        }
+    }
+    count >= needed
 }
 
 /// Draws some servers other than `id` that accept requests. Those that have crashed tell
@@ -136,7 +140,6 @@
     let mut others: Vec<BackendId> = drawn.collect();
     others.shuffle(&mut rand::rng());
     others.sort_by_key(|other| context.crash_detector.is_probing(other));
-    others.truncate(OTHER_SERVERS);
     others
 }
 
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -170,15 +170,11 @@
     /// interrupts all of its responses.
     pub fn note_interrupted(&self, cause: &str) {
         let (context, backend) = (&self.context, self.backend());
-        if self.is_relayed {
-            // The other entry may have ended, or lost its path to the server.
-            return;
-        }
-        if cause == RESPONSE_INTERRUPTED {
+        if cause == RESPONSE_INTERRUPTED && !self.is_relayed {
             doubt_path(context, backend);
         }
         match cause {
-            CONNECTION_LOST | RESPONSE_INTERRUPTED => {
+            CONNECTION_LOST | RELAY_LOST | RESPONSE_INTERRUPTED if self.may_probe(cause) => {
                 probe_for_crash(context, backend, self.request.address, self.run());
             }
             SERVER_RESTARTED => record_crash(context, backend, &[self.run()]),
@@ -186,6 +182,14 @@
         }
     }
 
+    /// Returns whether an attempt to connect to the server tells if it crashed: this entry
+    /// did not fail to reach it before. The other entry that relays may have ended itself, or
+    /// lost its path.
+    fn may_probe(&self, cause: &str) -> bool {
+        let was_relayed = self.is_relayed || cause == RELAY_LOST;
+        !was_relayed || !self.context.paths.lock().has_failed(self.backend())
+    }
+
     /// Notes that the response is complete.
     pub fn note_completed(&self) {
         self.context.note_first_response();
--- a/lib/src/gateway/server_paths.rs
+++ b/lib/src/gateway/server_paths.rs
@@ -193,7 +193,7 @@
     /// Returns whether the time of a request that was sent at `sent_at` says something of
     /// its server: its path has not failed since.
     pub fn is_whole_since(&self, id: &BackendId, sent_at: Timestamp) -> bool {
-        let has_failed = self.states.get(id).is_some_and(PathState::has_failed);
+        let has_failed = self.has_failed(id);
         let was_cut_off = self.restored_at.is_some_and(|at| sent_at < at);
         !has_failed && !was_cut_off && !self.is_cut_off()
     }
@@ -204,6 +204,11 @@
         self.cut_off_at.is_some_and(|at| sent_at < at)
     }
 
+    /// Returns whether this entry failed to reach a server, and has not reached it since.
+    pub fn has_failed(&self, id: &BackendId) -> bool {
+        self.states.get(id).is_some_and(PathState::has_failed)
+    }
+
     /// Returns whether the entry is cut off.
     pub fn is_cut_off(&self) -> bool {
         self.cut_off_since.is_some()
