server_connection: bound what arrives before the head of a response

Servers in trouble may send bytes that are no answer without end.

Change: a connection counts what arrives between a request and the head of its response, and fails beyond 128 KiB. The connection is a module of its own now.

--- a/lib/src/gateway/backend_pool.rs
+++ b/lib/src/gateway/backend_pool.rs
@@ -17,9 +17,6 @@
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use metrics::counter;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -28,6 +25,7 @@
 use crate::gateway::address_translation::AddressTranslation;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::relay_helpers::HelperUse;
+use crate::gateway::server_connection::ServerConnection;
 use crate::id::Incarnation;
 use crate::quantity::Timestamp;
 
@@ -47,8 +45,6 @@
 /// second, the load of a weak VM, to servers that keep connections for 12 s. With
 /// two buffers of 16 KB each, they take at most 8 MB.
 const MAX_IDLE_TOTAL: usize = 256;
-/// The largest read buffer of a connection. Response heads are small.
-const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Why a request got no response head.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,7 +76,7 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: ServerConnection,
     expires_at: Timestamp,
 }
 
@@ -95,7 +91,7 @@
 
 /// A connection that a request uses; it may be returned to the pool.
 pub struct PooledConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: ServerConnection,
     /// The entry that relays the request, if one does.
     helper: Option<HelperUse>,
 }
@@ -175,18 +171,18 @@
         let mut request = request;
         // An idle connection may turn out to be closed before anything is written.
         // hyper then returns the request, and another connection is used.
-        while let Some(mut sender) = self.take_idle(target) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(Exchange::new(response, sender)),
+        while let Some(mut connection) = self.take_idle(target) {
+            match connection.send(request).await {
+                Ok(response) => return Ok(Exchange::new(response, connection)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(ExchangeError::Lost(error.into_error().to_string())),
                 },
             }
         }
-        let mut sender = connect(address).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(Exchange::new(response, sender)),
+        let mut connection = connect(address).await?;
+        match connection.send(request).await {
+            Ok(response) => Ok(Exchange::new(response, connection)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -234,7 +230,7 @@
             Some(keep_alive) => keep_alive.saturating_sub(KEEP_ALIVE_MARGIN),
             None => DEFAULT_KEEP_ALIVE,
         };
-        if idle_time.is_zero() || connection.sender.is_closed() {
+        if idle_time.is_zero() || connection.connection.is_closed() {
             return;
         }
         let now = self.clock.now();
@@ -248,11 +244,10 @@
             None => PoolTarget::Server(id.clone()),
         };
         let connections = idle.entry(target).or_default();
-        connections
-            .retain(|connection| connection.expires_at > now && !connection.sender.is_closed());
+        connections.retain(|idle| idle.expires_at > now && !idle.connection.is_closed());
         if connections.len() < MAX_IDLE_PER_BACKEND {
             connections.push(IdleConnection {
-                sender: connection.sender,
+                connection: connection.connection,
                 expires_at: now.after(idle_time),
             });
         }
@@ -286,20 +281,19 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         for connections in idle.values_mut() {
-            connections
-                .retain(|connection| connection.expires_at > now && !connection.sender.is_closed());
+            connections.retain(|idle| idle.expires_at > now && !idle.connection.is_closed());
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take_idle(&self, target: &PoolTarget) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, target: &PoolTarget) -> Option<ServerConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(target)?;
-        while let Some(connection) = connections.pop() {
+        while let Some(idle) = connections.pop() {
             // If a connection is not ready, its last response did not end cleanly.
-            if connection.expires_at > now && connection.sender.is_ready() {
-                return Some(connection.sender);
+            if idle.expires_at > now && idle.connection.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
@@ -307,9 +301,9 @@
 }
 
 impl Exchange {
-    fn new(response: Response<Incoming>, sender: SendRequest<Full<Bytes>>) -> Self {
+    fn new(response: Response<Incoming>, connection: ServerConnection) -> Self {
         let connection = PooledConnection {
-            sender,
+            connection,
             helper: None,
         };
         Self {
@@ -319,7 +313,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+async fn connect(address: SocketAddr) -> Result<ServerConnection, ExchangeError> {
     counter!("cloverbend_backend_connections_total").increment(1);
     let not_sent = |cause: String| ExchangeError::NotSent(cause);
     let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
@@ -330,12 +324,6 @@
     };
     // Small requests must not wait for Nagle's algorithm. A failure only adds delay.
     let _ = socket.set_nodelay(true);
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(socket))
-        .await
-        .map_err(|error| not_sent(error.to_string()))?;
-    // The request that waits for a response gets any error of the connection.
-    tokio::spawn(async move { drop(connection.await) });
-    Ok(sender)
+    let connection = ServerConnection::open(socket).await;
+    connection.map_err(|error| not_sent(error.to_string()))
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -171,6 +171,7 @@
 pub mod send_guard;
 pub mod send_permits;
 pub mod sent_work;
+pub mod server_connection;
 pub mod server_labels;
 pub mod server_limits;
 pub mod server_pace;
