--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -33,7 +33,7 @@
 /// is cut off reaches none. Requests that crash servers may have ended most of a service, so
 /// this is no share of those that are probed.
 const NEEDED_OTHERS: usize = 2;
-/// How many are probed at once, and the number of those of which they are chosen.
+/// How many are probed at once, and how many in all.
 const OTHERS_AT_ONCE: usize = 5;
 const OTHER_CANDIDATES: usize = 20;
 
