late_bytes: a response whose next bytes are always there ends, too

Cause of the second: timeout_at gives out what is ready before it looks at the time, since ready answers are delivered also late. A server that always has more is never late then. Change: after the time limit at most 8 MiB are passed on, of streams and of plain answers.

--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -41,6 +41,7 @@
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::gateway_context::CallGuard;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::late_bytes::LateBytes;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::response_framing::ResponseFraming;
 use crate::gateway::retry_exchange::take_retry_budget;
@@ -94,6 +95,7 @@
     /// The framing of the last response.
     framing: ResponseFraming,
     splitter: EventSplitter,
+    late_bytes: LateBytes,
     /// The bytes that the splitter buffers.
     reservation: ByteReservation,
     /// The version of the last server that responded, if it is known.
@@ -144,6 +146,7 @@
             framing: ResponseFraming::of(&backend_response.exchange.response),
             response: Some(open_response(backend_response)),
             splitter: EventSplitter::new(),
+            late_bytes: LateBytes::default(),
             events: 0,
             has_further_event: false,
             first_event_delay: None,
@@ -180,6 +183,9 @@
                     };
                     self.stall_detector.note_bytes(Instant::now());
                     response.guard.note_bytes();
+                    if self.late_bytes.is_exceeded_by(&self.call, data.len()) {
+                        return Some(self.interrupt("timed_out"));
+                    }
                     let batch = self.split(&data);
                     if !batch.bytes.is_empty() {
                         self.record_events(&batch);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -120,6 +120,7 @@
 pub mod hub_capacity;
 pub mod incarnation_tracker;
 pub mod interim_counts;
+pub mod late_bytes;
 pub mod lease_state;
 pub mod lease_task;
 pub mod lease_timings;
--- a/lib/src/gateway/response_passthrough.rs
+++ b/lib/src/gateway/response_passthrough.rs
@@ -29,6 +29,7 @@
 use crate::gateway::event_relay::RelayError;
 use crate::gateway::gateway_context::CallGuard;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::late_bytes::LateBytes;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::response_body::PartialBody;
 use crate::gateway::send_guard::RESPONSE_INTERRUPTED;
@@ -42,6 +43,7 @@
     /// The bytes that were read before the passthrough began, in order.
     chunks: std::array::IntoIter<Bytes, 2>,
     backend_response: Option<BackendResponse>,
+    late_bytes: LateBytes,
     _call_guard: CallGuard,
 }
 
@@ -73,6 +75,7 @@
             status,
             chunks: partial.chunks.into_iter(),
             backend_response: Some(backend_response),
+            late_bytes: LateBytes::default(),
         };
         let frames = stream::unfold(passthrough, Self::next_frame);
         let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
@@ -101,6 +104,10 @@
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
+                        if self.late_bytes.is_exceeded_by(&self.call, data.len()) {
+                            let backend_response = self.backend_response.take()?;
+                            return Some(self.interrupt(&backend_response, "timed_out"));
+                        }
                         return Some(self.forward(data));
                     }
                 }
