--- a/testutils/src/limit_model.rs
+++ b/testutils/src/limit_model.rs
@@ -34,6 +34,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::gossip_sample::entry_name;
+
 /// The length of a step.
 pub const STEP: Duration = Duration::from_millis(25);
 const ROUND_STEPS: u64 = 10;
@@ -50,11 +52,6 @@
 /// How long a process needs to start.
 const START_TIME: Duration = Duration::from_millis(500);
 
-/// Returns the name of the entry with a number.
-pub fn entry_name(number: usize) -> EntryName {
-    format!("entry-{number}").parse().unwrap()
-}
-
 /// Returns the address of the entry with a number.
 pub fn entry_address(number: usize) -> std::net::SocketAddr {
     format!("127.0.0.1:{}", 1_000 + number).parse().unwrap()
