--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -307,7 +307,7 @@
         if context.may_log(&head.id.0, LineClass::Failure) {
             info!(context.log, "limit reached"; "request" => %head.id, "account" => %account.name,
             "units" => units, "level" => level, "rate" => account.rate,
-            "entries" => counts.entries, "heard" => counts.reachable,
+            "entries" => counts.entries, "reachable" => counts.reachable,
             "retry_after_ms" => after.as_millis() as u64);
         }
         CallRefusal::OverLimit(after)
--- a/lib/src/gateway/gossip_receiver.rs
+++ b/lib/src/gateway/gossip_receiver.rs
@@ -48,7 +48,7 @@
         if let Some(replaced) = replaced {
             context.account_limits.lock().retire(replaced);
         }
-        info!(context.log, "entry heard"; "other" => %gossip.name,
+        info!(context.log, "entry reached"; "other" => %gossip.name,
             "incarnation" => %gossip.incarnation, "address" => %gossip.address);
     }
     if gossip.revision > context.config.lock().revision() {
