crash_detector: the line of a crash says how far its requests were

The log could not tell whether servers crashed before or late in their responses: the two cases in which a crash is no evidence about the parts of a prompt. The line has the requests without a response and the longest run, and a counter has both by phase. No change of logic.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -102,7 +102,7 @@
         let runs = context.crash_detector.take(&id);
         if has_crashed {
             counter!("cloverbend_backend_crashes_total").increment(1);
-            log_crash(&context, &id, runs.len());
+            log_crash(&context, &id, &runs);
             record_crash(&context, &id, &runs);
         }
     });
@@ -145,10 +145,25 @@
 
 /// Logs a crash if the log budget allows it: hundreds of entries observe
 /// hundreds of crashes at once.
-fn log_crash(context: &GatewayContext, id: &BackendId, requests: usize) {
-    if context.may_log(&id.name.0, LineClass::Failure) {
-        info!(context.log, "backend server crashed"; "backend" => %id, "requests" => requests);
+fn log_crash(context: &GatewayContext, id: &BackendId, runs: &[InterruptedRun]) {
+    for run in runs {
+        let phase = if run.has_begun {
+            "response"
+        } else {
+            "no_response"
+        };
+        counter!("cloverbend_crashed_runs_total", "phase" => phase).increment(1);
     }
+    if !context.may_log(&id.name.0, LineClass::Failure) {
+        return;
+    }
+    let without_response = runs.iter().filter(|run| !run.has_begun).count();
+    let run_times = runs
+        .iter()
+        .map(|run| run.interrupted_at.since(run.started_at));
+    info!(context.log, "backend server crashed"; "backend" => %id, "requests" => runs.len(),
+        "without_response" => without_response,
+        "longest_run_ms" => run_times.max().map(|ran| ran.as_millis() as u64));
 }
 
 /// Returns whether the server may have crashed. One that drains, or whose
