crash_verdict: no phase and no length of a run excludes a part

Callers saw sound requests fail by the hundred while requests with one part of their prompts ended server after server: 24 to 40 of twelve in 6 s.

Cause: two rules tied the evidence about parts to one order of events and one speed of engines. A crash before the head of a response counted for the whole request only, since the request might have waited; and a response that had gone on for 0.5 s counted as a survivor of its parts, so that a part that crashes servers late cleared itself.

Change: a run counts from the first byte sent, whatever its phase. Its length is compared with the rate of other crashes, over a window as long as the longest run, and with the runs of other parts at the same crashes. What the two rules were for is done by contrasts: a part is fatal only if servers survive requests of its service without it meanwhile. Until then, or with a lower score, it is suspected: single requests run, at one entry after another, and the others get 503 with `Retry-After`. A request whose part may be suspected soon gets no second server after three crashes.

The test of trials has contrasts now, since a part without them is only suspected; its times are as before, and two cases give those of suspected parts.

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -24,6 +24,7 @@
 use crate::gateway::call_feature::CallFeatures;
 use crate::gateway::call_head::CallHead;
 use crate::gateway::call_refusal::CallRefusal;
+use crate::gateway::crash_ledger::CallSafety;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::site_config::AccountRule;
@@ -51,6 +52,8 @@
     pub digest: CallDigest,
     /// What it may have in common with other requests.
     pub features: CallFeatures,
+    /// Whether it runs to find out if servers crash under it.
+    pub is_trial: bool,
     /// The matching route.
     pub route: RouteRule,
     /// The service that runs the request.
@@ -147,15 +150,18 @@
     // Callers retry a request at any entry, and requests share parts of their prompts. If
     // entries only ejected crashed servers, requests that crash them would end one server
     // after another.
-    if crashes_servers(context, &head, &features) {
+    let safety = context.crashes.lock().judge(context.now(), &features);
+    let is_trial = safety != CallSafety::Harmless && begins_trial(context, &head, &features);
+    if !is_trial && let Some(refusal) = CallRefusal::of_safety(safety) {
         log_fatal_request(context, &head, digest);
-        return Err(CallRefusal::CrashesServers);
+        return Err(refusal);
     }
     let units = charge_units(context, account.as_ref(), &head)?;
     Ok(AdmittedCall {
         head,
         digest,
         features,
+        is_trial,
         route,
         service,
         shortest_target,
@@ -171,22 +177,20 @@
     })
 }
 
-/// Returns whether a request is known to crash the servers that run it, and must not run. Now
-/// and then one runs at the first of all entries, to find out whether servers were fixed.
-fn crashes_servers(context: &GatewayContext, head: &CallHead, features: &CallFeatures) -> bool {
+/// Returns whether a request that crashes servers, or may do so, runs all the same to find out.
+/// If so, records that it runs.
+fn begins_trial(context: &GatewayContext, head: &CallHead, features: &CallFeatures) -> bool {
     let now = context.now();
-    if !context.crashes.lock().refuses(now, features) {
-        return false;
-    }
     let peers = context.peers.lock();
-    let is_first = peers.knows_entries(now) && peers.hub_rank(now) == 0;
+    let rank = peers.knows_entries(now).then(|| peers.hub_rank(now));
     drop(peers);
-    if !is_first || !context.crashes.lock().begin_trial(now, features) {
-        return true;
+    let begins = |rank: usize| context.crashes.lock().begin_trial(now, features, rank);
+    if !rank.is_some_and(begins) {
+        return false;
     }
     counter!("cloverbend_fatal_trials_total").increment(1);
     warn!(context.log, "fatal request tried again"; "request" => %head.id);
-    false
+    true
 }
 
 fn log_fatal_request(context: &GatewayContext, head: &CallHead, digest: CallDigest) {
--- a/lib/src/gateway/call_feature.rs
+++ b/lib/src/gateway/call_feature.rs
@@ -93,6 +93,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallFeatures {
     request: CallDigest,
+    /// A digest of the service's name, or 0 if no part is compared.
+    service: u32,
     /// In order, each once.
     parts: Arc<[PromptPart]>,
 }
@@ -113,6 +115,7 @@
         }
         Self {
             request,
+            service,
             parts: parts.into(),
         }
     }
@@ -121,13 +124,14 @@
     pub fn of_request(request: CallDigest) -> Self {
         Self {
             request,
+            service: 0,
             parts: Arc::default(),
         }
     }
 
-    /// Returns these features without the parts of the prompt.
-    pub fn whole_request(&self) -> Self {
-        Self::of_request(self.request)
+    /// Returns whether this is a request to the service of a part, without the part.
+    pub fn lacks(&self, part: &PromptPart) -> bool {
+        self.service == part.service && self.parts.binary_search(part).is_err()
     }
 
     /// Returns whether the request has a feature.
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use crate::gateway::call_head::HeadError;
+use crate::gateway::crash_ledger::CallSafety;
 
 /// The shortest time after which a caller should retry, unless the entry is
 /// draining.
@@ -17,6 +18,10 @@
 /// twice this time, probes find that the paths are back, or hubs name other entries.
 const CUT_OFF_RETRY: Duration = Duration::from_millis(500);
 
+/// The shortest time after which a caller should retry while another request shows whether its
+/// prompt crashes servers.
+const TRIAL_RETRY: Duration = Duration::from_secs(1);
+
 /// When the caller of a refused request should retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryTime {
@@ -65,6 +70,9 @@
     AllFull(RetryTime),
     /// The request crashes the backend servers that run it.
     CrashesServers,
+    /// A part of the prompt may crash the backend servers that run it. Another request finds
+    /// out.
+    MayCrashServers,
     /// This entry is draining.
     Draining,
     /// The request timed out before it was sent.
@@ -76,6 +84,15 @@
 }
 
 impl CallRefusal {
+    /// Returns the refusal of a request that crashes servers or may do so.
+    pub fn of_safety(safety: CallSafety) -> Option<Self> {
+        match safety {
+            CallSafety::Harmless => None,
+            CallSafety::Suspected => Some(Self::MayCrashServers),
+            CallSafety::Fatal => Some(Self::CrashesServers),
+        }
+    }
+
     /// Returns whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         matches!(self, Self::Lost | Self::TimedOut)
@@ -107,6 +124,7 @@
             Self::AllClosed(_) => "all_closed",
             Self::AllFull(_) => "all_full",
             Self::CrashesServers => "crashes_servers",
+            Self::MayCrashServers => "may_crash_servers",
             Self::Draining => "leaving",
             Self::TooLate => "too_late",
             Self::Lost => "lost",
@@ -132,6 +150,7 @@
             | Self::AllClosed(_)
             | Self::AllFull(_)
             | Self::CrashesServers
+            | Self::MayCrashServers
             | Self::Draining
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -158,6 +177,7 @@
                 Some(MIN_RETRY_AFTER + MIN_RETRY_AFTER.mul_f64(rand::rng().random()))
             }
             Self::CutOff => Some(CUT_OFF_RETRY + CUT_OFF_RETRY.mul_f64(rand::rng().random())),
+            Self::MayCrashServers => Some(TRIAL_RETRY + TRIAL_RETRY.mul_f64(rand::rng().random())),
             Self::Draining => Some(Duration::from_millis(10)),
             _ => None,
         }
--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -21,7 +21,9 @@
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::call_feature::CallFeature;
 use crate::gateway::call_feature::CallFeatures;
+use crate::gateway::crash_ledger::CallSafety;
 use crate::gateway::crash_ledger::CrashReport;
+use crate::gateway::crash_ledger::FoundGroup;
 use crate::gateway::crash_ledger::ResponseEnd;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::log_budget::LineClass;
@@ -182,13 +184,9 @@
         let mut ledger = context.crashes.lock();
         for run in runs {
             let (at, started_at) = (run.interrupted_at, run.started_at);
-            let features = match run.has_begun {
-                true => &run.features,
-                false => &run.features.whole_request(),
-            };
-            if ledger.note_crash(at, features, id, started_at) {
+            if ledger.note_crash(at, &run.features, id, started_at) {
                 is_new = true;
-                is_urgent |= ledger.claim_urgent_report(at, started_at);
+                is_urgent |= ledger.claim_urgent_report(at, &run.features, started_at);
             }
         }
     }
@@ -219,20 +217,35 @@
     }
 }
 
-/// Recomputes what is refused. Returns whether any of it was not refused
+/// Recomputes what is refused. Returns whether any of it was not refused, or only suspected,
 /// before.
 fn update_fatal(context: &GatewayContext) -> bool {
     let server_count = context.backends.lock().iter().count();
-    let newly_fatal = context.crashes.lock().update_fatal(server_count);
-    for (group, record) in &newly_fatal {
+    let newly_found = context.crashes.lock().update_fatal(server_count);
+    for FoundGroup {
+        group,
+        safety,
+        record,
+    } in &newly_found
+    {
         let longest_run = record.crashes.values().max();
+        let longest_run_ms = longest_run.map(|ran| ran.as_millis() as u64);
         let features: Vec<String> = group.iter().map(CallFeature::to_string).collect();
+        let features = features.join(",");
         let is_request = matches!(group.first(), Some(CallFeature::Request(_)));
         let kind = if is_request { "request" } else { "part" };
-        counter!("cloverbend_fatal_requests_found_total", "kind" => kind).increment(1);
-        warn!(context.log, "request found fatal"; "kind" => kind, "features" => features.join(","),
-            "crashes" => record.crashes.len(), "survivors" => record.survivors.len(),
-            "longest_run_ms" => longest_run.map(|ran| ran.as_millis() as u64));
+        let (crashes, survivors) = (record.crashes.len(), record.survivors.len());
+        if *safety == CallSafety::Suspected {
+            counter!("cloverbend_suspected_parts_found_total").increment(1);
+            warn!(context.log, "part suspected of crashes"; "features" => features,
+                "crashes" => crashes, "contrasts" => record.contrasts.len(),
+                "longest_run_ms" => longest_run_ms);
+        } else {
+            counter!("cloverbend_fatal_requests_found_total", "kind" => kind).increment(1);
+            warn!(context.log, "request found fatal"; "kind" => kind, "features" => features,
+                "crashes" => crashes, "survivors" => survivors,
+                "longest_run_ms" => longest_run_ms);
+        }
     }
-    !newly_fatal.is_empty()
+    !newly_found.is_empty()
 }
--- a/lib/src/gateway/crash_frames.rs
+++ b/lib/src/gateway/crash_frames.rs
@@ -44,6 +44,9 @@
     companions: Vec<u32>,
     #[prost(fixed32, repeated, tag = "7")]
     survivor_tags: Vec<u32>,
+    /// Runs that servers survived of requests without the part.
+    #[prost(fixed32, repeated, tag = "8")]
+    contrasts: Vec<u32>,
 }
 
 impl From<CrashReport> for CrashReportFrame {
@@ -64,6 +67,7 @@
             crashes: crashes.map(frame).collect(),
             survivors: report.record.survivors.len() as u64,
             survivor_tags: report.record.survivors.iter().map(|tag| tag.0).collect(),
+            contrasts: report.record.contrasts.iter().map(|tag| tag.0).collect(),
             idle_ms: report.idle.as_millis() as u64,
         }
     }
@@ -90,6 +94,7 @@
                 crashes: crashes.map(decode).collect(),
                 survivors: frame.survivor_tags.into_iter().map(SurvivorTag).collect(),
                 companions: frame.companions.into_iter().map(FeatureTag).collect(),
+                contrasts: frame.contrasts.into_iter().map(SurvivorTag).collect(),
             },
             idle: Duration::from_millis(frame.idle_ms),
         }
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -19,11 +19,12 @@
 use crate::gateway::call_feature::CallFeatures;
 use crate::gateway::crash_verdict::CrashRecord;
 use crate::gateway::crash_verdict::CrashTimes;
+use crate::gateway::crash_verdict::CrashVerdict;
 use crate::gateway::crash_verdict::FatalGroup;
 use crate::gateway::crash_verdict::IncarnationDigest;
 use crate::gateway::crash_verdict::MIN_CRASHES;
 use crate::gateway::crash_verdict::SurvivorTag;
-use crate::gateway::crash_verdict::find_fatal;
+use crate::gateway::crash_verdict::judge_crashes;
 use crate::quantity::Timestamp;
 
 /// How long a feature under which servers crashed is remembered after a request with it last
@@ -35,11 +36,13 @@
 /// during a few hundred crashes.
 const MAX_RECORDS: usize = 1_024;
 /// The most crashes that are remembered of one feature.
-const MAX_CRASHES_PER_FEATURE: usize = 8;
+const MAX_CRASHES_PER_FEATURE: usize = 12;
 /// The most survivors that are counted of one feature. This many outweigh all
-/// its crashes four times, and entries then need not gossip about a popular
+/// its crashes twice, and entries then need not gossip about a popular
 /// one any more.
-const MAX_SURVIVORS_PER_FEATURE: usize = MAX_CRASHES_PER_FEATURE;
+const MAX_SURVIVORS_PER_FEATURE: usize = 8;
+/// The most runs of requests without a part that are counted for it.
+const MAX_CONTRASTS_PER_FEATURE: usize = 4;
 /// The most crash times that are remembered, over all features.
 const MAX_CRASH_TIMES: usize = 1_024;
 /// The most features of completed requests that are remembered: a few of each request of
@@ -51,13 +54,13 @@
 /// A crash sooner after a request started is reported to other entries at once, so that a
 /// fatal feature is known before its next requests arrive.
 const SUSPICIOUS_RUN: Duration = Duration::from_millis(250);
-/// After this many crashes sooner than `SUSPICIOUS_RUN` under a part that no server has
-/// survived, requests with it get no second server. Each retry would cost a server before the
-/// part is known to be fatal.
-const CRASHES_BEFORE_LAST_RETRY: usize = 2;
-/// A fatal part crashes its server within some tokens, so a response that went on for this
-/// long has survived its parts.
-const LONG_RUN: Duration = Duration::from_millis(500);
+/// After this many crashes under a part that no server has survived, requests with it get no
+/// second server. Each retry would cost a server before the part is known to be fatal.
+const CRASHES_BEFORE_LAST_RETRY: usize = 3;
+/// The same if all of them came sooner than `SUSPICIOUS_RUN`.
+const QUICK_CRASHES_BEFORE_LAST_RETRY: usize = 2;
+/// After this many crashes under a part, each further one is reported to other entries at once.
+const CRASHES_OF_SERIES: usize = 2;
 /// The shortest time between two such reports. Crashes in between wait for the next gossip
 /// round: hundreds of servers may crash together.
 const URGENT_INTERVAL: Duration = Duration::from_millis(500);
@@ -68,6 +71,12 @@
 const MAX_DOUBLINGS: u32 = 6;
 /// The time to the next such request after one that a server survived.
 const NEXT_TRIAL_AFTER: Duration = Duration::from_secs(1);
+/// How long after the last crash the first of all entries lets a request with a suspected part
+/// through. Each further entry waits so much longer, and each doubles its time with each request
+/// that crashes its server.
+const SUSPECT_TRIAL_AFTER: Duration = Duration::from_secs(1);
+/// The most entries of which each waits longer than the one before.
+const MAX_TRIAL_RANK: usize = 30;
 /// The shortest time that a server takes to restart. A request that reaches it
 /// sooner after a crash uses a connection to the old incarnation.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
@@ -101,6 +110,28 @@
     unsure: usize,
 }
 
+/// Whether a request may run, by the crashes that are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallSafety {
+    /// No crash speaks against it.
+    Harmless,
+    /// Servers may crash under it. Single ones run.
+    Suspected,
+    /// Servers crash under it.
+    Fatal,
+}
+
+/// A group of features that was newly found fatal or suspected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FoundGroup {
+    /// The features.
+    pub group: FatalGroup,
+    /// What was found.
+    pub safety: CallSafety,
+    /// What is known of one of them.
+    pub record: CrashRecord,
+}
+
 /// How a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseEnd {
@@ -133,7 +164,7 @@
     crash_times: CrashTimes,
     completed: HashMap<CallFeature, usize>,
     completed_order: VecDeque<CallFeature>,
-    fatal: BTreeSet<FatalGroup>,
+    verdict: CrashVerdict,
     trials: BTreeMap<FatalGroup, FatalTrial>,
     urgent_report_at: Option<Timestamp>,
 }
@@ -151,18 +182,23 @@
         Self::default()
     }
 
-    /// Returns whether a request is known to crash the servers that run it. If
+    /// Returns whether a request is known to crash the servers that run it, or may do so. If
     /// so, records that it arrived.
-    pub fn refuses(&mut self, now: Timestamp, features: &CallFeatures) -> bool {
-        let Some(group) = fatal_group(&self.fatal, features) else {
-            return false;
+    pub fn judge(&mut self, now: Timestamp, features: &CallFeatures) -> CallSafety {
+        let Some((group, safety)) = matching_group(&self.verdict, features) else {
+            return CallSafety::Harmless;
         };
         for feature in group {
             if let Some(known) = self.records.get_mut(feature) {
                 known.seen_at = known.seen_at.max(now);
             }
         }
-        true
+        safety
+    }
+
+    /// Returns whether a request is refused, unless it runs as a trial.
+    pub fn refuses(&mut self, now: Timestamp, features: &CallFeatures) -> bool {
+        self.judge(now, features) != CallSafety::Harmless
     }
 
     /// Returns whether a request must not run again at another server after its server may have
@@ -175,17 +211,27 @@
         known.any(|known| {
             let crashes = &known.record.crashes;
             let is_quick = crashes.values().all(|ran| *ran <= SUSPICIOUS_RUN);
-            crashes.len() >= CRASHES_BEFORE_LAST_RETRY && is_quick && !known.record.is_cleared()
+            let max_crashes = match is_quick {
+                true => QUICK_CRASHES_BEFORE_LAST_RETRY,
+                false => CRASHES_BEFORE_LAST_RETRY,
+            };
+            crashes.len() >= max_crashes && !known.record.is_cleared()
         })
     }
 
     /// Returns whether a request that is refused may run all the same, to find out whether
-    /// servers still crash under it. If so, records that it runs. To be called at one entry
-    /// only.
-    pub fn begin_trial(&mut self, now: Timestamp, features: &CallFeatures) -> bool {
-        let Some(group) = fatal_group(&self.fatal, features) else {
+    /// servers crash under it. If so, records that it runs. `rank` is the place of this entry
+    /// among all: the first one alone tries what is fatal, the others try what is suspected
+    /// later than those before them.
+    pub fn begin_trial(&mut self, now: Timestamp, features: &CallFeatures, rank: usize) -> bool {
+        let Some((group, safety)) = matching_group(&self.verdict, features) else {
             return false;
         };
+        let first_after = match safety {
+            CallSafety::Suspected => SUSPECT_TRIAL_AFTER * (rank.min(MAX_TRIAL_RANK) as u32 + 1),
+            CallSafety::Fatal if rank == 0 => FIRST_TRIAL_AFTER,
+            CallSafety::Fatal | CallSafety::Harmless => return false,
+        };
         let known = group.iter().filter_map(|feature| self.records.get(feature));
         let crashed_at = known.clone().map(|known| known.crashed_at).max();
         let survivors = known.map(|known| known.record.survivors.len()).min();
@@ -195,10 +241,10 @@
         };
         let trial = self.trials.get(group).copied();
         let due_at = match trial {
-            None => crashed_at.after(FIRST_TRIAL_AFTER),
+            None => crashed_at.after(first_after),
             Some(trial) if survivors > trial.survivors => trial.started_at.after(NEXT_TRIAL_AFTER),
             Some(trial) => {
-                let pause = FIRST_TRIAL_AFTER * 2_u32.pow(trial.count.min(MAX_DOUBLINGS));
+                let pause = first_after * 2_u32.pow(trial.count.min(MAX_DOUBLINGS));
                 trial.started_at.max(crashed_at).after(pause)
             }
         };
@@ -217,14 +263,16 @@
 
     /// Returns what is refused.
     pub fn fatal_groups(&self) -> &BTreeSet<FatalGroup> {
-        &self.fatal
+        &self.verdict.fatal
     }
 
-    /// Records that a server crashed while a request ran on it since
+    /// Returns the groups of parts of which single requests run.
+    pub fn suspected_groups(&self) -> &BTreeSet<FatalGroup> {
+        &self.verdict.suspected
+    }
+
+    /// Records that a server crashed while a request ran on it, or waited there, since
     /// `started_at`. Returns whether this is new.
-    ///
-    /// A request whose response had not begun may have waited there, so only
-    /// [`CallFeatures::whole_request`] counts then.
     pub fn note_crash(
         &mut self,
         now: Timestamp,
@@ -233,9 +281,6 @@
         started_at: Timestamp,
     ) -> bool {
         let ran = now.since(started_at);
-        if ran >= LONG_RUN {
-            self.note_long_run(now, features);
-        }
         let Some(incarnation) = self.incarnation_at(id, started_at) else {
             return false;
         };
@@ -244,6 +289,7 @@
             crashes: [(incarnation, ran)].into(),
             survivors: BTreeSet::new(),
             companions: features.tags(),
+            contrasts: BTreeSet::new(),
         };
         let mut changed = false;
         for feature in features.iter() {
@@ -255,19 +301,15 @@
         changed
     }
 
-    /// Counts a survivor for the parts of a request that ran for long before its server
-    /// crashed. A popular part runs at each crash of its service, whatever the cause.
-    fn note_long_run(&mut self, now: Timestamp, features: &CallFeatures) {
-        let parts = features.iter();
-        for part in parts.filter(|feature| matches!(feature, CallFeature::Part(_))) {
-            self.note_survivor(now, part, ResponseEnd::Marked);
-        }
-    }
-
     /// Returns whether a crash that interrupted a request started at `started_at` is reported to
     /// other entries at once. If so, the next ones have to wait.
-    pub fn claim_urgent_report(&mut self, now: Timestamp, started_at: Timestamp) -> bool {
-        let is_suspicious = now.since(started_at) <= SUSPICIOUS_RUN;
+    pub fn claim_urgent_report(
+        &mut self,
+        now: Timestamp,
+        features: &CallFeatures,
+        started_at: Timestamp,
+    ) -> bool {
+        let is_suspicious = now.since(started_at) <= SUSPICIOUS_RUN || self.is_in_series(features);
         let last = self.urgent_report_at;
         let is_due = last.is_none_or(|at| now.since(at) >= URGENT_INTERVAL);
         if is_suspicious && is_due {
@@ -276,6 +318,16 @@
         is_suspicious && is_due
     }
 
+    /// Returns whether several servers crashed under a part of a request and none survived it.
+    fn is_in_series(&self, features: &CallFeatures) -> bool {
+        let known = features.iter().filter_map(|feature| match feature {
+            CallFeature::Request(_) => None,
+            CallFeature::Part(_) => self.records.get(&feature),
+        });
+        let mut records = known.map(|known| &known.record);
+        records.any(|record| record.crashes.len() >= CRASHES_OF_SERIES && !record.is_cleared())
+    }
+
     /// Returns the incarnation that a request reached when it started, or
     /// `None` if the server had just crashed. The record of a new incarnation
     /// arrives after its first requests, so a server with a known crash may
@@ -312,7 +364,30 @@
         for feature in features.iter() {
             may_clear |= self.note_survivor(now, feature, end);
         }
-        may_clear
+        match end {
+            ResponseEnd::Marked => may_clear | self.note_contrasts(now, features),
+            ResponseEnd::Unsure => may_clear,
+        }
+    }
+
+    /// Counts a request that a server survived for the parts that it lacks. Returns whether this
+    /// may change which requests are refused.
+    fn note_contrasts(&mut self, now: Timestamp, features: &CallFeatures) -> bool {
+        let mut may_change = false;
+        for (feature, known) in &mut self.records {
+            let CallFeature::Part(part) = feature else {
+                continue;
+            };
+            let is_full = known.record.contrasts.len() >= MAX_CONTRASTS_PER_FEATURE;
+            if is_full || known.record.crashes.len() < CRASHES_OF_SERIES || !features.lacks(part) {
+                continue;
+            }
+            known.record.contrasts.insert(SurvivorTag(rand::random()));
+            known.changed_at = now;
+            known.observed_at = Some(now);
+            may_change |= known.record.crashes.len() >= MIN_CRASHES;
+        }
+        may_change
     }
 
     fn note_survivor(&mut self, now: Timestamp, feature: CallFeature, end: ResponseEnd) -> bool {
@@ -417,36 +492,47 @@
         let companion_count = companions.len();
         companions.retain(|tag| reported.companions.contains(tag));
         changed |= companions.len() != companion_count;
-        let survivors = &mut known.record.survivors;
-        for survivor in &reported.survivors {
-            if survivors.len() < MAX_SURVIVORS_PER_FEATURE {
-                changed |= survivors.insert(*survivor);
-            }
-        }
+        let record = &mut known.record;
+        changed |= add_runs(
+            &mut record.survivors,
+            &reported.survivors,
+            MAX_SURVIVORS_PER_FEATURE,
+        );
+        changed |= add_runs(
+            &mut record.contrasts,
+            &reported.contrasts,
+            MAX_CONTRASTS_PER_FEATURE,
+        );
         if changed {
             known.changed_at = now;
         }
         changed
     }
 
-    /// Recomputes what is fatal, given the number of servers.
-    /// Returns what was not fatal before.
-    pub fn update_fatal(&mut self, server_count: usize) -> Vec<(FatalGroup, CrashRecord)> {
+    /// Recomputes what is fatal or suspected, given the number of servers. Returns what was
+    /// neither, or only suspected, before.
+    pub fn update_fatal(&mut self, server_count: usize) -> Vec<FoundGroup> {
         let records = self.records.iter();
         let records = records.map(|(feature, known)| (*feature, &known.record));
-        let fatal = find_fatal(records, &self.crash_times, server_count);
-        let newly_fatal = fatal.difference(&self.fatal);
-        let newly_fatal = newly_fatal
-            .filter_map(|group| {
-                Some((
-                    group.clone(),
-                    self.records.get(group.first()?)?.record.clone(),
-                ))
+        let verdict = judge_crashes(records, &self.crash_times, server_count);
+        let found = |group: &FatalGroup, safety| {
+            Some(FoundGroup {
+                group: group.clone(),
+                safety,
+                record: self.records.get(group.first()?)?.record.clone(),
             })
-            .collect();
-        self.trials.retain(|group, _| fatal.contains(group));
-        self.fatal = fatal;
-        newly_fatal
+        };
+        let fatal = verdict.fatal.difference(&self.verdict.fatal);
+        let suspected = verdict.suspected.difference(&self.verdict.suspected);
+        let suspected = suspected.filter(|group| !self.verdict.fatal.contains(*group));
+        let newly_found = fatal
+            .filter_map(|group| found(group, CallSafety::Fatal))
+            .chain(suspected.filter_map(|group| found(group, CallSafety::Suspected)));
+        let newly_found = newly_found.collect();
+        self.trials
+            .retain(|group, _| verdict.fatal.contains(group) || verdict.suspected.contains(group));
+        self.verdict = verdict;
+        newly_found
     }
 
     /// Returns whether a record of a feature with crashes changed recently.
@@ -461,7 +547,7 @@
     /// all other reports to hundreds of entries, gossip would grow by half
     /// while many servers crash at once.
     pub fn reports(&self, now: Timestamp) -> Vec<CrashReport> {
-        let fatal = self.fatal_features();
+        let fatal = self.refused_features();
         let recent = self.records.iter().filter(|(feature, known)| {
             known.was_recently_observed(now) && !fatal.contains(feature)
         });
@@ -483,15 +569,18 @@
         fatal.chain(recent).take(MAX_REPORTS).collect()
     }
 
-    fn fatal_features(&self) -> BTreeSet<CallFeature> {
-        self.fatal.iter().flatten().copied().collect()
+    /// Returns the features of what is fatal or suspected.
+    fn refused_features(&self) -> BTreeSet<CallFeature> {
+        let CrashVerdict { fatal, suspected } = &self.verdict;
+        fatal.iter().chain(suspected).flatten().copied().collect()
     }
 
     /// Returns the reports about what is fatal.
     pub fn fatal_reports(&self, now: Timestamp) -> Vec<CrashReport> {
-        let fatal = self.fatal_features().into_iter();
+        let fatal: BTreeSet<&CallFeature> = self.verdict.fatal.iter().flatten().collect();
         fatal
-            .filter_map(|feature| self.report(now, feature))
+            .into_iter()
+            .filter_map(|feature| self.report(now, *feature))
             .collect()
     }
 
@@ -513,7 +602,8 @@
             .retain(|_, at| now.since(*at) < CRASH_RETENTION);
         let records = &self.records;
         let is_known = |group: &FatalGroup| group.iter().all(|one| records.contains_key(one));
-        self.fatal.retain(is_known);
+        self.verdict.fatal.retain(is_known);
+        self.verdict.suspected.retain(is_known);
         self.trials.retain(|group, _| is_known(group));
         drop_lowest(&mut self.records, MAX_RECORDS, |known| {
             (known.record.crashes.len(), known.seen_at)
@@ -526,13 +616,33 @@
     }
 }
 
-/// Returns a fatal group all of whose features a request has.
-fn fatal_group<'a>(
-    fatal: &'a BTreeSet<FatalGroup>,
+/// Adds runs to a set that has at most `max_runs`. Returns whether any was new.
+fn add_runs(
+    known: &mut BTreeSet<SurvivorTag>,
+    reported: &BTreeSet<SurvivorTag>,
+    max_runs: usize,
+) -> bool {
+    let mut changed = false;
+    for run in reported {
+        if known.len() < max_runs {
+            changed |= known.insert(*run);
+        }
+    }
+    changed
+}
+
+/// Returns a group all of whose features a request has; a fatal one, if there is one.
+fn matching_group<'a>(
+    verdict: &'a CrashVerdict,
     features: &CallFeatures,
-) -> Option<&'a FatalGroup> {
-    let mut groups = fatal.iter();
-    groups.find(|group| group.iter().all(|feature| features.contains(feature)))
+) -> Option<(&'a FatalGroup, CallSafety)> {
+    let has_all = |group: &&FatalGroup| group.iter().all(|feature| features.contains(feature));
+    let fatal = verdict.fatal.iter().find(has_all);
+    let fatal = fatal.map(|group| (group, CallSafety::Fatal));
+    fatal.or_else(|| {
+        let suspected = verdict.suspected.iter().find(has_all);
+        suspected.map(|group| (group, CallSafety::Suspected))
+    })
 }
 
 /// Removes the records with the lowest ranks until `max_records` are left.
--- a/lib/src/gateway/crash_verdict.rs
+++ b/lib/src/gateway/crash_verdict.rs
@@ -11,6 +11,11 @@
 //! Features that come together in all of these requests are indistinguishable. Requests are
 //! refused that have all of them, so that one that has only some runs and tells them apart.
 //!
+//! A part of a prompt is fatal only if servers survive requests to its service without it at
+//! the same time. Until then, and with fewer crashes, it is suspected: single requests with it
+//! run and decide. The time that a run takes is compared with the rate of other crashes and with
+//! other runs only, since fast and slow servers take different times to crash.
+//!
 //! Load pattern: callers repeat one request at all entries, or send requests that share one
 //! part of their prompts and nothing else, next to many requests that run once. Each of the
 //! many is interrupted as often as it shares a server with the fatal ones. A popular request,
@@ -48,6 +53,13 @@
 /// 0.7 s never do. Lower values refuse more requests that only ran during
 /// unrelated crashes.
 const MIN_SCORE: f64 = 14.0;
+/// The same for a part of a prompt to be suspected.
+const MIN_SUSPECT_SCORE: f64 = 9.0;
+/// How many servers have to survive requests without a part, before the part is fatal.
+const MIN_CONTRASTS: usize = 2;
+/// A part that a server ran for this many times as long as any server ran the cause is no
+/// companion of the cause.
+const LONGER_RUN_FACTOR: u32 = 4;
 /// How many crashes one surviving server outweighs. A truncated response of
 /// unknown length looks complete, so one survivor proves nothing against many
 /// crashes.
@@ -59,7 +71,7 @@
 /// hazard. Entries observe a crash only by the requests that run on the server.
 const UNOBSERVED_CRASHES: usize = 2;
 /// How long before the first and after the last crash under a request other
-/// crashes count towards the hazard.
+/// crashes count towards the hazard at least: for as long as the longest run.
 const HAZARD_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// The digest of an incarnation of a backend server.
@@ -82,6 +94,9 @@
     pub survivors: BTreeSet<SurvivorTag>,
     /// The features of all requests with it under which servers crashed, as far as known.
     pub companions: BTreeSet<FeatureTag>,
+    /// The runs that servers survived, since the first crash, of requests to the same service
+    /// without it. Empty for a whole request.
+    pub contrasts: BTreeSet<SurvivorTag>,
 }
 
 impl CrashRecord {
@@ -91,6 +106,19 @@
         survivors * CRASHES_PER_SURVIVOR >= self.crashes.len() && survivors > 0
     }
 
+    fn has_contrast(&self) -> bool {
+        self.contrasts.len() >= MIN_CONTRASTS
+    }
+
+    fn longest_run(&self) -> Duration {
+        self.crashes.values().max().copied().unwrap_or_default()
+    }
+
+    /// Returns whether servers ran this for so long that the cause would have crashed them.
+    fn outlasts(&self, cause: &Self) -> bool {
+        self.longest_run() > cause.longest_run().max(MIN_RUN) * LONGER_RUN_FACTOR
+    }
+
     /// Returns whether most crashes of another record are also in this one.
     fn covers(&self, other: &Self) -> bool {
         let crashes = other.crashes.keys();
@@ -105,6 +133,15 @@
 /// Features of which a request has to have all to be refused.
 pub type FatalGroup = BTreeSet<CallFeature>;
 
+/// What is found out about groups of features.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashVerdict {
+    /// Groups that crash servers.
+    pub fatal: BTreeSet<FatalGroup>,
+    /// Groups of parts that may do so.
+    pub suspected: BTreeSet<FatalGroup>,
+}
+
 /// A feature that may be fatal.
 struct Suspect<'a> {
     score: f64,
@@ -112,16 +149,16 @@
     record: &'a CrashRecord,
 }
 
-/// Returns what is fatal. `server_count` is the number of servers that may
+/// Returns what is fatal or suspected. `server_count` is the number of servers that may
 /// crash.
-pub fn find_fatal<'a>(
+pub fn judge_crashes<'a>(
     records: impl Iterator<Item = (CallFeature, &'a CrashRecord)>,
     crash_times: &CrashTimes,
     server_count: usize,
-) -> BTreeSet<FatalGroup> {
+) -> CrashVerdict {
     let candidates =
         records.filter(|(feature, record)| record.crashes.len() >= min_crashes(feature));
-    let suspects = candidates.filter(|(_, record)| !record.is_cleared());
+    let suspects = candidates.filter(|(feature, record)| !is_survived(feature, record));
     let mut suspects: Vec<Suspect<'_>> = suspects
         .map(|(feature, record)| Suspect {
             score: score(record, crash_times, server_count),
@@ -136,26 +173,57 @@
         by_score.then(a.feature.cmp(&b.feature))
     });
     let mut explained = BTreeSet::new();
-    let mut groups = BTreeSet::new();
+    let mut verdict = CrashVerdict::default();
     for suspect in &suspects {
         let incarnations = suspect.record.crashes.keys().copied();
         let unexplained: Vec<IncarnationDigest> = incarnations
             .filter(|incarnation| !explained.contains(incarnation))
             .collect();
-        let is_likely =
-            suspect.score >= MIN_SCORE && unexplained.len() >= min_crashes(&suspect.feature);
+        let is_likely = suspect.score >= min_score(&suspect.feature)
+            && unexplained.len() >= min_crashes(&suspect.feature);
         let is_certain = match suspect.feature {
             CallFeature::Request(_) => unexplained.len() >= CERTAIN_CRASHES,
             CallFeature::Part(_) => false,
         };
         if is_likely || is_certain {
             let cause = most_specific(suspect, &suspects);
-            groups.insert(group_of(cause, &suspects));
+            let group = group_of(cause, &suspects);
+            match cause.is_proved() {
+                true => verdict.fatal.insert(group),
+                false => verdict.suspected.insert(group),
+            };
             explained.extend(unexplained);
             explained.extend(cause.record.crashes.keys().copied());
         }
     }
-    groups
+    verdict
+}
+
+impl Suspect<'_> {
+    /// Returns whether requests with this feature need not run to find out more.
+    fn is_proved(&self) -> bool {
+        match self.feature {
+            CallFeature::Request(_) => true,
+            CallFeature::Part(_) => self.score >= MIN_SCORE && self.record.has_contrast(),
+        }
+    }
+}
+
+/// Returns whether enough servers survived to rule out the feature as the cause. While nothing
+/// tells what requests without a part do, one server that survives the part is enough.
+fn is_survived(feature: &CallFeature, record: &CrashRecord) -> bool {
+    match feature {
+        CallFeature::Part(_) if !record.has_contrast() => !record.survivors.is_empty(),
+        CallFeature::Part(_) | CallFeature::Request(_) => record.is_cleared(),
+    }
+}
+
+/// Returns the score at which something is done about a feature.
+fn min_score(feature: &CallFeature) -> f64 {
+    match feature {
+        CallFeature::Request(_) => MIN_SCORE,
+        CallFeature::Part(_) => MIN_SUSPECT_SCORE,
+    }
 }
 
 fn min_crashes(feature: &CallFeature) -> usize {
@@ -170,7 +238,7 @@
 /// their parts crashes a server.
 fn most_specific<'a>(suspect: &'a Suspect<'a>, suspects: &'a [Suspect<'a>]) -> &'a Suspect<'a> {
     let same = suspects.iter().filter(|other| {
-        other.score >= MIN_SCORE
+        other.score >= min_score(&other.feature)
             && other.record.covers(suspect.record)
             && suspect.record.covers(other.record)
     });
@@ -184,7 +252,7 @@
 fn group_of(cause: &Suspect<'_>, suspects: &[Suspect<'_>]) -> FatalGroup {
     let companions = suspects.iter().filter(|other| {
         let is_companion = cause.record.companions.contains(&other.feature.tag());
-        is_companion && other.record.covers(cause.record)
+        is_companion && other.record.covers(cause.record) && !other.record.outlasts(cause.record)
     });
     let mut group: FatalGroup = companions.map(|other| other.feature).collect();
     group.insert(cause.feature);
@@ -218,8 +286,9 @@
     let Some(first) = first else {
         return MIN_HAZARD_PER_S;
     };
-    let window_start = Timestamp(first.0.saturating_sub(HAZARD_MARGIN.as_micros() as u64));
-    let window_end = last.after(HAZARD_MARGIN);
+    let margin = HAZARD_MARGIN.max(record.longest_run());
+    let window_start = Timestamp(first.0.saturating_sub(margin.as_micros() as u64));
+    let window_end = last.after(margin);
     let other_crashes = crash_times
         .iter()
         .filter(|(incarnation, at)| {
--- a/lib/src/gateway/fatal_sync.rs
+++ b/lib/src/gateway/fatal_sync.rs
@@ -57,6 +57,10 @@
     /// The tags of the features that come with it. Entries of earlier versions write none.
     #[serde(default)]
     companions: BTreeSet<u32>,
+    /// The runs that servers survived of requests without it. Entries of earlier versions write
+    /// none.
+    #[serde(default)]
+    contrasts: BTreeSet<u32>,
 }
 
 impl StoredRecord {
@@ -68,6 +72,7 @@
             survivors: record.survivors.len(),
             survivor_tags: record.survivors.iter().map(|tag| tag.0).collect(),
             companions: record.companions.iter().map(|tag| tag.0).collect(),
+            contrasts: record.contrasts.iter().map(|tag| tag.0).collect(),
         }
     }
 
@@ -79,6 +84,7 @@
             crashes: crashes.collect(),
             survivors: self.survivor_tags.into_iter().map(SurvivorTag).collect(),
             companions: self.companions.into_iter().map(FeatureTag).collect(),
+            contrasts: self.contrasts.into_iter().map(SurvivorTag).collect(),
         }
     }
 }
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -320,8 +320,10 @@
     let streams = context.streams.lock().count();
     gauge!("cloverbend_streams_known").set(streams as f64);
     gauge!("cloverbend_suspended_seconds").set(context.clock.suspended().as_secs_f64());
-    let fatal = context.crashes.lock().fatal_groups().len();
-    gauge!("cloverbend_fatal_requests").set(fatal as f64);
+    let crashes = context.crashes.lock();
+    gauge!("cloverbend_fatal_requests").set(crashes.fatal_groups().len() as f64);
+    gauge!("cloverbend_suspected_parts").set(crashes.suspected_groups().len() as f64);
+    drop(crashes);
     let has_lease = context.lease.lock().valid_lease(now).is_some();
     gauge!("cloverbend_lease_held").set(f64::from(u8::from(has_lease)));
     sizes.report(context);
--- a/lib/tests/test_crash_ledger.rs
+++ b/lib/tests/test_crash_ledger.rs
@@ -216,6 +216,7 @@
             crashes: [(IncarnationDigest(u64::MAX), Duration::from_micros(81_250))].into(),
             survivors: [SurvivorTag(1), SurvivorTag(2), SurvivorTag(3)].into(),
             companions: [FeatureTag(9)].into(),
+            contrasts: [SurvivorTag(4)].into(),
         },
         idle: Duration::from_millis(250),
     };
--- a/lib/tests/test_crash_parts.rs
+++ b/lib/tests/test_crash_parts.rs
@@ -12,6 +12,7 @@
 use cloverbend::gateway::call_feature::PromptPart;
 use cloverbend::gateway::call_head::PromptBlock;
 use cloverbend::gateway::crash_frames::CrashReportFrame;
+use cloverbend::gateway::crash_ledger::CallSafety;
 use cloverbend::gateway::crash_ledger::CrashLedger;
 use cloverbend::gateway::crash_ledger::CrashReport;
 use cloverbend::gateway::crash_ledger::ResponseEnd;
@@ -121,6 +122,45 @@
     assert_eq!(refused, [false, true]);
 }
 
+/// Requests that crash servers by their bodies have the same parts as sound ones: nothing tells
+/// them apart, so one survivor ends the suspicion.
+#[test]
+fn parts_of_all_requests_are_suspected_until_a_server_survives_them() {
+    let mut ledger = CrashLedger::new();
+    crash_all(&mut ledger, &[SOUND, 3], 0..6);
+    let request = features(7, &[SOUND, 3]);
+    let now = at(12_000);
+    let mut judged = vec![ledger.judge(now, &request)];
+    assert!(ledger.fatal_groups().is_empty());
+    complete(&mut ledger, 12_000, &request, ResponseEnd::Marked);
+    judged.push(ledger.judge(now, &request));
+    assert_eq!(judged, [CallSafety::Suspected, CallSafety::Harmless]);
+}
+
+/// However long a response goes on before its server crashes.
+#[rstest]
+#[case(80)]
+#[case(700)]
+#[case(2_800)]
+fn a_part_is_found_by_its_crashes_and_not_by_their_time(#[case] ran_ms: u64) {
+    let mut ledger = CrashLedger::new();
+    let mut judged = Vec::new();
+    for number in 0..8 {
+        let request = features(1_000 + number, &[SOUND, FATAL]);
+        crash(&mut ledger, &request, number, ran_ms);
+        let sound = features(100 + number, &[SOUND]);
+        complete(
+            &mut ledger,
+            10_000 + 200 * number,
+            &sound,
+            ResponseEnd::Marked,
+        );
+        judged.push(ledger.judge(at(12_000), &features(7, &[FATAL])));
+    }
+    assert_eq!(judged[2], CallSafety::Harmless);
+    assert_eq!(judged[6..], [CallSafety::Fatal; 2], "{judged:?}");
+}
+
 /// The third request with a part gets no second server, unless one has survived the part.
 #[test]
 fn a_part_that_two_servers_crashed_under_costs_no_second_server() {
@@ -152,18 +192,30 @@
     assert!(!ledger.refuses(now, &other));
 }
 
-/// Callers go on all the time. Two survivors are needed for eight crashes.
+/// Callers go on all the time. Two survivors are needed for eight crashes, or one if servers
+/// survived no request without the part.
 #[rstest]
-#[case::fixed(true, &[70_000, 71_000])]
-#[case::not_fixed(false, &[70_000, 190_000, 430_000])]
-fn a_fatal_part_is_tried_again_now_and_then(#[case] is_fixed: bool, #[case] expected: &[u64]) {
+#[case::fixed(2, true, &[70_000, 71_000])]
+#[case::not_fixed(2, false, &[70_000, 190_000, 430_000])]
+#[case::suspected_fixed(0, true, &[13_000])]
+#[case::suspected_not_fixed(0, false,
+    &[13_000, 15_000, 19_000, 27_000, 43_000, 75_000, 139_000, 203_000, 267_000, 331_000, 395_000])]
+fn a_fatal_part_is_tried_again_now_and_then(
+    #[case] contrasts: u64,
+    #[case] is_fixed: bool,
+    #[case] expected: &[u64],
+) {
     let mut ledger = CrashLedger::new();
     crash_all(&mut ledger, &[FATAL], 0..8);
+    for number in 0..contrasts {
+        let sound = features(100 + number, &[SOUND]);
+        complete(&mut ledger, 11_700, &sound, ResponseEnd::Marked);
+    }
     let mut tried = Vec::new();
     for second in 12..440 {
         let millis = second * 1_000;
         let request = features(second, &[FATAL]);
-        if ledger.refuses(at(millis), &request) && ledger.begin_trial(at(millis), &request) {
+        if ledger.refuses(at(millis), &request) && ledger.begin_trial(at(millis), &request, 0) {
             tried.push(millis);
             if is_fixed {
                 complete(&mut ledger, millis + 500, &request, ResponseEnd::Marked);
--- a/lib/tests/test_damaged_input.rs
+++ b/lib/tests/test_damaged_input.rs
@@ -160,6 +160,7 @@
                 crashes: crashes.into(),
                 survivors: [SurvivorTag(1), SurvivorTag(2), SurvivorTag(3)].into(),
                 companions: [FeatureTag(9)].into(),
+                contrasts: [SurvivorTag(7)].into(),
             },
             idle: Duration::from_millis(8),
         }],
--- a/lib/tests/test_gossip_frames.rs
+++ b/lib/tests/test_gossip_frames.rs
@@ -152,6 +152,7 @@
             crashes: [(IncarnationDigest(6), Duration::from_millis(7))].into(),
             survivors: [SurvivorTag(1), SurvivorTag(2), SurvivorTag(3)].into(),
             companions: [FeatureTag(9)].into(),
+            contrasts: [SurvivorTag(7)].into(),
         },
         idle: Duration::from_millis(8),
     }];
