send_guard: watch the server of a request that was let go of

A part that crashes servers after its callers have left was charged with nothing: the entry had dropped the request with its connection, and saw the crash only if another request of its own ran there. A run of which the entry does not know how it ended is kept for 4 s now. It counts if its server then refuses connections, is reported as crashed by another entry, or is listed as a later incarnation. At most 16 servers are watched.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -112,6 +112,7 @@
                 });
             }
             SendResult::NotExecuted(outcome) => {
+                chosen.guard.note_resolved();
                 note_outcome(context, &backend, outcome);
                 not_executed = true;
                 log_send_failed(context, call, &backend, "not_run");
@@ -121,6 +122,7 @@
                 continue;
             }
             SendResult::NotSent => {
+                chosen.guard.note_resolved();
                 retry_state.unsent += 1;
                 // If the server is to be reached through others, the paths are at fault.
                 let path = context.paths.lock().path(context.now(), &backend);
@@ -131,6 +133,7 @@
                 continue;
             }
             SendResult::NoPath => {
+                chosen.guard.note_resolved();
                 log_send_failed(context, call, &backend, "no_path");
                 continue;
             }
--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use metrics::counter;
@@ -53,10 +54,22 @@
     pub interrupted_at: Timestamp,
 }
 
+/// How long after an entry let go of a request a crash of its server counts as one under it.
+const RELEASED_RETENTION: Duration = Duration::from_secs(4);
+/// The pause between probes of a server with released requests.
+const RELEASED_PROBE_PAUSE: Duration = Duration::from_millis(300);
+/// The most servers that are watched for released requests, and the most of these requests at
+/// one server. Of further ones, a crash is seen by those that still run there.
+const MAX_WATCHED_SERVERS: usize = 16;
+const MAX_RELEASED_RUNS: usize = 32;
+
 /// Interrupted runs, by the server that is being probed.
 #[derive(Debug, Default)]
 pub struct CrashDetector {
     pending: Mutex<HashMap<BackendId, Vec<InterruptedRun>>>,
+    /// Runs that this entry let go of before their server responded completely: the caller
+    /// left, or the request was given up. `interrupted_at` is the time of that.
+    released: Mutex<HashMap<BackendId, Vec<InterruptedRun>>>,
 }
 
 impl CrashDetector {
@@ -80,6 +93,112 @@
     fn take(&self, id: &BackendId) -> Vec<InterruptedRun> {
         self.pending.lock().remove(id).unwrap_or_default()
     }
+
+    /// Adds a released run. Returns whether its server has yet to be watched.
+    fn add_released(&self, id: &BackendId, run: InterruptedRun) -> bool {
+        let mut released = self.released.lock();
+        if released.len() >= MAX_WATCHED_SERVERS && !released.contains_key(id) {
+            return false;
+        }
+        let runs = released.entry(id.clone()).or_default();
+        if runs.len() < MAX_RELEASED_RUNS {
+            runs.push(run);
+        }
+        runs.len() == 1
+    }
+
+    /// Forgets released runs that are too old. Returns whether any are left.
+    fn has_released(&self, id: &BackendId, now: Timestamp) -> bool {
+        let mut released = self.released.lock();
+        let Some(runs) = released.get_mut(id) else {
+            return false;
+        };
+        runs.retain(|run| now.since(run.interrupted_at) < RELEASED_RETENTION);
+        let has_runs = !runs.is_empty();
+        if !has_runs {
+            released.remove(id);
+        }
+        has_runs
+    }
+
+    /// Takes the released runs of a server that crashed at `crashed_at` at the latest.
+    fn take_released(&self, id: &BackendId, crashed_at: Timestamp) -> Vec<InterruptedRun> {
+        let mut runs = self.released.lock().remove(id).unwrap_or_default();
+        runs.retain(|run| crashed_at.since(run.interrupted_at) < RELEASED_RETENTION);
+        for run in &mut runs {
+            run.interrupted_at = crashed_at;
+        }
+        runs
+    }
+
+    fn released_servers(&self) -> Vec<BackendId> {
+        self.released.lock().keys().cloned().collect()
+    }
+}
+
+/// Watches the server of a request that this entry lets go of, since it may crash under it
+/// later: its probes are bounded by [`MAX_WATCHED_SERVERS`].
+pub fn watch_released(
+    context: &Arc<GatewayContext>,
+    id: &BackendId,
+    address: SocketAddr,
+    run: InterruptedRun,
+) {
+    if !may_have_crashed(context, id) || !context.crash_detector.add_released(id, run) {
+        return;
+    }
+    let (context, id) = (Arc::clone(context), id.clone());
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(RELEASED_PROBE_PAUSE).await;
+            let detector = &context.crash_detector;
+            if !detector.has_released(&id, context.now()) {
+                return;
+            }
+            if !may_have_crashed(&context, &id) {
+                detector.take_released(&id, context.now());
+                return;
+            }
+            if context.pool.refuses_connections(address).await {
+                note_refused_connection(&context, &id).await;
+            }
+        }
+    });
+}
+
+/// Finds out whether a server that refuses connections crashed, and if so, records it with all
+/// requests that were interrupted there or released.
+async fn note_refused_connection(context: &Arc<GatewayContext>, id: &BackendId) {
+    note_path_failure(context, id);
+    let is_known = context.crashes.lock().knows_crash(id);
+    if !is_known && !reaches_others(context, id).await {
+        return;
+    }
+    let mut runs = context.crash_detector.take(id);
+    let released = context.crash_detector.take_released(id, context.now());
+    counter!("cloverbend_crashed_released_runs_total").increment(released.len() as u64);
+    runs.extend(released);
+    counter!("cloverbend_backend_crashes_total").increment(1);
+    log_crash(context, id, &runs);
+    record_crash(context, id, &runs);
+}
+
+/// Records the crashes of earlier incarnations of a server that has restarted, with the
+/// requests that this entry released there.
+pub fn record_replaced_crashes(context: &GatewayContext, id: &BackendId) {
+    for released in context.crash_detector.released_servers() {
+        if id.replaces(&released) {
+            record_released(context, &released);
+        }
+    }
+}
+
+/// Records a crash that is known for certain, with the requests that this entry released
+/// there.
+fn record_released(context: &GatewayContext, id: &BackendId) {
+    let released = context.crash_detector.take_released(id, context.now());
+    counter!("cloverbend_crashed_released_runs_total").increment(released.len() as u64);
+    record_crash(context, id, &released);
 }
 
 /// Records an interrupted response, and tries to connect to its server, once
@@ -95,18 +214,10 @@
     }
     let (context, id) = (Arc::clone(context), id.clone());
     tokio::spawn(async move {
-        let refuses_connections = context.pool.refuses_connections(address).await;
-        if refuses_connections {
-            note_path_failure(&context, &id);
-        }
-        let is_known = context.crashes.lock().knows_crash(&id);
-        let has_crashed = refuses_connections && (is_known || reaches_others(&context, &id).await);
-        let runs = context.crash_detector.take(&id);
-        if has_crashed {
-            counter!("cloverbend_backend_crashes_total").increment(1);
-            log_crash(&context, &id, &runs);
-            record_crash(&context, &id, &runs);
+        if context.pool.refuses_connections(address).await {
+            note_refused_connection(&context, &id).await;
         }
+        context.crash_detector.take(&id);
     });
 }
 
@@ -212,7 +323,15 @@
 pub fn merge_crash_reports(context: &GatewayContext, reports: &[CrashReport]) {
     let now = context.now();
     let is_new = context.crashes.lock().merge_reports(now, reports);
-    if is_new && update_fatal(context) {
+    if !is_new {
+        return;
+    }
+    for id in context.crash_detector.released_servers() {
+        if context.crashes.lock().knows_crash(&id) {
+            record_released(context, &id);
+        }
+    }
+    if update_fatal(context) {
         context.gossip_due.notify_one();
     }
 }
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -17,6 +19,7 @@
 use crate::gateway::crash_detector::note_completed;
 use crate::gateway::crash_detector::probe_for_crash;
 use crate::gateway::crash_detector::record_crash;
+use crate::gateway::crash_detector::watch_released;
 use crate::gateway::crash_ledger::ResponseEnd;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::path_monitor::doubt_path;
@@ -79,6 +82,8 @@
     is_relayed: bool,
     /// How the end of the response is marked.
     framing: ResponseFraming,
+    /// Whether it is known what became of the request at the server.
+    is_resolved: AtomicBool,
     /// Canceled when the server is known to have restarted.
     pub restart_token: CancellationToken,
 }
@@ -95,6 +100,7 @@
             has_head: false,
             is_relayed: false,
             framing: ResponseFraming::Length,
+            is_resolved: AtomicBool::new(false),
             request,
         }
     }
@@ -178,8 +184,15 @@
                 probe_for_crash(context, backend, self.request.address, self.run());
             }
             SERVER_RESTARTED => record_crash(context, backend, &[self.run()]),
-            _ => {}
+            _ => return,
         }
+        self.note_resolved();
+    }
+
+    /// Notes that the request did not run, or that it is known how its run ended. The server
+    /// of any other request is watched for a crash when the request is let go of.
+    pub fn note_resolved(&self) {
+        self.is_resolved.store(true, Ordering::Relaxed);
     }
 
     /// Returns whether an attempt to connect to the server tells if it crashed: this entry
@@ -197,6 +210,7 @@
             ResponseFraming::Length | ResponseFraming::Chunks => ResponseEnd::Marked,
             ResponseFraming::Close => ResponseEnd::Unsure,
         };
+        self.note_resolved();
         note_completed(&self.context, &self.request.features, end);
         if let Some(work) = self.request.work.as_ref().filter(|_| self.is_success) {
             work.note_completed(&self.context);
@@ -277,5 +291,9 @@
             .incarnations
             .untrack_request(&self.request.backend);
         self.context.slot_freed.notify_waiters();
+        if !self.is_resolved.load(Ordering::Relaxed) {
+            let (backend, address) = (self.backend(), self.request.address);
+            watch_released(&self.context, backend, address, self.run());
+        }
     }
 }
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -15,6 +15,7 @@
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::backend_set::BackendChange;
 use crate::gateway::backend_set::BackendSet;
+use crate::gateway::crash_detector::record_replaced_crashes;
 use crate::gateway::dependency_monitor::DependencyMonitor;
 use crate::gateway::document_transfer::ReceivedDocument;
 use crate::gateway::gateway_context::GatewayContext;
@@ -365,6 +366,7 @@
         BackendChange::Joined(record) => {
             context.pool.close_replaced(&record.id);
             let ended = context.incarnations.cancel_replaced(&record.id);
+            record_replaced_crashes(context, &record.id);
             if ended > 0 {
                 info!(context.log, "backend server restarted"; "backend" => %record.id,
                     "requests_lost" => ended);
