send_guard: a complete error is no survivor

A server that refuses or fails a request may not have run it, yet its complete response cleared the request and its parts. Only responses of success count. By reading; no test failed.

--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -203,7 +203,8 @@
         !was_relayed || !self.context.paths.lock().has_failed(self.backend())
     }
 
-    /// Notes that the response is complete.
+    /// Notes that the response is complete. One of an error does not show that the server
+    /// survived the request: it may not have run.
     pub fn note_completed(&self) {
         self.context.note_first_response();
         let end = match self.framing {
@@ -211,7 +212,9 @@
             ResponseFraming::Close => ResponseEnd::Unsure,
         };
         self.note_resolved();
-        note_completed(&self.context, &self.request.features, end);
+        if self.is_success {
+            note_completed(&self.context, &self.request.features, end);
+        }
         if let Some(work) = self.request.work.as_ref().filter(|_| self.is_success) {
             work.note_completed(&self.context);
         }
