call_dispatch: judge a request again after it waited

A request is judged by the known crashes when it is admitted, and may then wait for a slot while its part is found fatal. It is judged again before it is sent first. A trial is not. By reading; no test failed.

--- a/lib/src/gateway/call_dispatch.rs
+++ b/lib/src/gateway/call_dispatch.rs
@@ -90,6 +90,13 @@
             }
             NextStep::AllClosed(_) | NextStep::NoBackend => break,
         };
+        // A request that waited may crash servers by what is known now.
+        if retry_state.possible_runs == 0
+            && let Some(refusal) = crash_refusal(context, call)
+        {
+            chosen.guard.note_resolved();
+            return Err(refusal);
+        }
         let backend = chosen.guard.backend().clone();
         retry_state.tried.push(backend.clone());
         let outcome = match send_to_backend(context, call, retry_state, &chosen, resume_after).await
@@ -159,6 +166,15 @@
     Err(final_refusal(context, call, retry_state, not_executed))
 }
 
+/// Returns the refusal of a request under which servers crash, or may crash.
+fn crash_refusal(context: &GatewayContext, call: &AdmittedCall) -> Option<CallRefusal> {
+    if call.is_trial {
+        return None;
+    }
+    let mut ledger = context.crashes.lock();
+    CallRefusal::of_safety(ledger.judge(context.now(), &call.features))
+}
+
 /// Returns whether a request that may have run must not run again, since servers crash under it.
 fn must_not_run_again(context: &GatewayContext, call: &AdmittedCall) -> bool {
     let mut ledger = context.crashes.lock();
