fatal_sync: a hub that starts reads at once what is fatal

After a restart of all entries, requests with a fatal part went on to servers until a hub had read the store: up to a second, since it checked once a second whether it was a hub. In its first 5 s it checks every 50 ms. The number of reads is as before.

--- a/lib/src/gateway/fatal_sync.rs
+++ b/lib/src/gateway/fatal_sync.rs
@@ -36,6 +36,11 @@
 /// The interval at which an entry checks whether it must read without the
 /// lease. It has to know a fatal request within seconds.
 const READ_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// The same for the first checks of an entry that has not read: each request with a fatal part
+/// that it sends before costs a server.
+const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How many these are: an entry knows within their time whether it is a hub.
+const FIRST_CHECKS: usize = 100;
 /// The pause after a store call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -227,8 +232,14 @@
 /// them.
 pub async fn read_without_lease(context: Arc<GatewayContext>) {
     let mut is_read = false;
+    let mut checks = 0;
     loop {
-        tokio::time::sleep(READ_CHECK_INTERVAL).await;
+        let interval = match checks < FIRST_CHECKS && !is_read {
+            true => FIRST_CHECK_INTERVAL,
+            false => READ_CHECK_INTERVAL,
+        };
+        checks += 1;
+        tokio::time::sleep(interval).await;
         if !must_read(&context, is_read) {
             continue;
         }
@@ -239,6 +250,7 @@
             }
             Err(error) => {
                 warn!(context.log, "reading fatal requests from the store failed"; "error" => %error);
+                tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
     }
