crash_detector: keep what a probe leaves open, and bound its tasks

Now the runs that a probe leaves open are watched, those that began after the crash don't count, one task watches a server, and its pauses double up to 1.2 s. A run whose server outlives it by 4 s counts as an unsure survivor, so that a part whose callers always leave can be cleared.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -56,10 +56,12 @@
 
 /// How long after an entry let go of a request a crash of its server counts as one under it.
 const RELEASED_RETENTION: Duration = Duration::from_secs(4);
-/// The pause between probes of a server with released requests.
-const RELEASED_PROBE_PAUSE: Duration = Duration::from_millis(300);
+/// The time to the first probe of a server with released requests, and the longest one between
+/// two: it doubles in between. A server takes longer than that to restart.
+const FIRST_RELEASED_PROBE: Duration = Duration::from_millis(300);
+const MAX_RELEASED_PAUSE: Duration = Duration::from_millis(1_200);
 /// The most servers that are watched for released requests, and the most of these requests at
-/// one server. Of further ones, a crash is seen by those that still run there.
+/// one server.
 const MAX_WATCHED_SERVERS: usize = 16;
 const MAX_RELEASED_RUNS: usize = 32;
 
@@ -69,7 +71,15 @@
     pending: Mutex<HashMap<BackendId, Vec<InterruptedRun>>>,
     /// Runs that this entry let go of before their server responded completely: the caller
     /// left, or the request was given up. `interrupted_at` is the time of that.
-    released: Mutex<HashMap<BackendId, Vec<InterruptedRun>>>,
+    released: Mutex<HashMap<BackendId, ReleasedRuns>>,
+}
+
+/// The released runs at a server.
+#[derive(Debug, Default)]
+struct ReleasedRuns {
+    runs: Vec<InterruptedRun>,
+    /// Whether a task probes the server.
+    is_watched: bool,
 }
 
 impl CrashDetector {
@@ -100,30 +110,31 @@
         if released.len() >= MAX_WATCHED_SERVERS && !released.contains_key(id) {
             return false;
         }
-        let runs = released.entry(id.clone()).or_default();
-        if runs.len() < MAX_RELEASED_RUNS {
-            runs.push(run);
+        let released = released.entry(id.clone()).or_default();
+        if released.runs.len() < MAX_RELEASED_RUNS {
+            released.runs.push(run);
         }
-        runs.len() == 1
+        !std::mem::replace(&mut released.is_watched, true)
     }
 
-    /// Forgets released runs that are too old. Returns whether any are left.
-    fn has_released(&self, id: &BackendId, now: Timestamp) -> bool {
+    /// Takes the released runs that are too old for a crash to count as one under them. Returns
+    /// `None` if the server need not be watched any more.
+    fn take_outlived(&self, id: &BackendId, now: Timestamp) -> Option<Vec<InterruptedRun>> {
         let mut released = self.released.lock();
-        let Some(runs) = released.get_mut(id) else {
-            return false;
-        };
-        runs.retain(|run| now.since(run.interrupted_at) < RELEASED_RETENTION);
-        let has_runs = !runs.is_empty();
-        if !has_runs {
+        let runs = &mut released.get_mut(id)?.runs;
+        if runs.is_empty() {
             released.remove(id);
+            return None;
         }
-        has_runs
+        let is_old = |run: &mut InterruptedRun| now.since(run.interrupted_at) >= RELEASED_RETENTION;
+        Some(runs.extract_if(.., is_old).collect())
     }
 
     /// Takes the released runs of a server that crashed at `crashed_at` at the latest.
     fn take_released(&self, id: &BackendId, crashed_at: Timestamp) -> Vec<InterruptedRun> {
-        let mut runs = self.released.lock().remove(id).unwrap_or_default();
+        let mut released = self.released.lock();
+        let runs = released.get_mut(id).map(|released| &mut released.runs);
+        let mut runs = runs.map(std::mem::take).unwrap_or_default();
         runs.retain(|run| crashed_at.since(run.interrupted_at) < RELEASED_RETENTION);
         for run in &mut runs {
             run.interrupted_at = crashed_at;
@@ -149,18 +160,23 @@
     }
     let (context, id) = (Arc::clone(context), id.clone());
     tokio::spawn(async move {
+        let detector = &context.crash_detector;
+        let mut pause = FIRST_RELEASED_PROBE;
         loop {
-            tokio::time::sleep(RELEASED_PROBE_PAUSE).await;
-            let detector = &context.crash_detector;
-            if !detector.has_released(&id, context.now()) {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_RELEASED_PAUSE);
+            let Some(outlived) = detector.take_outlived(&id, context.now()) else {
                 return;
-            }
+            };
             if !may_have_crashed(&context, &id) {
                 detector.take_released(&id, context.now());
-                return;
-            }
-            if context.pool.refuses_connections(address).await {
+            } else if context.pool.refuses_connections(address).await {
                 note_refused_connection(&context, &id).await;
+            } else {
+                // The server may have stopped the work when the request was let go of.
+                for run in &outlived {
+                    note_completed(&context, &run.features, ResponseEnd::Unsure);
+                }
             }
         }
     });
@@ -178,6 +194,9 @@
     let released = context.crash_detector.take_released(id, context.now());
     counter!("cloverbend_crashed_released_runs_total").increment(released.len() as u64);
     runs.extend(released);
+    if runs.is_empty() {
+        return;
+    }
     counter!("cloverbend_backend_crashes_total").increment(1);
     log_crash(context, id, &runs);
     record_crash(context, id, &runs);
@@ -196,7 +215,10 @@
 /// Records a crash that is known for certain, with the requests that this entry released
 /// there.
 fn record_released(context: &GatewayContext, id: &BackendId) {
-    let released = context.crash_detector.take_released(id, context.now());
+    let mut released = context.crash_detector.take_released(id, context.now());
+    // Requests sent after a known crash reached a server that has restarted.
+    let crashed_at = context.crashes.lock().crashed_at(id);
+    released.retain(|run| crashed_at.is_none_or(|at| run.started_at < at));
     counter!("cloverbend_crashed_released_runs_total").increment(released.len() as u64);
     record_crash(context, id, &released);
 }
@@ -217,7 +239,10 @@
         if context.pool.refuses_connections(address).await {
             note_refused_connection(&context, &id).await;
         }
-        context.crash_detector.take(&id);
+        // The connection alone may have failed, or the server is back already.
+        for run in context.crash_detector.take(&id) {
+            watch_released(&context, &id, address, run);
+        }
     });
 }
 
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -349,7 +349,12 @@
 
     /// Returns whether an incarnation is known to have crashed.
     pub fn knows_crash(&self, id: &BackendId) -> bool {
-        self.crash_times.contains_key(&incarnation_digest(id))
+        self.crashed_at(id).is_some()
+    }
+
+    /// Returns when this entry learned that an incarnation crashed.
+    pub fn crashed_at(&self, id: &BackendId) -> Option<Timestamp> {
+        self.crash_times.get(&incarnation_digest(id)).copied()
     }
 
     /// Records that a server completed a request and did not crash. Returns
