crash_ledger: trials wait for the last crash; other entries hear of survivors

Found in the same review, by reading: once a record held its 12 crashes, a trial that crashed its server no longer made the other entries wait; entries from the 31st on tried at the same time; trials of a suspected part were charged to the pause of a fatal one; a part was never suspected if its runs took over 24 s; reports of what is refused could fill a message; and an entry with a survivor did not pass on what others had reported. Entries of earlier versions count long runs as survivors, so that these have a field of their own, which is not read.

The tests of the ledger and the verdict pass unchanged.

--- a/lib/src/gateway/crash_frames.rs
+++ b/lib/src/gateway/crash_frames.rs
@@ -42,11 +42,15 @@
     /// The tags of the features that come with it.
     #[prost(fixed32, repeated, tag = "6")]
     companions: Vec<u32>,
+    /// Survivors as entries of earlier versions count them: runs that went on for a while among
+    /// them. Written for these, and not read.
     #[prost(fixed32, repeated, tag = "7")]
-    survivor_tags: Vec<u32>,
+    old_survivor_tags: Vec<u32>,
     /// Runs that servers survived of requests without the part.
     #[prost(fixed32, repeated, tag = "8")]
     contrasts: Vec<u32>,
+    #[prost(fixed32, repeated, tag = "9")]
+    survivor_tags: Vec<u32>,
 }
 
 impl From<CrashReport> for CrashReportFrame {
@@ -66,6 +70,7 @@
             companions: report.record.companions.iter().map(|tag| tag.0).collect(),
             crashes: crashes.map(frame).collect(),
             survivors: report.record.survivors.len() as u64,
+            old_survivor_tags: report.record.survivors.iter().map(|tag| tag.0).collect(),
             survivor_tags: report.record.survivors.iter().map(|tag| tag.0).collect(),
             contrasts: report.record.contrasts.iter().map(|tag| tag.0).collect(),
             idle_ms: report.idle.as_millis() as u64,
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -75,8 +75,6 @@
 /// through. Each further entry waits so much longer, and each doubles its time with each request
 /// that crashes its server.
 const SUSPECT_TRIAL_AFTER: Duration = Duration::from_secs(1);
-/// The most entries of which each waits longer than the one before.
-const MAX_TRIAL_RANK: usize = 30;
 /// The shortest time that a server takes to restart. A request that reaches it
 /// sooner after a crash uses a connection to the old incarnation.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
@@ -228,7 +226,7 @@
             return false;
         };
         let first_after = match safety {
-            CallSafety::Suspected => SUSPECT_TRIAL_AFTER * (rank.min(MAX_TRIAL_RANK) as u32 + 1),
+            CallSafety::Suspected => SUSPECT_TRIAL_AFTER * (rank as u32 + 1),
             CallSafety::Fatal if rank == 0 => FIRST_TRIAL_AFTER,
             CallSafety::Fatal | CallSafety::Harmless => return false,
         };
@@ -473,6 +471,12 @@
         let mut changed = false;
         let is_part = matches!(feature, CallFeature::Part(_));
         for (incarnation, ran) in &reported.crashes {
+            known.crashed_at = known.crashed_at.max(
+                self.crash_times
+                    .get(incarnation)
+                    .copied()
+                    .unwrap_or(seen_at),
+            );
             let is_full = known.record.crashes.len() >= MAX_CRASHES_PER_FEATURE;
             match known.record.crashes.get_mut(incarnation) {
                 // Several requests with a part may have run there. Had it been fatal, the
@@ -488,7 +492,6 @@
                 None if is_full => {}
                 None => {
                     known.record.crashes.insert(*incarnation, *ran);
-                    known.crashed_at = known.crashed_at.max(seen_at);
                     changed = true;
                 }
             }
@@ -498,11 +501,16 @@
         companions.retain(|tag| reported.companions.contains(tag));
         changed |= companions.len() != companion_count;
         let record = &mut known.record;
-        changed |= add_runs(
+        let is_survived = add_runs(
             &mut record.survivors,
             &reported.survivors,
             MAX_SURVIVORS_PER_FEATURE,
         );
+        // Other entries refuse the feature, too, and do not hear of these survivors otherwise.
+        if is_survived && self.verdict.contains(&feature) {
+            known.observed_at = Some(now);
+        }
+        changed |= is_survived;
         changed |= add_runs(
             &mut record.contrasts,
             &reported.contrasts,
@@ -534,8 +542,12 @@
             .filter_map(|group| found(group, CallSafety::Fatal))
             .chain(suspected.filter_map(|group| found(group, CallSafety::Suspected)));
         let newly_found = newly_found.collect();
-        self.trials
-            .retain(|group, _| verdict.fatal.contains(group) || verdict.suspected.contains(group));
+        let is_same = |group: &FatalGroup| {
+            let known = &self.verdict;
+            verdict.fatal.contains(group) && known.fatal.contains(group)
+                || verdict.suspected.contains(group) && known.suspected.contains(group)
+        };
+        self.trials.retain(|group, _| is_same(group));
         self.verdict = verdict;
         newly_found
     }
@@ -571,6 +583,11 @@
         let fatal = fatal
             .iter()
             .filter_map(|feature| self.report(now, *feature));
+        let fatal: Vec<CrashReport> = fatal.take(MAX_REPORTS).collect();
+        let recent: Vec<CrashReport> = recent.take(MAX_REPORTS).collect();
+        // Neither kind keeps the other from being reported.
+        let fatal_count = (MAX_REPORTS / 2).max(MAX_REPORTS - recent.len());
+        let fatal = fatal.into_iter().take(fatal_count);
         fatal.chain(recent).take(MAX_REPORTS).collect()
     }
 
--- a/lib/src/gateway/crash_verdict.rs
+++ b/lib/src/gateway/crash_verdict.rs
@@ -55,6 +55,9 @@
 const MIN_SCORE: f64 = 14.0;
 /// The same for a part of a prompt to be suspected.
 const MIN_SUSPECT_SCORE: f64 = 9.0;
+/// The fewest crashes under a part that no server survived after which it is suspected, however
+/// likely each crash is by chance: runs may be so long that all of them are.
+const SUSPICIOUS_CRASHES: usize = 6;
 /// How many servers have to survive requests without a part, before the part is fatal.
 const MIN_CONTRASTS: usize = 2;
 /// A part that a server ran for this many times as long as any server ran the cause is no
@@ -183,7 +186,9 @@
             && unexplained.len() >= min_crashes(&suspect.feature);
         let is_certain = match suspect.feature {
             CallFeature::Request(_) => unexplained.len() >= CERTAIN_CRASHES,
-            CallFeature::Part(_) => false,
+            CallFeature::Part(_) => {
+                unexplained.len() >= SUSPICIOUS_CRASHES && suspect.record.survivors.is_empty()
+            }
         };
         if is_likely || is_certain {
             let cause = most_specific(suspect, &suspects);
@@ -199,6 +204,14 @@
     verdict
 }
 
+impl CrashVerdict {
+    /// Returns whether a feature is in any of the groups.
+    pub fn contains(&self, feature: &CallFeature) -> bool {
+        let mut groups = self.fatal.iter().chain(&self.suspected);
+        groups.any(|group| group.contains(feature))
+    }
+}
+
 impl Suspect<'_> {
     /// Returns whether requests with this feature need not run to find out more.
     fn is_proved(&self) -> bool {
