log: name the service of streams that are taken up

Callers got streams that two services had written. `request sent` and `stream resumed` named the version of the server, but not its service, and a refusal said nothing of the stream: the lines could not tell a service that was drawn anew from weights that changed.

They name the service now, and `stream taken up` tells for each request that goes on with a stream which service and version it is bound to, or that it is refused.

--- a/lib/src/gateway/call_log.rs
+++ b/lib/src/gateway/call_log.rs
@@ -65,7 +65,7 @@
     }
     info!(context.log, "request sent"; "request" => %call.head.id, "digest" => %call.digest,
         "route" => &call.route.name, "account" => call.account_name().map(AccountName::as_str), "backend" => %guard.backend(),
-        "version" => guard.version().map(ServerVersion::as_str),
+        "service" => %call.service, "version" => guard.version().map(ServerVersion::as_str),
         "begun_by" => call.head.resumes.as_ref().map(|id| id.0.as_str()),
         "after_event" => resume_after.or(call.head.last_event),
         "unread_tokens" => guard.prefill_tokens(), "target_ms" => call.route.target_latency.as_millis() as u64,
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -338,6 +338,7 @@
                 if self.may_log(LineClass::Failure) {
                     info!(self.context.log, "stream resumed"; "request" => %self.call.head.id,
                         "backend" => %backend_response.guard.backend(), "after_event" => self.last_event,
+                        "service" => %self.call.service,
                         "version" => backend_response.guard.version().map(ServerVersion::as_str),
                         "began_version" => self.version.as_ref().map(ServerVersion::as_str));
                 }
--- a/lib/src/gateway/stream_exchange.rs
+++ b/lib/src/gateway/stream_exchange.rs
@@ -13,12 +13,14 @@
 
 use metrics::counter;
 use parking_lot::Mutex;
+use slog::info;
 use tokio::sync::mpsc;
 
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::log_budget::LineClass;
 use crate::gateway::stream_frames::StreamNotice;
 use crate::gateway::stream_frames::StreamQuery;
 use crate::gateway::stream_frames::StreamReply;
@@ -217,9 +219,29 @@
     };
     let result = if bound.is_some() { "bound" } else { "unknown" };
     counter!("cloverbend_streams_taken_up_total", "result" => result).increment(1);
+    log_taken_up(context, call, bound.as_ref(), result);
     bound.ok_or(CallRefusal::UnknownVersion)
 }
 
+fn log_taken_up(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    bound: Option<&VersionBinding>,
+    result: &str,
+) {
+    if !context.may_log(&call.head.id.0, LineClass::Failure) {
+        return;
+    }
+    let version = match bound {
+        Some(VersionBinding::Bound(version)) => version.as_ref().map(ServerVersion::as_str),
+        Some(VersionBinding::Free) | None => None,
+    };
+    info!(context.log, "stream taken up"; "request" => %call.head.id, "result" => result,
+        "route" => &call.route.name, "service" => %call.service, "version" => version,
+        "begun_by" => call.head.resumes.as_ref().map(|id| id.0.as_str()),
+        "after_event" => call.head.last_event);
+}
+
 async fn find_binding(
     context: &GatewayContext,
     call: &AdmittedCall,
