streams: go on at the service that began them

On routes with weights over several services, callers that took a stream up got pieces of two services: 13 of 24, and 11 of 24 after a configuration gave a second service half of the weight between the tries.

The service was drawn by the identifier of the attempt, and each try has its own; after a change of weights even the same identifier draws another service.

The service of a request that takes a stream up is not drawn any more. What this entry or its keepers know of the stream tells service and version: a stream is known by a hash of service and attempt, and is looked up under each service with weight. A stream that nobody knows is drawn by the attempt that began it, only if the route has shared its requests in the same way for as long as streams go on, by this entry and by all keepers that reply; else it is refused at once with `unknown_service`. Streams of routes that share, or lately shared, their requests otherwise are announced to keepers like those of services with several versions. Queries name the route and replies its shares, in optional fields.

A service without weight gets no streams of the route, even those that it began: the configuration in force does not allow it. They are refused.

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -15,7 +15,6 @@
 use metrics::counter;
 use slog::info;
 use slog::warn;
-use twox_hash::XxHash64;
 
 use crate::boot_clock::BootClock;
 use crate::gateway::call_body::BodyLimits;
@@ -30,6 +29,10 @@
 use crate::gateway::site_config::LimitUnit;
 use crate::gateway::site_config::RouteRule;
 use crate::gateway::site_config::SiteConfig;
+use crate::gateway::takeup_binding::RequestBinding;
+use crate::gateway::takeup_binding::RoutedRequest;
+use crate::gateway::takeup_binding::bind_request;
+use crate::gateway::version_binding::VersionBinding;
 use crate::id::AccountName;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
@@ -55,6 +58,8 @@
     pub route: RouteRule,
     /// The service that runs the request.
     pub service: ServiceName,
+    /// Which versions of its servers may run the request.
+    pub versions: VersionBinding,
     /// The shortest target latency among the routes of that service.
     pub shortest_target: Duration,
     /// The client account, if the route needs a key.
@@ -120,8 +125,7 @@
 ) -> Result<AdmittedCall, CallRefusal> {
     let ResolvedCall {
         route,
-        service,
-        shortest_target,
+        service: drawn,
         account,
         max_body_bytes,
     } = resolve_call(context, &head, &parts)?;
@@ -136,6 +140,14 @@
     if context.is_refusing() {
         return Err(CallRefusal::Draining);
     }
+    let routed = RoutedRequest {
+        head: &head,
+        route: &route,
+        drawn,
+        time_left: context.clock.left(deadline),
+    };
+    let RequestBinding { service, versions } = bind_request(context, &routed).await?;
+    let shortest_target = current_config(context)?.shortest_target(&service, &route);
     let digest = CallDigest::of(
         account.as_ref().map(|account| &account.name),
         &parts.method,
@@ -158,6 +170,7 @@
         features,
         route,
         service,
+        versions,
         shortest_target,
         account,
         units,
@@ -207,7 +220,6 @@
 struct ResolvedCall {
     route: RouteRule,
     service: ServiceName,
-    shortest_target: Duration,
     account: Option<AccountRule>,
     max_body_bytes: usize,
 }
@@ -221,11 +233,9 @@
 ) -> Result<ResolvedCall, CallRefusal> {
     let config = current_config(context)?;
     let (route, account) = authorize(context, &config, head, parts)?;
-    let hash = XxHash64::oneshot(0, head.id.0.as_bytes());
-    let service = route.target(hash).cloned();
+    let service = route.service_of(&head.id).cloned();
     let service = service.ok_or(CallRefusal::NoBackend)?;
     Ok(ResolvedCall {
-        shortest_target: config.shortest_target(&service, &route),
         service,
         route,
         account,
--- a/lib/src/gateway/call_refusal.rs
+++ b/lib/src/gateway/call_refusal.rs
@@ -48,6 +48,9 @@
     OverLimit(Duration),
     /// No backend server is available.
     NoBackend,
+    /// The request takes a stream up, its route shares or shared streams among services, and
+    /// nobody knows which of them began the stream.
+    UnknownService,
     /// The request takes a stream up, servers of several versions serve or may serve, and
     /// nobody knows which of them began the stream.
     UnknownVersion,
@@ -101,6 +104,7 @@
             Self::NoKey => "no_key",
             Self::OverLimit(_) => "over_limit",
             Self::NoBackend | Self::CutOff => "no_backend",
+            Self::UnknownService => "unknown_service",
             Self::UnknownVersion => "unknown_version",
             Self::VersionGone => "version_gone",
             Self::Crowded(_) => "crowded",
@@ -126,6 +130,7 @@
             | Self::NoConfig
             | Self::NoBackend
             | Self::CutOff
+            | Self::UnknownService
             | Self::UnknownVersion
             | Self::VersionGone
             | Self::Crowded(_)
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -37,7 +37,6 @@
 use crate::gateway::retry_state::RetryState;
 use crate::gateway::send_guard::RESPONSE_INTERRUPTED;
 use crate::gateway::send_guard::SERVER_RESTARTED;
-use crate::gateway::stream_exchange::bind_request;
 use crate::quantity::Timestamp;
 
 /// Serves one request and returns the response to the caller, which may be a
@@ -127,10 +126,6 @@
 
 async fn serve_admitted(context: &Arc<GatewayContext>, call: AdmittedCall) -> CallResult {
     let mut retry_state = RetryState::new(&call);
-    match bind_request(context, &call).await {
-        Ok(binding) => retry_state.binding = binding,
-        Err(refusal) => return Err((call, refusal)),
-    }
     // The error response of an earlier attempt. The caller gets it if no other
     // server responds.
     let mut error_response: Option<Response<CallerBody>> = None;
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -54,6 +54,7 @@
 use crate::gateway::stream_versions::StreamVersions;
 use crate::gateway::usage_table::UsageTable;
 use crate::gateway::version_history::VersionHistory;
+use crate::gateway::weight_history::WeightHistory;
 use crate::gateway::work_meter::WorkMeter;
 use crate::id::Incarnation;
 use crate::peer_link::PeerSender;
@@ -124,6 +125,8 @@
     pub streams: Mutex<StreamVersions>,
     /// Which versions of servers served lately.
     pub version_history: Mutex<VersionHistory>,
+    /// How routes of streams share their requests, and did a short time ago.
+    pub weight_history: Mutex<WeightHistory>,
     /// Queries for streams that wait for replies.
     pub stream_queries: StreamQueries,
     /// Wakes the task that tells other entries of streams.
@@ -218,6 +221,7 @@
             rollouts: Mutex::new(RolloutTable::new()),
             streams: Mutex::new(StreamVersions::new()),
             version_history: Mutex::new(VersionHistory::new()),
+            weight_history: Mutex::new(WeightHistory::new()),
             stream_queries: StreamQueries::default(),
             stream_notice_due: Notify::new(),
             crash_detector: CrashDetector::new(),
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -47,9 +47,10 @@
 //! holds the lease, [`rollout_table`] has what every entry knows, and [`rollout_routing`]
 //! applies it to requests.
 //!
-//! A stream goes on only at servers of the version that began it: [`version_binding`]
-//! decides by [`stream_versions`] and [`version_history`], and [`stream_exchange`] shares
-//! what an entry knows with others.
+//! A stream goes on only at servers of the service and the version that began it:
+//! [`takeup_binding`] finds them, [`version_binding`] decides by [`stream_versions`] and
+//! [`version_history`], [`weight_history`] tells whether a service can be drawn again, and
+//! [`stream_exchange`] shares what an entry knows with others.
 //!
 //! An entry that is cut off from backend servers has others relay its requests:
 //! [`path_monitor`] observes the [`server_paths`], which decide by the [`path_evidence`],
@@ -61,7 +62,8 @@
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
 //! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`,
 //! `work`, `work_history`, `promises`, `admission`, `rollouts`, `retry_budget`,
-//! `retry_pool`, `paths`, `helpers`, `streams`, `version_history`. No lock is held across an await.
+//! `retry_pool`, `paths`, `helpers`, `streams`, `version_history`,
+//! `weight_history`. No lock is held across an await.
 
 pub mod account_demand;
 pub mod account_limits;
@@ -191,9 +193,11 @@
 pub mod stream_exchange;
 pub mod stream_frames;
 pub mod stream_versions;
+pub mod takeup_binding;
 pub mod time_estimate;
 pub mod usage_table;
 pub mod version_binding;
 pub mod version_history;
+pub mod weight_history;
 pub mod window_decisions;
 pub mod work_meter;
--- a/lib/src/gateway/retry_state.rs
+++ b/lib/src/gateway/retry_state.rs
@@ -36,7 +36,7 @@
             unsent: 0,
             repeatable: call.route.may_repeat(),
             has_waited: false,
-            binding: VersionBinding::Free,
+            binding: call.versions.clone(),
         }
     }
 
--- a/lib/src/gateway/site_config.rs
+++ b/lib/src/gateway/site_config.rs
@@ -6,7 +6,9 @@
 
 use sha2::Digest;
 use sha2::Sha256;
+use twox_hash::XxHash64;
 
+use crate::gateway::call_head::CallId;
 use crate::id::AccountName;
 use crate::id::RevisionNumber;
 use crate::id::ServiceName;
@@ -70,6 +72,16 @@
         }
     }
 
+    /// Returns the targets that get requests.
+    pub fn serving_targets(&self) -> impl Iterator<Item = &RouteTarget> {
+        self.targets.iter().filter(|target| target.weight > 0)
+    }
+
+    /// Returns the service that runs an attempt of a caller, if nothing binds it to another.
+    pub fn service_of(&self, id: &CallId) -> Option<&ServiceName> {
+        self.target(XxHash64::oneshot(0, id.0.as_bytes()))
+    }
+
     /// Chooses a target by a number that is the same for all attempts of a call.
     pub fn target(&self, number: u64) -> Option<&ServiceName> {
         let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
--- a/lib/src/gateway/stream_exchange.rs
+++ b/lib/src/gateway/stream_exchange.rs
@@ -1,5 +1,5 @@
-//! Tells other entries which versions of servers began streams, and finds out which version
-//! may go on with a stream that a caller takes up.
+//! Tells other entries which services and versions of servers began streams, and replies to
+//! their queries.
 //!
 //! The keepers of an entry are its hubs: all entries have nearly the same ones, so whoever
 //! gets the request that takes a stream up asks entries to which the stream was announced. An
@@ -7,30 +7,23 @@
 //! before, the stream does not go on.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics::counter;
 use parking_lot::Mutex;
-use slog::info;
 use tokio::sync::mpsc;
 
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::call_admission::AdmittedCall;
-use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::gateway_context::GatewayContext;
-use crate::gateway::log_budget::LineClass;
 use crate::gateway::stream_frames::StreamNotice;
 use crate::gateway::stream_frames::StreamQuery;
 use crate::gateway::stream_frames::StreamReply;
 use crate::gateway::stream_versions::StreamKey;
-use crate::gateway::version_binding::KeeperAnswer;
-use crate::gateway::version_binding::VersionBinding;
 use crate::gateway::version_binding::VersionSet;
 use crate::id::ServerVersion;
 use crate::id::ServiceName;
-use crate::quantity::Timestamp;
 use crate::wire::PeerMessage;
 
 /// How long a notice waits for further streams at least.
@@ -38,13 +31,6 @@
 /// How much longer it waits for each entry, so that all entries together send a keeper no
 /// more notices the more they are.
 const NOTICE_INTERVAL_PER_ENTRY: Duration = Duration::from_micros(250);
-/// How long a request waits for the replies of keepers.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long a request waits at an entry that has just started and knows no keeper yet. Hubs
-/// reply within two rounds of gossip.
-const FIRST_KEEPER_WAIT: Duration = Duration::from_millis(600);
-/// The pause between looks for the first keeper.
-const FIRST_KEEPER_PAUSE: Duration = Duration::from_millis(25);
 /// The age of the list of backend servers up to which it tells, without another entry,
 /// which versions serve.
 const FRESH_LIST_AGE: Duration = Duration::from_millis(2_000);
@@ -54,14 +40,20 @@
 pub struct StreamQueries(Mutex<HashMap<StreamKey, Vec<mpsc::UnboundedSender<StreamReply>>>>);
 
 impl StreamQueries {
-    fn begin(&self, key: StreamKey) -> mpsc::UnboundedReceiver<StreamReply> {
+    /// Returns where the replies to queries for these keys arrive.
+    pub fn begin(
+        &self,
+        keys: impl Iterator<Item = StreamKey>,
+    ) -> mpsc::UnboundedReceiver<StreamReply> {
         let (sender, receiver) = mpsc::unbounded_channel();
         let mut waiting = self.0.lock();
         waiting.retain(|_, senders| {
             senders.retain(|sender| !sender.is_closed());
             !senders.is_empty()
         });
-        waiting.entry(key).or_default().push(sender);
+        for key in keys {
+            waiting.entry(key).or_default().push(sender.clone());
+        }
         receiver
     }
 
@@ -97,7 +89,7 @@
         streams.note_own(now, key, &call.service, version);
     }
     drop(streams);
-    if is_mixed(context, &call.service) {
+    if is_announced(context, &call.service) {
         context.stream_notice_due.notify_one();
     }
 }
@@ -111,7 +103,7 @@
 }
 
 /// Returns the versions that servers of a service run, or ran a short time ago.
-fn recent_versions(context: &GatewayContext, service: &ServiceName) -> VersionSet {
+pub fn recent_versions(context: &GatewayContext, service: &ServiceName) -> VersionSet {
     let now = context.now();
     let backends = context.backends.lock();
     let mut history = context.version_history.lock();
@@ -127,6 +119,24 @@
     history.recent(context.now(), service).len() > 1
 }
 
+/// Returns whether keepers are told of the streams of a service: another version or another
+/// service may be taken for the one that began them.
+fn is_announced(context: &GatewayContext, service: &ServiceName) -> bool {
+    let is_shared = || {
+        let history = context.weight_history.lock();
+        history.is_shared(context.now(), service)
+    };
+    is_mixed(context, service) || is_shared()
+}
+
+/// Notes how the configuration in force shares requests.
+pub fn note_weights(context: &GatewayContext) {
+    let config = context.config.lock().adopted().cloned();
+    if let Some(config) = config {
+        context.weight_history.lock().note(context.now(), &config);
+    }
+}
+
 /// Notes the versions of all listed servers.
 fn note_versions(context: &GatewayContext) {
     let now = context.now();
@@ -149,14 +159,15 @@
         let entries = context.peers.lock().entry_counts(now).entries;
         tokio::time::sleep(notice_interval(entries)).await;
         note_versions(&context);
+        note_weights(&context);
         send_notices(&context);
     }
 }
 
 fn send_notices(context: &GatewayContext) {
     let now = context.now();
-    let is_mixed = |service: &ServiceName| is_mixed(context, service);
-    let streams = context.streams.lock().take_unannounced(now, is_mixed);
+    let is_announced = |service: &ServiceName| is_announced(context, service);
+    let streams = context.streams.lock().take_unannounced(now, is_announced);
     if streams.is_empty() {
         return;
     }
@@ -183,12 +194,19 @@
 /// Replies to the query of another entry.
 pub fn answer_stream_query(context: &GatewayContext, query: &StreamQuery) {
     let version = context.streams.lock().get(context.now(), query.key);
+    note_weights(context);
+    let history = context.weight_history.lock();
+    let shares = query
+        .route
+        .and_then(|route| history.shares(context.now(), route));
+    drop(history);
     let reply = StreamReply {
         key: query.key,
         version,
         listed: recent_versions(context, &query.service)
             .into_iter()
             .collect(),
+        shares,
     };
     let message = PeerMessage::StreamReply(reply);
     context.links.send(query.reply_to, message);
@@ -199,116 +217,10 @@
     context.stream_queries.note_reply(reply);
 }
 
-/// Returns which versions of servers may get a request. One that takes a stream up may go to
-/// the version that began the stream only.
-///
-/// # Errors
-///
-/// A refusal if that version is unknown while several serve, or may serve.
-pub async fn bind_request(
-    context: &GatewayContext,
-    call: &AdmittedCall,
-) -> Result<VersionBinding, CallRefusal> {
-    let takes_up = call.head.last_event.is_some() || call.head.resumes.is_some();
-    if !call.route.streaming || !takes_up {
-        return Ok(VersionBinding::Free);
-    }
-    let bound = match &call.head.resumes {
-        Some(id) => find_binding(context, call, StreamKey::new(&call.service, id)).await,
-        None => VersionBinding::of_only(recent_versions(context, &call.service)),
-    };
-    let result = if bound.is_some() { "bound" } else { "unknown" };
-    counter!("cloverbend_streams_taken_up_total", "result" => result).increment(1);
-    log_taken_up(context, call, bound.as_ref(), result);
-    bound.ok_or(CallRefusal::UnknownVersion)
-}
-
-fn log_taken_up(
-    context: &GatewayContext,
-    call: &AdmittedCall,
-    bound: Option<&VersionBinding>,
-    result: &str,
-) {
-    if !context.may_log(&call.head.id.0, LineClass::Failure) {
-        return;
-    }
-    let version = match bound {
-        Some(VersionBinding::Bound(version)) => version.as_ref().map(ServerVersion::as_str),
-        Some(VersionBinding::Free) | None => None,
-    };
-    info!(context.log, "stream taken up"; "request" => %call.head.id, "result" => result,
-        "route" => &call.route.name, "service" => %call.service, "version" => version,
-        "begun_by" => call.head.resumes.as_ref().map(|id| id.0.as_str()),
-        "after_event" => call.head.last_event);
-}
-
-async fn find_binding(
-    context: &GatewayContext,
-    call: &AdmittedCall,
-    key: StreamKey,
-) -> Option<VersionBinding> {
-    let known = context.streams.lock().get(context.now(), key);
-    let answer = match known {
-        Some(known) => KeeperAnswer::Known(known),
-        None => ask_keepers(context, call, key).await,
-    };
-    let listed = recent_versions(context, &call.service);
-    VersionBinding::of_stream(answer, listed, knows_versions(context))
-}
-
 /// Returns whether this entry knows by itself which versions served lately.
-fn knows_versions(context: &GatewayContext) -> bool {
+pub fn knows_versions(context: &GatewayContext) -> bool {
     let now = context.now();
     let confirmed_at = context.backends.lock().confirmed_at();
     let is_fresh = confirmed_at.is_some_and(|at| now.since(at) <= FRESH_LIST_AGE);
     is_fresh && context.version_history.lock().is_complete(now)
 }
-
-/// Asks all keepers for a stream, and waits until one knows it or all have replied.
-async fn ask_keepers(
-    context: &GatewayContext,
-    call: &AdmittedCall,
-    key: StreamKey,
-) -> KeeperAnswer {
-    let keepers = wait_for_keepers(context).await;
-    let mut replies = context.stream_queries.begin(key);
-    let query = StreamQuery {
-        key,
-        service: call.service.clone(),
-        reply_to: context.settings.peer_advertised,
-    };
-    for keeper in &keepers {
-        let message = PeerMessage::StreamQuery(query.clone());
-        context.links.send(*keeper, message);
-    }
-    let until = context.now().after(REPLY_TIMEOUT.min(call.time_left()));
-    let mut listed = VersionSet::new();
-    let mut received = 0;
-    while received < keepers.len() {
-        let Ok(Some(reply)) = context.clock.timeout_at(until, replies.recv()).await else {
-            break;
-        };
-        received += 1;
-        if let Some(version) = reply.version {
-            return KeeperAnswer::Known(version);
-        }
-        listed.extend(reply.listed);
-    }
-    KeeperAnswer::Unknown {
-        replies: received,
-        listed,
-    }
-}
-
-/// Returns the keepers of this entry. One that has just started waits for the first one.
-async fn wait_for_keepers(context: &GatewayContext) -> Vec<SocketAddr> {
-    let waits_until = Timestamp(0).after(FIRST_KEEPER_WAIT);
-    loop {
-        let now = context.now();
-        let keepers = context.peers.lock().stream_keepers(now);
-        if !keepers.is_empty() || now >= waits_until {
-            return keepers;
-        }
-        tokio::time::sleep(FIRST_KEEPER_PAUSE).await;
-    }
-}
--- a/lib/src/gateway/stream_frames.rs
+++ b/lib/src/gateway/stream_frames.rs
@@ -7,6 +7,9 @@
 
 use crate::gateway::stream_versions::StreamKey;
 use crate::gateway::stream_versions::StreamVersion;
+use crate::gateway::weight_history::RouteKey;
+use crate::gateway::weight_history::RouteShares;
+use crate::gateway::weight_history::ShareDigest;
 use crate::id::ServerVersion;
 use crate::id::ServiceName;
 use crate::wire_error::WireError;
@@ -30,6 +33,8 @@
     pub service: ServiceName,
     /// Where to reply.
     pub reply_to: SocketAddr,
+    /// The route on which it is taken up. Entries of earlier versions name none.
+    pub route: Option<RouteKey>,
 }
 
 /// The reply to a [`StreamQuery`].
@@ -41,6 +46,8 @@
     pub version: Option<StreamVersion>,
     /// The versions of servers of the service that the keeper has or had listed.
     pub listed: Vec<Option<ServerVersion>>,
+    /// How the route shares its requests. Entries of earlier versions do not tell it.
+    pub shares: Option<RouteShares>,
 }
 
 impl StreamNotice {
@@ -95,6 +102,8 @@
     service: String,
     #[prost(string, tag = "3")]
     reply_to: String,
+    #[prost(fixed64, optional, tag = "4")]
+    route: Option<u64>,
 }
 
 /// The frame of [`StreamReply`].
@@ -108,6 +117,10 @@
     version: Option<String>,
     #[prost(string, repeated, tag = "4")]
     listed: Vec<String>,
+    #[prost(fixed64, optional, tag = "5")]
+    steady_shares: Option<u64>,
+    #[prost(bool, tag = "6")]
+    has_changed_shares: bool,
 }
 
 impl From<StreamNotice> for StreamNoticeFrame {
@@ -142,6 +155,7 @@
             key: query.key.0,
             service: query.service.to_string(),
             reply_to: query.reply_to.to_string(),
+            route: query.route.map(|route| route.0),
         }
     }
 }
@@ -156,6 +170,7 @@
             key: StreamKey(frame.key),
             service: service.map_err(|_| WireError::Invalid("service"))?,
             reply_to: reply_to.map_err(|_| WireError::Invalid("reply_to"))?,
+            route: frame.route.map(RouteKey),
         })
     }
 }
@@ -171,6 +186,11 @@
                 Some(StreamVersion::Conflicting) | None => None,
             },
             listed: listed.map(write_version).collect(),
+            steady_shares: match reply.shares {
+                Some(RouteShares::Steady(shares)) => Some(shares.0),
+                Some(RouteShares::Changed) | None => None,
+            },
+            has_changed_shares: reply.shares == Some(RouteShares::Changed),
         }
     }
 }
@@ -184,12 +204,17 @@
             Some(text) => Some(StreamVersion::Known(read_version(&text)?)),
             None => None,
         };
+        let shares = match frame.steady_shares {
+            _ if frame.has_changed_shares => Some(RouteShares::Changed),
+            shares => shares.map(|shares| RouteShares::Steady(ShareDigest(shares))),
+        };
         let listed: Result<_, WireError> =
             frame.listed.iter().map(|text| read_version(text)).collect();
         Ok(Self {
             key: StreamKey(frame.key),
             version,
             listed: listed?,
+            shares,
         })
     }
 }
--- /dev/null
+++ b/lib/src/gateway/takeup_binding.rs
@@ -0,0 +1,302 @@
+//! Finds out which service, and which version of its servers, may go on with a stream that a
+//! caller takes up.
+//!
+//! What an entry or its keepers know of the stream decides. A stream that nobody knows goes
+//! on only if its service can be drawn again, and if one version of that serves.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use metrics::counter;
+use slog::info;
+
+use crate::gateway::call_head::CallHead;
+use crate::gateway::call_head::CallId;
+use crate::gateway::call_refusal::CallRefusal;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::log_budget::LineClass;
+use crate::gateway::site_config::RouteRule;
+use crate::gateway::stream_exchange::knows_versions;
+use crate::gateway::stream_exchange::note_weights;
+use crate::gateway::stream_exchange::recent_versions;
+use crate::gateway::stream_frames::StreamQuery;
+use crate::gateway::stream_frames::StreamReply;
+use crate::gateway::stream_versions::StreamKey;
+use crate::gateway::stream_versions::StreamVersion;
+use crate::gateway::version_binding::KeeperAnswer;
+use crate::gateway::version_binding::VersionBinding;
+use crate::gateway::version_binding::VersionSet;
+use crate::gateway::weight_history::RouteKey;
+use crate::gateway::weight_history::RouteShares;
+use crate::gateway::weight_history::ShareDigest;
+use crate::id::ServerVersion;
+use crate::id::ServiceName;
+use crate::quantity::Timestamp;
+use crate::wire::PeerMessage;
+
+/// How long a request waits for the replies of keepers.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a request waits at an entry that has just started and knows no keeper yet. Hubs
+/// reply within two rounds of gossip.
+const FIRST_KEEPER_WAIT: Duration = Duration::from_millis(600);
+/// The pause between looks for the first keeper.
+const FIRST_KEEPER_PAUSE: Duration = Duration::from_millis(25);
+/// The age of the configuration up to which it tells, without another entry, how routes
+/// share their requests.
+const FRESH_WEIGHTS_AGE: Duration = Duration::from_millis(2_000);
+
+/// A request whose service is not certain yet.
+#[derive(Debug)]
+pub struct RoutedRequest<'a> {
+    /// The decoded head.
+    pub head: &'a CallHead,
+    /// The matching route.
+    pub route: &'a RouteRule,
+    /// The service that a new stream would get.
+    pub drawn: ServiceName,
+    /// The time until the deadline.
+    pub time_left: Duration,
+}
+
+/// Which servers may get a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestBinding {
+    /// Their service.
+    pub service: ServiceName,
+    /// Their version.
+    pub versions: VersionBinding,
+}
+
+/// What keepers replied of a stream that none of them knows.
+#[derive(Debug, Default)]
+struct KeeperReplies {
+    /// The replies by the key that a service gives the stream.
+    by_key: BTreeMap<StreamKey, ListedVersions>,
+    /// How the route shares its requests, as far as keepers told it.
+    shares: Vec<RouteShares>,
+}
+
+#[derive(Debug, Default)]
+struct ListedVersions {
+    replies: usize,
+    listed: VersionSet,
+}
+
+/// What is known of a stream that is taken up.
+enum StreamOrigin {
+    /// This service and version began it.
+    Known(ServiceName, StreamVersion),
+    /// Streams of several services have its identifier.
+    Ambiguous,
+    /// Nobody knows it.
+    Unknown(KeeperReplies),
+}
+
+/// Returns which servers may get a request. One that takes a stream up may go only to the
+/// service and the version that began the stream.
+///
+/// # Errors
+///
+/// A refusal if they are not certain.
+pub async fn bind_request(
+    context: &GatewayContext,
+    request: &RoutedRequest<'_>,
+) -> Result<RequestBinding, CallRefusal> {
+    let head = request.head;
+    let takes_up = head.last_event.is_some() || head.resumes.is_some();
+    if !request.route.streaming || !takes_up {
+        return Ok(RequestBinding {
+            service: request.drawn.clone(),
+            versions: VersionBinding::Free,
+        });
+    }
+    note_weights(context);
+    let bound = match &head.resumes {
+        Some(id) => find_binding(context, request, id).await,
+        None => bind_unnamed(context, request),
+    };
+    let result = if bound.is_ok() { "bound" } else { "unknown" };
+    counter!("cloverbend_streams_taken_up_total", "result" => result).increment(1);
+    log_taken_up(context, request, bound.as_ref());
+    bound
+}
+
+fn log_taken_up(
+    context: &GatewayContext,
+    request: &RoutedRequest<'_>,
+    bound: Result<&RequestBinding, &CallRefusal>,
+) {
+    let head = request.head;
+    if !context.may_log(&head.id.0, LineClass::Failure) {
+        return;
+    }
+    let version = match bound.map(|bound| &bound.versions) {
+        Ok(VersionBinding::Bound(version)) => version.as_ref().map(ServerVersion::as_str),
+        _ => None,
+    };
+    info!(context.log, "stream taken up"; "request" => %head.id,
+        "result" => bound.map_or_else(|refusal| refusal.code(), |_| "bound"),
+        "route" => &request.route.name,
+        "service" => bound.ok().map(|bound| bound.service.as_str()), "version" => version,
+        "drawn_service" => %request.drawn,
+        "begun_by" => head.resumes.as_ref().map(|id| id.0.as_str()),
+        "after_event" => head.last_event);
+}
+
+/// Binds a request that does not name the attempt that began its stream: no draw can be
+/// repeated for it.
+fn bind_unnamed(
+    context: &GatewayContext,
+    request: &RoutedRequest<'_>,
+) -> Result<RequestBinding, CallRefusal> {
+    let is_only = request.route.serving_targets().count() == 1;
+    if !is_only || steady_shares(context, request.route).is_none() {
+        return Err(CallRefusal::UnknownService);
+    }
+    let service = request.drawn.clone();
+    let versions = VersionBinding::of_only(recent_versions(context, &service));
+    let versions = versions.ok_or(CallRefusal::UnknownVersion)?;
+    Ok(RequestBinding { service, versions })
+}
+
+async fn find_binding(
+    context: &GatewayContext,
+    request: &RoutedRequest<'_>,
+    id: &CallId,
+) -> Result<RequestBinding, CallRefusal> {
+    let (service, answer) = match find_origin(context, request, id).await {
+        StreamOrigin::Known(service, version) => (service, KeeperAnswer::Known(version)),
+        StreamOrigin::Ambiguous => return Err(CallRefusal::UnknownService),
+        StreamOrigin::Unknown(mut replies) => {
+            let service = draw_again(context, request.route, id, &replies)
+                .ok_or(CallRefusal::UnknownService)?;
+            let key = StreamKey::new(&service, id);
+            let ListedVersions { replies, listed } =
+                replies.by_key.remove(&key).unwrap_or_default();
+            (service, KeeperAnswer::Unknown { replies, listed })
+        }
+    };
+    let listed = recent_versions(context, &service);
+    let versions = VersionBinding::of_stream(answer, listed, knows_versions(context));
+    let versions = versions.ok_or(CallRefusal::UnknownVersion)?;
+    Ok(RequestBinding { service, versions })
+}
+
+/// Returns how a route shares its requests, if it did so for as long as streams go on.
+fn steady_shares(context: &GatewayContext, route: &RouteRule) -> Option<ShareDigest> {
+    let history = context.weight_history.lock();
+    match history.shares(context.now(), RouteKey::of(route))? {
+        RouteShares::Steady(shares) if shares == ShareDigest::of(route) => Some(shares),
+        RouteShares::Steady(_) | RouteShares::Changed => None,
+    }
+}
+
+/// Draws the service of an attempt that began a stream, if the draw is certainly the same.
+fn draw_again(
+    context: &GatewayContext,
+    route: &RouteRule,
+    id: &CallId,
+    replies: &KeeperReplies,
+) -> Option<ServiceName> {
+    let steady = RouteShares::Steady(steady_shares(context, route)?);
+    if replies.shares.iter().any(|shares| *shares != steady) {
+        return None;
+    }
+    let age = context.config.lock().age(context.now());
+    let is_fresh = age.is_some_and(|age| age <= FRESH_WEIGHTS_AGE);
+    if replies.shares.is_empty() && !is_fresh {
+        return None;
+    }
+    route.service_of(id).cloned()
+}
+
+/// Looks a stream up at this entry, then at its keepers.
+async fn find_origin(
+    context: &GatewayContext,
+    request: &RoutedRequest<'_>,
+    id: &CallId,
+) -> StreamOrigin {
+    // A service without weight must not get requests of the route, even if it began the stream.
+    let services = request.route.serving_targets();
+    let services: BTreeMap<StreamKey, &ServiceName> = services
+        .map(|target| (StreamKey::new(&target.service, id), &target.service))
+        .collect();
+    match find_own(context, &services) {
+        Some(origin) => origin,
+        None => ask_keepers(context, request, &services).await,
+    }
+}
+
+/// Looks a stream up at this entry.
+fn find_own(
+    context: &GatewayContext,
+    services: &BTreeMap<StreamKey, &ServiceName>,
+) -> Option<StreamOrigin> {
+    let now = context.now();
+    let streams = context.streams.lock();
+    let mut known = services
+        .iter()
+        .filter_map(|(key, service)| Some((*service, streams.get(now, *key)?)));
+    let (service, version) = known.next()?;
+    Some(match known.next() {
+        None => StreamOrigin::Known(service.clone(), version),
+        Some(_) => StreamOrigin::Ambiguous,
+    })
+}
+
+/// Asks all keepers for a stream, and waits until one knows it or all have replied.
+async fn ask_keepers(
+    context: &GatewayContext,
+    request: &RoutedRequest<'_>,
+    services: &BTreeMap<StreamKey, &ServiceName>,
+) -> StreamOrigin {
+    let keepers = wait_for_keepers(context).await;
+    let mut received = context.stream_queries.begin(services.keys().copied());
+    for (key, service) in services {
+        let query = StreamQuery {
+            key: *key,
+            service: (*service).clone(),
+            reply_to: context.settings.peer_advertised,
+            route: Some(RouteKey::of(request.route)),
+        };
+        for keeper in &keepers {
+            let message = PeerMessage::StreamQuery(query.clone());
+            context.links.send(*keeper, message);
+        }
+    }
+    let until = context.now().after(REPLY_TIMEOUT.min(request.time_left));
+    let mut replies = KeeperReplies::default();
+    for _ in 0..keepers.len() * services.len() {
+        let Ok(Some(reply)) = context.clock.timeout_at(until, received.recv()).await else {
+            break;
+        };
+        let StreamReply {
+            key,
+            version,
+            listed,
+            shares,
+        } = reply;
+        if let (Some(version), Some(service)) = (version, services.get(&key)) {
+            return StreamOrigin::Known((*service).clone(), version);
+        }
+        let of_key = replies.by_key.entry(key).or_default();
+        of_key.replies += 1;
+        of_key.listed.extend(listed);
+        replies.shares.extend(shares);
+    }
+    StreamOrigin::Unknown(replies)
+}
+
+/// Returns the keepers of this entry. One that has just started waits for the first one.
+async fn wait_for_keepers(context: &GatewayContext) -> Vec<SocketAddr> {
+    let waits_until = Timestamp(0).after(FIRST_KEEPER_WAIT);
+    loop {
+        let now = context.now();
+        let keepers = context.peers.lock().stream_keepers(now);
+        if !keepers.is_empty() || now >= waits_until {
+            return keepers;
+        }
+        tokio::time::sleep(FIRST_KEEPER_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/weight_history.rs
@@ -0,0 +1,145 @@
+//! How routes of streams shared their requests among services a short time ago.
+//!
+//! Pure: no I/O and no clock. A stream goes on at the service that began it. If nobody knows
+//! which one that is, it can be drawn again only while the shares are those of the time at
+//! which the stream may have begun.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use twox_hash::XxHash64;
+
+use crate::gateway::site_config::RouteRule;
+use crate::gateway::site_config::SiteConfig;
+use crate::gateway::stream_versions::STREAM_MEMORY;
+use crate::id::RevisionNumber;
+use crate::id::ServiceName;
+use crate::quantity::Timestamp;
+
+/// Identifies a route by the requests that match it: a hash of its host and prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RouteKey(pub u64);
+
+impl RouteKey {
+    /// Returns the key of a route.
+    pub fn of(route: &RouteRule) -> Self {
+        let mut hasher = XxHash64::with_seed(9);
+        route.host.to_ascii_lowercase().hash(&mut hasher);
+        route.prefix.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+/// Identifies the services of a route and their shares: equal ones draw the same service for
+/// the same attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ShareDigest(pub u64);
+
+impl ShareDigest {
+    /// Returns the digest of the shares of a route.
+    pub fn of(route: &RouteRule) -> Self {
+        let mut hasher = XxHash64::with_seed(10);
+        let is_shared = route.serving_targets().count() > 1;
+        for target in route.serving_targets() {
+            target.service.as_str().hash(&mut hasher);
+            // The only service gets all requests, whatever its weight.
+            let weight = if is_shared { target.weight } else { 1 };
+            weight.hash(&mut hasher);
+        }
+        Self(hasher.finish())
+    }
+}
+
+/// How a route shares its requests, as an entry knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteShares {
+    /// It did so for as long as streams go on.
+    Steady(ShareDigest),
+    /// It did so otherwise a short time ago, or has appeared since.
+    Changed,
+}
+
+/// The shares of one route in the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct NotedShares {
+    digest: ShareDigest,
+    /// When they changed; `None` if they are those of the first configuration.
+    changed_at: Option<Timestamp>,
+}
+
+/// The shares of the routes of streams, and when they changed.
+#[derive(Clone, Debug, Default)]
+pub struct WeightHistory {
+    revision: Option<RevisionNumber>,
+    routes: BTreeMap<RouteKey, NotedShares>,
+    /// The services that share the streams of a route with others.
+    shared: BTreeSet<ServiceName>,
+    /// When the shares of a route of each service last changed.
+    changed: BTreeMap<ServiceName, Timestamp>,
+}
+
+impl WeightHistory {
+    /// Returns the history of an entry that starts.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes the configuration in force.
+    pub fn note(&mut self, now: Timestamp, config: &SiteConfig) {
+        if self.revision == Some(config.revision) {
+            return;
+        }
+        let is_first = self.revision.is_none();
+        self.revision = Some(config.revision);
+        let earlier = std::mem::take(&mut self.routes);
+        self.shared.clear();
+        for route in config.routes.iter().filter(|route| route.streaming) {
+            let digest = ShareDigest::of(route);
+            let known = earlier.get(&RouteKey::of(route));
+            let shares = match known {
+                Some(known) if known.digest == digest => *known,
+                _ => NotedShares {
+                    digest,
+                    changed_at: (!is_first).then_some(now),
+                },
+            };
+            self.routes.insert(RouteKey::of(route), shares);
+            let is_shared = route.serving_targets().count() > 1;
+            for target in route.serving_targets() {
+                let service = &target.service;
+                if is_shared {
+                    self.shared.insert(service.clone());
+                }
+                if shares.changed_at == Some(now) {
+                    self.changed.insert(service.clone(), now);
+                }
+            }
+        }
+        self.changed
+            .retain(|_, changed_at| now.since(*changed_at) < STREAM_MEMORY);
+    }
+
+    /// Returns how a route shares its requests, or `None` without a configuration.
+    pub fn shares(&self, now: Timestamp, route: RouteKey) -> Option<RouteShares> {
+        self.revision?;
+        let is_steady = |shares: &&NotedShares| {
+            let changed_at = shares.changed_at;
+            changed_at.is_none_or(|changed_at| now.since(changed_at) >= STREAM_MEMORY)
+        };
+        let steady = self.routes.get(&route).filter(is_steady);
+        Some(match steady {
+            Some(shares) => RouteShares::Steady(shares.digest),
+            None => RouteShares::Changed,
+        })
+    }
+
+    /// Returns whether another service may have begun a stream on a route of this one, so that
+    /// other entries have to be told of its streams.
+    pub fn is_shared(&self, now: Timestamp, service: &ServiceName) -> bool {
+        let changed_at = self.changed.get(service);
+        self.shared.contains(service)
+            || changed_at.is_some_and(|changed_at| now.since(*changed_at) < STREAM_MEMORY)
+    }
+}
--- a/lib/tests/test_stream_memory.rs
+++ b/lib/tests/test_stream_memory.rs
@@ -5,7 +5,9 @@
 use cloverbend::gateway::call_head::CallId;
 use cloverbend::gateway::stream_frames::StreamNotice;
 use cloverbend::gateway::stream_frames::StreamQuery;
+use cloverbend::gateway::stream_frames::StreamQueryFrame;
 use cloverbend::gateway::stream_frames::StreamReply;
+use cloverbend::gateway::stream_frames::StreamReplyFrame;
 use cloverbend::gateway::stream_versions::StreamKey;
 use cloverbend::gateway::stream_versions::StreamVersion;
 use cloverbend::gateway::stream_versions::StreamVersions;
@@ -13,10 +15,14 @@
 use cloverbend::gateway::version_binding::VersionBinding;
 use cloverbend::gateway::version_binding::VersionSet;
 use cloverbend::gateway::version_history::VersionHistory;
+use cloverbend::gateway::weight_history::RouteKey;
+use cloverbend::gateway::weight_history::RouteShares;
+use cloverbend::gateway::weight_history::ShareDigest;
 use cloverbend::id::ServerVersion;
 use cloverbend::id::ServiceName;
 use cloverbend::quantity::Timestamp;
 use cloverbend::wire::PeerMessage;
+use prost::Message;
 use rstest::rstest;
 
 fn at(millis: u64) -> Timestamp {
@@ -55,22 +61,25 @@
         key: key("a"),
         service: service(),
         reply_to: "127.0.0.1:7".parse().unwrap(),
+        route: Some(RouteKey(7)),
     };
     let sent = PeerMessage::StreamQuery(query.clone()).encode();
     let Ok(PeerMessage::StreamQuery(arrived)) = PeerMessage::decode(sent) else {
         panic!("no query");
     };
     assert_eq!(arrived, query);
-    for version in [
-        None,
-        known("v1"),
-        Some(StreamVersion::Known(None)),
-        Some(StreamVersion::Conflicting),
+    let steady = Some(RouteShares::Steady(ShareDigest(9)));
+    for (version, shares) in [
+        (None, None),
+        (known("v1"), steady),
+        (Some(StreamVersion::Known(None)), Some(RouteShares::Changed)),
+        (Some(StreamVersion::Conflicting), steady),
     ] {
         let reply = StreamReply {
             key: key("a"),
             version,
             listed: vec![None, Some("v2".parse().unwrap())],
+            shares,
         };
         let sent = PeerMessage::StreamReply(reply.clone()).encode();
         let Ok(PeerMessage::StreamReply(arrived)) = PeerMessage::decode(sent) else {
@@ -80,6 +89,60 @@
     }
 }
 
+/// The frames of entries that name no route and no shares.
+#[test]
+fn messages_of_earlier_entries_are_readable() {
+    #[derive(Clone, PartialEq, Message)]
+    struct EarlierQuery {
+        #[prost(fixed64, tag = "1")]
+        key: u64,
+        #[prost(string, tag = "2")]
+        service: String,
+        #[prost(string, tag = "3")]
+        reply_to: String,
+    }
+    #[derive(Clone, PartialEq, Message)]
+    struct EarlierReply {
+        #[prost(fixed64, tag = "1")]
+        key: u64,
+        #[prost(bool, tag = "2")]
+        is_conflicting: bool,
+        #[prost(string, optional, tag = "3")]
+        version: Option<String>,
+        #[prost(string, repeated, tag = "4")]
+        listed: Vec<String>,
+    }
+    let query = EarlierQuery {
+        key: 7,
+        service: "pool".to_owned(),
+        reply_to: "127.0.0.1:7".to_owned(),
+    };
+    let frame = StreamQueryFrame::decode(query.encode_to_vec().as_slice()).unwrap();
+    let arrived = StreamQuery::try_from(frame).unwrap();
+    assert_eq!((arrived.key, arrived.route), (StreamKey(7), None));
+    let later = StreamQuery {
+        route: Some(RouteKey(3)),
+        ..arrived
+    };
+    let sent = StreamQueryFrame::from(later).encode_to_vec();
+    assert_eq!(EarlierQuery::decode(sent.as_slice()).unwrap(), query);
+    let reply = EarlierReply {
+        key: 7,
+        is_conflicting: false,
+        version: Some("v1".to_owned()),
+        listed: vec!["v1".to_owned()],
+    };
+    let frame = StreamReplyFrame::decode(reply.encode_to_vec().as_slice()).unwrap();
+    let arrived = StreamReply::try_from(frame).unwrap();
+    assert_eq!((&arrived.version, arrived.shares), (&known("v1"), None));
+    let later = StreamReply {
+        shares: Some(RouteShares::Changed),
+        ..arrived
+    };
+    let sent = StreamReplyFrame::from(later).encode_to_vec();
+    assert_eq!(EarlierReply::decode(sent.as_slice()).unwrap(), reply);
+}
+
 /// Two attempts may have the same identifier.
 #[test]
 fn a_stream_of_two_versions_is_known_as_conflicting() {
