streams: take no list for history after all entries restart

An entry that had just started took the only version that it and its hubs list for the one that has always served, and the weights of its first configuration for those of the time before.

A reply of a keeper is evidence of the versions that served only if the keeper has run for as long as streams go on, or knows from the store what served before.

--- a/lib/src/gateway/duty_task.rs
+++ b/lib/src/gateway/duty_task.rs
@@ -16,6 +16,7 @@
 use crate::gateway::duty_record::DutyRecord;
 use crate::gateway::fatal_sync::FatalSync;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::history_sync::HistorySync;
 use crate::gateway::interim_counts::InterimCounts;
 use crate::gateway::lease_state::ValidLease;
 use crate::gateway::lease_task::give_up;
@@ -62,6 +63,7 @@
     interim_retry_at: Timestamp,
     replica_scaler: ReplicaScaler,
     fatal_sync: FatalSync,
+    history_sync: HistorySync,
 }
 
 impl DutyRunner {
@@ -73,6 +75,7 @@
             interim_retry_at: Timestamp(0),
             replica_scaler: ReplicaScaler::new(),
             fatal_sync: FatalSync::default(),
+            history_sync: HistorySync::default(),
         }
     }
 
@@ -82,6 +85,7 @@
         self.reported.clear();
         self.interim = InterimCounts::new();
         self.fatal_sync.reset();
+        self.history_sync.reset();
         self.replica_scaler.forget_orders();
     }
 
@@ -111,6 +115,9 @@
         if context.lease.lock().valid_lease(context.now()).is_some() {
             self.fatal_sync.sync(context).await;
         }
+        if context.lease.lock().valid_lease(context.now()).is_some() {
+            self.history_sync.sync(context).await;
+        }
     }
 
     async fn report_windows(&mut self, context: &Arc<GatewayContext>) -> Result<(), PlatformError> {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -50,7 +50,8 @@
 //! A stream goes on only at servers of the service and the version that began it:
 //! [`takeup_binding`] finds them, [`version_binding`] decides by [`stream_versions`] and
 //! [`version_history`], [`weight_history`] tells whether a service can be drawn again, and
-//! [`stream_exchange`] shares what an entry knows with others.
+//! [`stream_exchange`] shares what an entry knows with others, and [`history_sync`] keeps in
+//! the store what has to outlive them.
 //!
 //! An entry that is cut off from backend servers has others relay its requests:
 //! [`path_monitor`] observes the [`server_paths`], which decide by the [`path_evidence`],
@@ -119,6 +120,7 @@
 pub mod gossip_frame;
 pub mod gossip_receiver;
 pub mod gossip_task;
+pub mod history_sync;
 pub mod hub_capacity;
 pub mod incarnation_tracker;
 pub mod interim_counts;
--- a/lib/src/gateway/platform_interface.rs
+++ b/lib/src/gateway/platform_interface.rs
@@ -152,6 +152,8 @@
     Entries,
     /// Keyed: requests that crash the backend servers that run them, by digest.
     FatalCalls,
+    /// Keyed: the versions and the shares of routes with which streams may have begun.
+    StreamHistory,
     /// Not keyed: claims of the lease, and decisions of its holders.
     Duties,
 }
--- a/lib/src/gateway/stream_exchange.rs
+++ b/lib/src/gateway/stream_exchange.rs
@@ -17,6 +17,7 @@
 use crate::gateway::account_limits::GOSSIP_INTERVAL;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::history_sync::read_at_start;
 use crate::gateway::stream_frames::StreamNotice;
 use crate::gateway::stream_frames::StreamQuery;
 use crate::gateway::stream_frames::StreamReply;
@@ -149,8 +150,13 @@
     }
 }
 
-/// Tells keepers of streams until the entry stops.
+/// Tells keepers of streams until the entry stops. One that starts first finds out which
+/// versions and shares streams may have begun with.
 pub async fn run_stream_notices(context: Arc<GatewayContext>) {
+    tokio::join!(read_at_start(&context), announce_streams(&context));
+}
+
+async fn announce_streams(context: &GatewayContext) {
     loop {
         // A service whose servers begin to run several versions has streams already.
         let due = context.stream_notice_due.notified();
@@ -158,9 +164,9 @@
         let now = context.now();
         let entries = context.peers.lock().entry_counts(now).entries;
         tokio::time::sleep(notice_interval(entries)).await;
-        note_versions(&context);
-        note_weights(&context);
-        send_notices(&context);
+        note_versions(context);
+        note_weights(context);
+        send_notices(context);
     }
 }
 
@@ -207,6 +213,7 @@
             .into_iter()
             .collect(),
         shares,
+        is_complete: knows_versions(context),
     };
     let message = PeerMessage::StreamReply(reply);
     context.links.send(query.reply_to, message);
--- a/lib/src/gateway/stream_frames.rs
+++ b/lib/src/gateway/stream_frames.rs
@@ -48,6 +48,9 @@
     pub listed: Vec<Option<ServerVersion>>,
     /// How the route shares its requests. Entries of earlier versions do not tell it.
     pub shares: Option<RouteShares>,
+    /// Whether the keeper knows all versions that served a short time ago. Entries of earlier
+    /// versions do not tell it.
+    pub is_complete: bool,
 }
 
 impl StreamNotice {
@@ -121,6 +124,8 @@
     steady_shares: Option<u64>,
     #[prost(bool, tag = "6")]
     has_changed_shares: bool,
+    #[prost(bool, tag = "7")]
+    is_complete: bool,
 }
 
 impl From<StreamNotice> for StreamNoticeFrame {
@@ -190,6 +195,7 @@
                 Some(RouteShares::Steady(shares)) => Some(shares.0),
                 Some(RouteShares::Changed) | None => None,
             },
+            is_complete: reply.is_complete,
             has_changed_shares: reply.shares == Some(RouteShares::Changed),
         }
     }
@@ -215,6 +221,7 @@
             version,
             listed: listed?,
             shares,
+            is_complete: frame.is_complete,
         })
     }
 }
--- a/lib/src/gateway/takeup_binding.rs
+++ b/lib/src/gateway/takeup_binding.rs
@@ -79,7 +79,8 @@
 
 #[derive(Debug, Default)]
 struct ListedVersions {
-    replies: usize,
+    /// How many know all versions that served a short time ago.
+    complete_replies: usize,
     listed: VersionSet,
 }
 
@@ -112,9 +113,12 @@
         });
     }
     note_weights(context);
+    let is_only = request.route.serving_targets().count() == 1;
     let bound = match &head.resumes {
         Some(id) => find_binding(context, request, id).await,
-        None => bind_unnamed(context, request),
+        // Nobody knows the attempt, and its service can be drawn again only if there is one.
+        None if is_only => find_binding(context, request, &head.id).await,
+        None => Err(CallRefusal::UnknownService),
     };
     let result = if bound.is_ok() { "bound" } else { "unknown" };
     counter!("cloverbend_streams_taken_up_total", "result" => result).increment(1);
@@ -144,22 +148,6 @@
         "after_event" => head.last_event);
 }
 
-/// Binds a request that does not name the attempt that began its stream: no draw can be
-/// repeated for it.
-fn bind_unnamed(
-    context: &GatewayContext,
-    request: &RoutedRequest<'_>,
-) -> Result<RequestBinding, CallRefusal> {
-    let is_only = request.route.serving_targets().count() == 1;
-    if !is_only || steady_shares(context, request.route).is_none() {
-        return Err(CallRefusal::UnknownService);
-    }
-    let service = request.drawn.clone();
-    let versions = VersionBinding::of_only(recent_versions(context, &service));
-    let versions = versions.ok_or(CallRefusal::UnknownVersion)?;
-    Ok(RequestBinding { service, versions })
-}
-
 async fn find_binding(
     context: &GatewayContext,
     request: &RoutedRequest<'_>,
@@ -172,9 +160,12 @@
             let service = draw_again(context, request.route, id, &replies)
                 .ok_or(CallRefusal::UnknownService)?;
             let key = StreamKey::new(&service, id);
-            let ListedVersions { replies, listed } =
-                replies.by_key.remove(&key).unwrap_or_default();
-            (service, KeeperAnswer::Unknown { replies, listed })
+            let of_key = replies.by_key.remove(&key).unwrap_or_default();
+            let answer = KeeperAnswer::Unknown {
+                replies: of_key.complete_replies,
+                listed: of_key.listed,
+            };
+            (service, answer)
         }
     };
     let listed = recent_versions(context, &service);
@@ -183,15 +174,6 @@
     Ok(RequestBinding { service, versions })
 }
 
-/// Returns how a route shares its requests, if it did so for as long as streams go on.
-fn steady_shares(context: &GatewayContext, route: &RouteRule) -> Option<ShareDigest> {
-    let history = context.weight_history.lock();
-    match history.shares(context.now(), RouteKey::of(route))? {
-        RouteShares::Steady(shares) if shares == ShareDigest::of(route) => Some(shares),
-        RouteShares::Steady(_) | RouteShares::Changed => None,
-    }
-}
-
 /// Draws the service of an attempt that began a stream, if the draw is certainly the same.
 fn draw_again(
     context: &GatewayContext,
@@ -199,16 +181,20 @@
     id: &CallId,
     replies: &KeeperReplies,
 ) -> Option<ServiceName> {
-    let steady = RouteShares::Steady(steady_shares(context, route)?);
-    if replies.shares.iter().any(|shares| *shares != steady) {
+    let now = context.now();
+    let steady = RouteShares::Steady(ShareDigest::of(route));
+    let own = context
+        .weight_history
+        .lock()
+        .shares(now, RouteKey::of(route));
+    let mut others = replies.shares.iter().chain(&own);
+    if others.any(|shares| *shares != steady) {
         return None;
     }
-    let age = context.config.lock().age(context.now());
+    let age = context.config.lock().age(now);
     let is_fresh = age.is_some_and(|age| age <= FRESH_WEIGHTS_AGE);
-    if replies.shares.is_empty() && !is_fresh {
-        return None;
-    }
-    route.service_of(id).cloned()
+    let is_certain = !replies.shares.is_empty() || (own.is_some() && is_fresh);
+    route.service_of(id).filter(|_| is_certain).cloned()
 }
 
 /// Looks a stream up at this entry, then at its keepers.
@@ -276,12 +262,13 @@
             version,
             listed,
             shares,
+            is_complete,
         } = reply;
         if let (Some(version), Some(service)) = (version, services.get(&key)) {
             return StreamOrigin::Known((*service).clone(), version);
         }
         let of_key = replies.by_key.entry(key).or_default();
-        of_key.replies += 1;
+        of_key.complete_replies += usize::from(is_complete);
         of_key.listed.extend(listed);
         replies.shares.extend(shares);
     }
--- a/lib/src/gateway/version_binding.rs
+++ b/lib/src/gateway/version_binding.rs
@@ -21,7 +21,7 @@
     Known(StreamVersion),
     /// None of those that replied does.
     Unknown {
-        /// How many replied.
+        /// How many replied that know all versions that served a short time ago.
         replies: usize,
         /// The versions of servers that they have or had listed.
         listed: VersionSet,
--- a/lib/src/gateway/version_history.rs
+++ b/lib/src/gateway/version_history.rs
@@ -16,7 +16,11 @@
 
 /// The versions that an entry had listed a short time ago, by service.
 #[derive(Clone, Debug, Default)]
-pub struct VersionHistory(BTreeMap<ServiceName, LastListed>);
+pub struct VersionHistory {
+    services: BTreeMap<ServiceName, LastListed>,
+    /// Whether it goes on from the history of entries that were lost.
+    is_restored: bool,
+}
 
 impl VersionHistory {
     /// Returns the history of an entry that starts.
@@ -26,9 +30,9 @@
 
     /// Notes that a server of a version is listed.
     pub fn note(&mut self, now: Timestamp, service: &ServiceName, version: Option<&ServerVersion>) {
-        let versions = match self.0.get_mut(service) {
+        let versions = match self.services.get_mut(service) {
             Some(versions) => versions,
-            None => self.0.entry(service.clone()).or_default(),
+            None => self.services.entry(service.clone()).or_default(),
         };
         let known = versions
             .iter_mut()
@@ -43,21 +47,41 @@
 
     /// Returns the versions of a service that are or were listed.
     pub fn recent(&self, now: Timestamp, service: &ServiceName) -> VersionSet {
-        let versions = self.0.get(service).into_iter().flatten();
+        let versions = self.services.get(service).into_iter().flatten();
         let recent = versions.filter(|(_, listed_at)| now.since(**listed_at) < STREAM_MEMORY);
         recent.map(|(version, _)| version.clone()).collect()
     }
 
+    /// Returns the versions of all services that are or were listed.
+    pub fn all_recent(&self, now: Timestamp) -> BTreeMap<ServiceName, VersionSet> {
+        let services = self.services.keys();
+        let recent = services.map(|service| (service.clone(), self.recent(now, service)));
+        recent
+            .filter(|(_, versions)| !versions.is_empty())
+            .collect()
+    }
+
+    /// Adds the versions that entries had listed before they were lost, or nothing if there
+    /// were no entries.
+    pub fn restore(&mut self, now: Timestamp, stored: &BTreeMap<ServiceName, VersionSet>) {
+        self.is_restored = true;
+        for (service, versions) in stored {
+            for version in versions {
+                self.note(now, service, version.as_ref());
+            }
+        }
+    }
+
     /// Returns whether the history goes back as far as streams are remembered.
     pub fn is_complete(&self, now: Timestamp) -> bool {
-        now.since(Timestamp(0)) >= STREAM_MEMORY
+        self.is_restored || now.since(Timestamp(0)) >= STREAM_MEMORY
     }
 
     /// Drops versions that were last listed too long ago.
     pub fn drop_old(&mut self, now: Timestamp) {
-        for versions in self.0.values_mut() {
+        for versions in self.services.values_mut() {
             versions.retain(|_, listed_at| now.since(*listed_at) < STREAM_MEMORY);
         }
-        self.0.retain(|_, versions| !versions.is_empty());
+        self.services.retain(|_, versions| !versions.is_empty());
     }
 }
--- a/lib/src/gateway/weight_history.rs
+++ b/lib/src/gateway/weight_history.rs
@@ -65,8 +65,37 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct NotedShares {
     digest: ShareDigest,
-    /// When they changed; `None` if they are those of the first configuration.
-    changed_at: Option<Timestamp>,
+    /// Since when they are known to be in force.
+    since: ShareStart,
+}
+
+/// Since when shares are known to be in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShareStart {
+    /// They were in force before the entry started, for as long as streams go on.
+    Earlier,
+    /// They were those of the first configuration that the entry received.
+    Started(Timestamp),
+    /// They changed then.
+    Changed(Timestamp),
+}
+
+/// The shares that entries had in force before they were lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoredShares {
+    /// There were no entries.
+    NothingServed,
+    /// The shares that had not changed a short time before.
+    Known(BTreeMap<RouteKey, ShareDigest>),
+}
+
+impl StoredShares {
+    fn has(&self, route: RouteKey, digest: ShareDigest) -> bool {
+        match self {
+            Self::NothingServed => true,
+            Self::Known(shares) => shares.get(&route) == Some(&digest),
+        }
+    }
 }
 
 /// The shares of the routes of streams, and when they changed.
@@ -74,6 +103,10 @@
 pub struct WeightHistory {
     revision: Option<RevisionNumber>,
     routes: BTreeMap<RouteKey, NotedShares>,
+    /// What entries had in force before they were lost, if it is known.
+    stored: Option<StoredShares>,
+    /// The services that have streams.
+    streaming: BTreeSet<ServiceName>,
     /// The services that share the streams of a route with others.
     shared: BTreeSet<ServiceName>,
     /// When the shares of a route of each service last changed.
@@ -91,48 +124,86 @@
         if self.revision == Some(config.revision) {
             return;
         }
-        let is_first = self.revision.is_none();
+        let since = match self.revision {
+            None => ShareStart::Started(now),
+            Some(_) => ShareStart::Changed(now),
+        };
         self.revision = Some(config.revision);
         let earlier = std::mem::take(&mut self.routes);
         self.shared.clear();
+        self.streaming.clear();
         for route in config.routes.iter().filter(|route| route.streaming) {
             let digest = ShareDigest::of(route);
             let known = earlier.get(&RouteKey::of(route));
             let shares = match known {
                 Some(known) if known.digest == digest => *known,
-                _ => NotedShares {
-                    digest,
-                    changed_at: (!is_first).then_some(now),
-                },
+                _ => NotedShares { digest, since },
             };
             self.routes.insert(RouteKey::of(route), shares);
             let is_shared = route.serving_targets().count() > 1;
             for target in route.serving_targets() {
                 let service = &target.service;
+                self.streaming.insert(service.clone());
                 if is_shared {
                     self.shared.insert(service.clone());
                 }
-                if shares.changed_at == Some(now) {
+                if shares.since == ShareStart::Changed(now) {
                     self.changed.insert(service.clone(), now);
                 }
             }
         }
         self.changed
             .retain(|_, changed_at| now.since(*changed_at) < STREAM_MEMORY);
+        self.apply_stored();
+    }
+
+    /// Adds the shares that entries had in force before they were lost.
+    pub fn restore(&mut self, stored: StoredShares) {
+        self.stored = Some(stored);
+        self.apply_stored();
     }
 
-    /// Returns how a route shares its requests, or `None` without a configuration.
+    fn apply_stored(&mut self) {
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        for (route, shares) in &mut self.routes {
+            let is_started = matches!(shares.since, ShareStart::Started(_));
+            if is_started && stored.has(*route, shares.digest) {
+                shares.since = ShareStart::Earlier;
+            }
+        }
+    }
+
+    /// Returns how a route shares its requests, or `None` if it is not known how it did a short
+    /// time ago.
     pub fn shares(&self, now: Timestamp, route: RouteKey) -> Option<RouteShares> {
         self.revision?;
-        let is_steady = |shares: &&NotedShares| {
-            let changed_at = shares.changed_at;
-            changed_at.is_none_or(|changed_at| now.since(changed_at) >= STREAM_MEMORY)
+        let Some(shares) = self.routes.get(&route) else {
+            return Some(RouteShares::Changed);
         };
-        let steady = self.routes.get(&route).filter(is_steady);
-        Some(match steady {
-            Some(shares) => RouteShares::Steady(shares.digest),
-            None => RouteShares::Changed,
-        })
+        match shares.since {
+            ShareStart::Started(at) if now.since(at) < STREAM_MEMORY => None,
+            ShareStart::Changed(at) if now.since(at) < STREAM_MEMORY => Some(RouteShares::Changed),
+            ShareStart::Earlier | ShareStart::Started(_) | ShareStart::Changed(_) => {
+                Some(RouteShares::Steady(shares.digest))
+            }
+        }
+    }
+
+    /// Returns the shares of all routes that did not change a short time ago.
+    pub fn all_steady(&self, now: Timestamp) -> BTreeMap<RouteKey, ShareDigest> {
+        let routes = self.routes.keys();
+        let steady = routes.filter_map(|route| match self.shares(now, *route)? {
+            RouteShares::Steady(digest) => Some((*route, digest)),
+            RouteShares::Changed => None,
+        });
+        steady.collect()
+    }
+
+    /// Returns whether a service has streams.
+    pub fn has_streams(&self, service: &ServiceName) -> bool {
+        self.streaming.contains(service)
     }
 
     /// Returns whether another service may have begun a stream on a route of this one, so that
--- a/lib/tests/test_stream_memory.rs
+++ b/lib/tests/test_stream_memory.rs
@@ -69,17 +69,22 @@
     };
     assert_eq!(arrived, query);
     let steady = Some(RouteShares::Steady(ShareDigest(9)));
-    for (version, shares) in [
-        (None, None),
-        (known("v1"), steady),
-        (Some(StreamVersion::Known(None)), Some(RouteShares::Changed)),
-        (Some(StreamVersion::Conflicting), steady),
+    for (version, shares, is_complete) in [
+        (None, None, true),
+        (known("v1"), steady, false),
+        (
+            Some(StreamVersion::Known(None)),
+            Some(RouteShares::Changed),
+            true,
+        ),
+        (Some(StreamVersion::Conflicting), steady, false),
     ] {
         let reply = StreamReply {
             key: key("a"),
             version,
             listed: vec![None, Some("v2".parse().unwrap())],
             shares,
+            is_complete,
         };
         let sent = PeerMessage::StreamReply(reply.clone()).encode();
         let Ok(PeerMessage::StreamReply(arrived)) = PeerMessage::decode(sent) else {
@@ -135,8 +140,10 @@
     let frame = StreamReplyFrame::decode(reply.encode_to_vec().as_slice()).unwrap();
     let arrived = StreamReply::try_from(frame).unwrap();
     assert_eq!((&arrived.version, arrived.shares), (&known("v1"), None));
+    assert!(!arrived.is_complete);
     let later = StreamReply {
         shares: Some(RouteShares::Changed),
+        is_complete: true,
         ..arrived
     };
     let sent = StreamReplyFrame::from(later).encode_to_vec();
@@ -225,11 +232,13 @@
     Arrives(usize),
     /// An entry is lost and starts again.
     Restarts(usize),
+    /// All entries are lost at once and start again.
+    RestartsAll,
     /// The last entry is cut off from the keepers.
     CutOff,
 }
 
-const STEPS: [StreamStep; 15] = [
+const STEPS: [StreamStep; 16] = [
     StreamStep::Begins,
     StreamStep::BeginsAtNew,
     StreamStep::Lists(FIRST),
@@ -244,6 +253,7 @@
     StreamStep::Restarts(FIRST),
     StreamStep::Restarts(KEEPERS[0]),
     StreamStep::Restarts(LAST),
+    StreamStep::RestartsAll,
     StreamStep::CutOff,
 ];
 
@@ -321,6 +331,12 @@
                 self.histories[entry] = VersionHistory::new();
                 self.is_old[entry] = false;
             }
+            StreamStep::RestartsAll => {
+                self.entries = vec![StreamVersions::new(); 4];
+                self.histories = vec![VersionHistory::new(); 4];
+                self.is_old = [false; 4];
+                self.notices = [Vec::new(), Vec::new()];
+            }
             StreamStep::CutOff => return !std::mem::replace(&mut self.is_cut_off, true),
         }
         true
@@ -348,7 +364,7 @@
         let answer = match known {
             Some(known) => KeeperAnswer::Known(known),
             None => KeeperAnswer::Unknown {
-                replies: asked.len(),
+                replies: asked.iter().filter(|keeper| self.is_old[**keeper]).count(),
                 listed: others.collect(),
             },
         };
@@ -365,7 +381,12 @@
     }
 }
 
-fn explore(world: &StreamWorld, steps: &mut Vec<StreamStep>, depth: usize, seen: &mut usize) {
+fn explore(
+    world: &StreamWorld,
+    steps: &mut Vec<StreamStep>,
+    depth: usize,
+    [seen, restarted]: &mut [usize; 2],
+) {
     if let Some(began) = &world.began {
         *seen += 1;
         let bound = world.take_up(true);
@@ -386,6 +407,14 @@
         if world.is_cut_off {
             assert_eq!(world.take_up(false), None, "{steps:?}");
         }
+        // What entries list that have all just started is no evidence of what served before.
+        let is_known = (0..world.entries.len())
+            .any(|entry| world.entries[entry].get(at(1_000), key("a")).is_some());
+        let deciding = KEEPERS.iter().chain([&LAST]);
+        if !is_known && deciding.into_iter().all(|entry| !world.is_old[*entry]) {
+            *restarted += 1;
+            assert_eq!(bound, None, "{steps:?}");
+        }
     }
     if depth == 0 {
         return;
@@ -394,7 +423,9 @@
         let mut next = world.clone();
         if next.apply(step) {
             steps.push(step);
-            explore(&next, steps, depth - 1, seen);
+            let mut counts = [*seen, *restarted];
+            explore(&next, steps, depth - 1, &mut counts);
+            [*seen, *restarted] = counts;
             steps.pop();
         }
     }
@@ -404,10 +435,12 @@
 /// that began it or not at all, and goes on if a keeper that knows of it is asked.
 #[test]
 fn every_order_binds_a_stream_to_its_version_or_refuses_it() {
-    let mut seen = 0;
-    explore(&StreamWorld::new(), &mut Vec::new(), 6, &mut seen);
-    println!("{seen} states with a stream");
+    let mut counts = [0, 0];
+    explore(&StreamWorld::new(), &mut Vec::new(), 6, &mut counts);
+    let [seen, restarted] = counts;
+    println!("{seen} states with a stream, {restarted} of them after a loss of all entries");
     assert!(seen > 100_000, "{seen}");
+    assert!(restarted > 100, "{restarted}");
 }
 
 #[rstest]
