streams: keep in the store which version began them

After a restart of all entries while several versions or services may have begun streams, every stream that was taken up was refused: 24 of 24 where a configuration had given a second service half of the weight 1.5 s before. What entries knew of them ended with the entries.

The lease holder, to which streams are announced as to any hub, writes those that it learns at most once a second, while servers of several versions serve or shares of routes changed within 30 s. The writes go round 32 keys, are conditional on the end of the topic, and have at most some 4,096 streams of 8 bytes each. Hubs read them with the record of versions and shares when they start.

--- a/lib/src/gateway/history_sync.rs
+++ b/lib/src/gateway/history_sync.rs
@@ -1,9 +1,10 @@
 //! Keeps in the store which versions of servers and which shares of routes streams may have
 //! begun with, so that it is known after the loss of all entries at once.
 //!
-//! The lease holder writes one small record when it changes. Hubs read it when they start. An
-//! entry that has just started and knows no such record takes nothing that it lists for
-//! certain.
+//! The lease holder writes one small record when it changes, and, while several versions or
+//! services may have begun streams, the streams that it knows, at most once a second. Hubs read
+//! both when they start. An entry that has just started and knows no such record takes nothing
+//! that it lists for certain.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -16,10 +17,16 @@
 use slog::info;
 use slog::warn;
 
+use crate::gateway::binding_ring::MAX_STREAMS_PER_WRITE;
+use crate::gateway::binding_ring::RingSlot;
+use crate::gateway::binding_ring::decode_streams;
+use crate::gateway::binding_ring::encode_streams;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::peer_table::HUB_COUNT;
 use crate::gateway::platform_interface::LogTopic;
 use crate::gateway::platform_interface::PlatformError;
+use crate::gateway::stream_exchange::receive_stream_notice;
+use crate::gateway::stream_frames::StreamNotice;
 use crate::gateway::version_binding::VersionSet;
 use crate::gateway::weight_history::RouteKey;
 use crate::gateway::weight_history::ShareDigest;
@@ -94,6 +101,8 @@
     history: StoredHistory,
     /// The end of the topic. A write of a former holder moves it.
     end: LogOffset,
+    /// Where the next streams go.
+    slot: RingSlot,
 }
 
 /// What the lease holder has read and written.
@@ -101,6 +110,8 @@
 pub struct HistorySync {
     /// `None` until the first read.
     stored: Option<StoreState>,
+    /// When the last stream was noted that is in the store.
+    streams_until: Option<Timestamp>,
     /// The earliest time of the next store call.
     next_call_at: Timestamp,
 }
@@ -126,10 +137,13 @@
             },
             Some(stored) => {
                 let present = present_history(context);
-                if present == stored.history {
+                if present != stored.history {
+                    write_record(context, stored, present).await
+                } else if may_mix_streams(context) {
+                    write_streams(context, stored, &mut self.streams_until).await
+                } else {
                     return;
                 }
-                write_record(context, stored, present).await
             }
         };
         self.next_call_at = context.now().after(CALL_PAUSE);
@@ -180,8 +194,17 @@
         None => BTreeMap::new(),
     };
     let now = context.now();
+    let is_known = context.version_history.lock().is_complete(now);
+    let notices = decode_streams(&slice.records);
+    // An entry that has run for long enough knows more than the store has.
+    if !is_known {
+        for notice in &notices {
+            receive_stream_notice(context, notice);
+        }
+    }
     info!(context.log, "history of streams read"; "services" => versions.len(),
-        "routes" => history.as_ref().map(|history| history.shares.len()));
+        "routes" => history.as_ref().map(|history| history.shares.len()),
+        "writes" => notices.len(), "is_start" => !is_known);
     context.version_history.lock().restore(now, &versions);
     let shares = match &history {
         Some(history) => StoredShares::Known(history.shares()),
@@ -191,6 +214,7 @@
     Ok(StoreState {
         history: history.unwrap_or_default(),
         end: slice.end,
+        slot: RingSlot::after(&slice.records),
     })
 }
 
@@ -214,15 +238,58 @@
     history: StoredHistory,
 ) -> Result<(), PlatformError> {
     let value = serde_json::to_vec(&history).map_err(invalid_record)?;
+    append(context, stored, RECORD_KEY, Bytes::from(value)).await?;
+    stored.history = history;
+    Ok(())
+}
+
+/// Returns whether streams that nobody knows cannot go on, because several versions or
+/// services may have begun them.
+fn may_mix_streams(context: &GatewayContext) -> bool {
+    let now = context.now();
+    let versions = context.version_history.lock().all_recent(now);
+    let history = context.weight_history.lock();
+    let mut versions = versions.iter();
+    history.has_changed(now)
+        || versions.any(|(service, versions)| versions.len() > 1 && history.has_streams(service))
+}
+
+/// Writes the streams that were noted since the last write.
+async fn write_streams(
+    context: &GatewayContext,
+    stored: &mut StoreState,
+    streams_until: &mut Option<Timestamp>,
+) -> Result<(), PlatformError> {
+    let noted = context
+        .streams
+        .lock()
+        .noted_since(*streams_until, MAX_STREAMS_PER_WRITE);
+    let (streams, last) = noted;
+    if streams.is_empty() {
+        return Ok(());
+    }
+    counter!("cloverbend_streams_stored_total").increment(streams.len() as u64);
+    let value = encode_streams(StreamNotice::new(streams));
+    let key = stored.slot.key();
+    append(context, stored, &key, value).await?;
+    stored.slot = stored.slot.next();
+    *streams_until = last;
+    Ok(())
+}
+
+async fn append(
+    context: &GatewayContext,
+    stored: &mut StoreState,
+    key: &str,
+    value: Bytes,
+) -> Result<(), PlatformError> {
     counter!("cloverbend_stream_history_writes_total").increment(1);
     counter!("cloverbend_stream_history_bytes_total").increment(value.len() as u64);
     let store = &context.platform.store;
     let topic = LogTopic::StreamHistory;
-    let expected_end = Some(stored.end);
     let position = store
-        .append(topic, Some(RECORD_KEY), Bytes::from(value), expected_end)
+        .append(topic, Some(key), value, Some(stored.end))
         .await?;
     stored.end = LogOffset(position.offset.0 + 1);
-    stored.history = history;
     Ok(())
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -51,7 +51,7 @@
 //! [`takeup_binding`] finds them, [`version_binding`] decides by [`stream_versions`] and
 //! [`version_history`], [`weight_history`] tells whether a service can be drawn again, and
 //! [`stream_exchange`] shares what an entry knows with others, and [`history_sync`] keeps in
-//! the store what has to outlive them.
+//! the store what has to outlive them, streams in the [`binding_ring`].
 //!
 //! An entry that is cut off from backend servers has others relay its requests:
 //! [`path_monitor`] observes the [`server_paths`], which decide by the [`path_evidence`],
@@ -78,6 +78,7 @@
 pub mod backend_record;
 pub mod backend_set;
 pub mod backend_state;
+pub mod binding_ring;
 pub mod byte_budget;
 pub mod call_admission;
 pub mod call_body;
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -134,6 +134,33 @@
         })
     }
 
+    /// Returns streams that were noted after a time, the earliest first, and when the last of
+    /// them was noted. There are at most `most`, and those noted at the same time as the last.
+    pub fn noted_since(
+        &self,
+        since: Option<Timestamp>,
+        most: usize,
+    ) -> (Vec<(StreamKey, Option<ServerVersion>)>, Option<Timestamp>) {
+        let is_earlier = |noted_at: Timestamp| since.is_some_and(|since| noted_at <= since);
+        let first = self
+            .order
+            .partition_point(|(noted_at, _)| is_earlier(*noted_at));
+        let mut streams = Vec::new();
+        let mut last = None;
+        for (noted_at, key) in self.order.iter().skip(first) {
+            if streams.len() >= most && last != Some(*noted_at) {
+                break;
+            }
+            last = Some(*noted_at);
+            let known = self.streams.get(key);
+            let known = known.filter(|known| known.noted_at == *noted_at);
+            if let Some(VersionIndex::Known(index)) = known.map(|known| known.version) {
+                streams.push((*key, self.versions[usize::from(index)].clone()));
+            }
+        }
+        (streams, last)
+    }
+
     /// Returns the streams of this entry that are to be announced to other entries, and counts
     /// them as announced. `is_mixed` tells whether a service has servers of several versions.
     pub fn take_unannounced(
--- a/lib/src/gateway/weight_history.rs
+++ b/lib/src/gateway/weight_history.rs
@@ -201,6 +201,12 @@
         steady.collect()
     }
 
+    /// Returns whether the shares of any route changed a short time ago.
+    pub fn has_changed(&self, now: Timestamp) -> bool {
+        let mut changed = self.changed.values();
+        changed.any(|changed_at| now.since(*changed_at) < STREAM_MEMORY)
+    }
+
     /// Returns whether a service has streams.
     pub fn has_streams(&self, service: &ServiceName) -> bool {
         self.streaming.contains(service)
--- a/lib/tests/test_stream_memory.rs
+++ b/lib/tests/test_stream_memory.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
+use cloverbend::gateway::binding_ring::RingSlot;
+use cloverbend::gateway::binding_ring::decode_streams;
+use cloverbend::gateway::binding_ring::encode_streams;
 use cloverbend::gateway::call_head::CallId;
+use cloverbend::gateway::platform_interface::LogRecord;
 use cloverbend::gateway::stream_frames::StreamNotice;
 use cloverbend::gateway::stream_frames::StreamQuery;
 use cloverbend::gateway::stream_frames::StreamQueryFrame;
@@ -18,6 +22,7 @@
 use cloverbend::gateway::weight_history::RouteKey;
 use cloverbend::gateway::weight_history::RouteShares;
 use cloverbend::gateway::weight_history::ShareDigest;
+use cloverbend::id::LogOffset;
 use cloverbend::id::ServerVersion;
 use cloverbend::id::ServiceName;
 use cloverbend::quantity::Timestamp;
@@ -493,3 +498,59 @@
             .all(|(length, count)| length <= 8 * count + 16)
     );
 }
+
+/// The lease holder writes the streams that it learns, each once, in bounded parts.
+#[test]
+fn streams_are_written_in_parts() {
+    let mut streams = StreamVersions::new();
+    for number in 0..5 {
+        streams.note_announced(at(number), StreamKey(number), Some(&version("v1")));
+    }
+    streams.note_announced(at(4), StreamKey(9), None);
+    let keys = |part: &[(StreamKey, Option<ServerVersion>)]| {
+        part.iter().map(|(key, _)| key.0).collect::<Vec<_>>()
+    };
+    let (part, last) = streams.noted_since(None, 4);
+    assert_eq!((keys(&part), last), (vec![0, 1, 2, 3], Some(at(3))));
+    // Those of one moment are not separated.
+    let (part, last) = streams.noted_since(last, 1);
+    assert_eq!((keys(&part), last), (vec![4, 9], Some(at(4))));
+    assert_eq!(streams.noted_since(last, 1), (vec![], None));
+    // A stream that is taken up is written again, and one of two versions is not.
+    streams.note_announced(at(7), StreamKey(1), Some(&version("v1")));
+    streams.note_announced(at(8), StreamKey(2), Some(&version("v2")));
+    let (part, _) = streams.noted_since(Some(at(4)), 10);
+    assert_eq!(keys(&part), [1]);
+}
+
+#[test]
+fn stored_streams_are_read_in_the_order_of_their_writes() {
+    let record = |offset: u64, key: String, keys: &[u64]| {
+        let streams = keys
+            .iter()
+            .map(|key| (StreamKey(*key), Some(version("v1"))));
+        LogRecord {
+            offset: LogOffset(offset),
+            key: Some(key),
+            value: encode_streams(StreamNotice::new(streams.collect())),
+        }
+    };
+    assert_eq!(RingSlot::after(&[]), RingSlot::default());
+    let first = RingSlot::default();
+    let mut slot = first;
+    for _ in 0..32 {
+        slot = slot.next();
+    }
+    assert_eq!(slot, first);
+    let mut records = vec![
+        record(9, first.key(), &[9]),
+        record(3, first.next().key(), &[3, 4]),
+        record(1, "history".to_owned(), &[1]),
+    ];
+    let key_of = |notice: &StreamNotice| notice.groups[0].1.clone();
+    let read: Vec<_> = decode_streams(&records).iter().map(key_of).collect();
+    assert_eq!(read, [vec![StreamKey(3), StreamKey(4)], vec![StreamKey(9)]]);
+    assert_eq!(RingSlot::after(&records), first.next());
+    records[0].value = "no frame".into();
+    assert_eq!(decode_streams(&records).len(), 1);
+}
