--- a/lib/tests/test_weight_history.rs
+++ b/lib/tests/test_weight_history.rs
@@ -51,14 +51,14 @@
     }
 }
 
-fn config(revision: u64, routes: &[RouteRule]) -> SiteConfig {
+fn config(revision: u64, routes: &[&RouteRule]) -> SiteConfig {
     let limits = CallerLimits {
         head_bytes: 16_384,
         body_bytes: 2_000,
     };
     let mut config = SiteConfig::new(RevisionNumber(revision), limits);
     for route in routes {
-        config.add_route(route.clone());
+        config.add_route((*route).clone());
     }
     config
 }
@@ -86,7 +86,7 @@
     let key = RouteKey::of(&first);
     let mut history = WeightHistory::new();
     assert_eq!(history.shares(at(0), key), None);
-    history.note(at(1_000), &config(1, &[first.clone()]));
+    history.note(at(1_000), &config(1, &[&first]));
     // An entry that has just started does not know what was in force before.
     assert_eq!(history.shares(at(30_999), key), None);
     assert!(history.shares(at(31_000), key).is_some());
@@ -96,11 +96,11 @@
     assert!(!history.is_shared(at(1_000), &service("a")));
 
     // A revision that changes nothing of the route.
-    history.note(at(5_000), &config(2, &[first.clone()]));
+    history.note(at(5_000), &config(2, &[&first]));
     assert_eq!(history.shares(at(5_000), key), steady(&first));
 
     let second = route("/a/", &[("a", 1), ("b", 1)]);
-    history.note(at(6_000), &config(3, &[second.clone()]));
+    history.note(at(6_000), &config(3, &[&second]));
     assert_eq!(history.shares(at(35_999), key), Some(RouteShares::Changed));
     assert_eq!(history.shares(at(36_000), key), steady(&second));
     assert!(history.is_shared(at(90_000), &service("a")));
@@ -108,7 +108,7 @@
 
     // Streams of the only service that is left are announced for as long as others go on.
     let third = route("/a/", &[("b", 1)]);
-    history.note(at(90_000), &config(4, &[third.clone()]));
+    history.note(at(90_000), &config(4, &[&third]));
     assert!(history.is_shared(at(119_999), &service("b")));
     assert!(!history.is_shared(at(120_000), &service("b")));
     assert_eq!(history.shares(at(120_000), key), steady(&third));
@@ -121,12 +121,12 @@
     let second = route("/a/b/", &[("b", 1)]);
     let key = RouteKey::of(&second);
     let mut history = WeightHistory::new();
-    history.note(at(0), &config(1, &[first.clone()]));
+    history.note(at(0), &config(1, &[&first]));
     assert_eq!(history.shares(at(0), key), Some(RouteShares::Changed));
-    history.note(at(1_000), &config(2, &[first.clone(), second.clone()]));
+    history.note(at(1_000), &config(2, &[&first, &second]));
     assert_eq!(history.shares(at(2_000), key), Some(RouteShares::Changed));
-    history.note(at(3_000), &config(3, &[first.clone()]));
-    history.note(at(40_000), &config(4, &[first, second]));
+    history.note(at(3_000), &config(3, &[&first]));
+    history.note(at(40_000), &config(4, &[&first, &second]));
     assert_eq!(history.shares(at(41_000), key), Some(RouteShares::Changed));
 }
 
@@ -147,10 +147,10 @@
     if is_restored_first {
         history.restore(stored.clone());
     }
-    let rules = [same.clone(), other.clone(), new.clone(), changed.clone()];
+    let rules = [&same, &other, &new, &changed];
     history.note(at(500), &config(1, &rules));
     let later = route("/d/", &[("b", 1)]);
-    let rules = [same.clone(), other.clone(), new.clone(), later];
+    let rules = [&same, &other, &new, &later];
     history.note(at(600), &config(2, &rules));
     if !is_restored_first {
         history.restore(stored);
