--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -47,9 +47,11 @@
 //! holds the lease, [`rollout_table`] has what every entry knows, and [`rollout_routing`]
 //! applies it to requests.
 //!
-//! A stream goes on only at servers of the version that began it: [`version_binding`]
-//! decides by [`stream_versions`] and [`version_history`], and [`stream_exchange`] shares
-//! what an entry knows with others.
+//! A stream goes on only at servers of the service and the version that began it:
+//! [`takeup_binding`] finds them, [`version_binding`] decides by [`stream_versions`] and
+//! [`version_history`], [`weight_history`] tells whether a service can be drawn again, and
+//! [`stream_exchange`] shares what an entry knows with others, and [`history_sync`] keeps in
+//! the store what has to outlive them, streams in the [`binding_ring`].
 //!
 //! An entry that is cut off from backend servers has others relay its requests:
 //! [`path_monitor`] observes the [`server_paths`], which decide by the [`path_evidence`],
@@ -61,7 +63,8 @@
 //! Lock order in [`gateway_context`]: `config`, `transfer`, `backends`,
 //! `server_limits`, `account_limits`, `usage`, `peers`, `lease`, `crashes`,
 //! `work`, `work_history`, `promises`, `admission`, `rollouts`, `retry_budget`,
-//! `retry_pool`, `paths`, `helpers`, `streams`, `version_history`. No lock is held across an await.
+//! `retry_pool`, `paths`, `helpers`, `streams`, `version_history`,
+//! `weight_history`. No lock is held across an await.
 
 pub mod account_demand;
 pub mod account_limits;
@@ -75,6 +78,7 @@
 pub mod backend_record;
 pub mod backend_set;
 pub mod backend_state;
+pub mod binding_ring;
 pub mod byte_budget;
 pub mod call_admission;
 pub mod call_body;
@@ -117,6 +121,7 @@
 pub mod gossip_frame;
 pub mod gossip_receiver;
 pub mod gossip_task;
+pub mod history_sync;
 pub mod hub_capacity;
 pub mod incarnation_tracker;
 pub mod interim_counts;
@@ -191,9 +196,11 @@
 pub mod stream_exchange;
 pub mod stream_frames;
 pub mod stream_versions;
+pub mod takeup_binding;
 pub mod time_estimate;
 pub mod usage_table;
 pub mod version_binding;
 pub mod version_history;
+pub mod weight_history;
 pub mod window_decisions;
 pub mod work_meter;
