gateway: a stop waits until answers have reached their callers

Cause: a request counted as open until its response was handed to hyper, or, for answers that are passed on, until hyper had taken the last frame. Neither says that the bytes were written. On the other side, an answer that was passed on held up the stop until the end of the grace period if its caller read nothing, also after its time limit.

Change: each connection of a caller or of another entry records whether its latest answer has begun, was taken by hyper, was written, or has arrived: the peer has confirmed all bytes (SIOCOUTQ). While an entry stops, connections with open answers are checked every 50 ms. The stop ends when none is open: they have arrived, their callers are gone, or their time limits are over. The line `waiting for callers` and `stopped` name their number.

--- a/lib/src/abortable_socket.rs
+++ b/lib/src/abortable_socket.rs
@@ -4,6 +4,7 @@
 //! a body without a length. An aborted response must not end like a complete one, so its
 //! connection is reset, also if the process is killed.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,8 +12,10 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use http::Request;
+use http::Response;
 use http::Version;
 use hyper::service::Service;
 use tokio::io::AsyncRead;
@@ -20,6 +23,10 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::answer_delivery::AnswerDeadline;
+use crate::answer_delivery::AnswerDelivery;
+use crate::answer_delivery::TrackedBody;
+
 /// Whether a connection must end with a reset unless it is shut down. Set while requests
 /// are read, and applied before responses are written.
 #[derive(Clone, Debug, Default)]
@@ -32,37 +39,68 @@
     socket: TcpStream,
     rule: ResetRule,
     will_reset: bool,
+    delivery: Arc<AnswerDelivery>,
+}
+
+impl Drop for AbortableSocket {
+    fn drop(&mut self) {
+        self.delivery.note_closed();
+    }
 }
 
 /// A service that records for the socket of its connection which version of HTTP the
-/// client speaks.
+/// client speaks, and when answers begin and end.
 #[derive(Debug)]
-pub struct VersionRecorder<S> {
+pub struct CallRecorder<S> {
     service: S,
     rule: ResetRule,
+    delivery: Arc<AnswerDelivery>,
 }
 
 /// Connects a socket with the service that serves its requests.
-pub fn abortable<S>(socket: TcpStream, service: S) -> (AbortableSocket, VersionRecorder<S>) {
+pub fn abortable<S>(
+    socket: TcpStream,
+    service: S,
+    delivery: &Arc<AnswerDelivery>,
+) -> (AbortableSocket, CallRecorder<S>) {
     let rule = ResetRule::default();
     let socket = AbortableSocket {
         socket,
         rule: rule.clone(),
         will_reset: false,
+        delivery: Arc::clone(delivery),
+    };
+    let recorder = CallRecorder {
+        service,
+        rule,
+        delivery: Arc::clone(delivery),
     };
-    (socket, VersionRecorder { service, rule })
+    (socket, recorder)
 }
 
-impl<S: Service<Request<B>>, B> Service<Request<B>> for VersionRecorder<S> {
-    type Response = S::Response;
+impl<S, Q, B> Service<Request<Q>> for CallRecorder<S>
+where
+    S: Service<Request<Q>, Response = Response<B>>,
+    S::Future: Send + 'static,
+{
+    type Response = Response<TrackedBody<B>>;
     type Error = S::Error;
-    type Future = S::Future;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, S::Error>> + Send>>;
 
-    fn call(&self, request: Request<B>) -> Self::Future {
+    fn call(&self, request: Request<Q>) -> Self::Future {
         if request.version() < Version::HTTP_11 {
             self.rule.0.store(true, Ordering::Relaxed);
         }
-        self.service.call(request)
+        self.delivery.note_begun();
+        let response = self.service.call(request);
+        let delivery = Arc::clone(&self.delivery);
+        Box::pin(async move {
+            let mut response = response.await?;
+            if let Some(AnswerDeadline(at)) = response.extensions_mut().remove() {
+                delivery.set_deadline(at);
+            }
+            Ok(response.map(|body| TrackedBody::new(body, delivery)))
+        })
     }
 }
 
@@ -110,7 +148,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
+        ready!(Pin::new(&mut self.socket).poll_flush(context))?;
+        self.delivery.note_flushed(&self.socket);
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -11,7 +11,9 @@
 use metrics::counter;
 use metrics::histogram;
 use slog::info;
+use tokio::time::Instant;
 
+use crate::answer_delivery::AnswerDeadline;
 use crate::gateway::backend_pool::Exchange;
 use crate::gateway::call_admission::AdmittedCall;
 use crate::gateway::call_admission::admit_call;
@@ -112,8 +114,14 @@
         .retry_budget
         .lock()
         .note_request(now, &call.service, rule);
+    let deadline = call.deadline;
     match serve_admitted(context, call).await {
-        Ok(response) => Ok(response),
+        Ok(mut response) => {
+            let left = context.clock.left(deadline);
+            let answer_deadline = AnswerDeadline(Instant::now() + left);
+            response.extensions_mut().insert(answer_deadline);
+            Ok(response)
+        }
         Err((call, refusal)) => {
             if !refusal.may_have_run() {
                 refund_units(context, &call);
--- a/lib/src/gateway/gateway_context.rs
+++ b/lib/src/gateway/gateway_context.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer_delivery::DeliveryCount;
 use crate::boot_clock::BootClock;
 use crate::boot_clock::ClockSource;
 use crate::gateway::account_limits::AccountLimits;
@@ -165,6 +166,8 @@
     draining: AtomicBool,
     refusing: AtomicBool,
     has_responded: AtomicBool,
+    /// The answers that have not reached callers, or other entries.
+    pub deliveries: DeliveryCount,
     open_calls: AtomicUsize,
     store_response_us: AtomicU64,
     /// When a byte of a response last came directly from a backend server.
@@ -240,6 +243,7 @@
             draining: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             has_responded: AtomicBool::new(false),
+            deliveries: DeliveryCount::default(),
             open_calls: AtomicUsize::new(0),
             store_response_us: AtomicU64::new(0),
             server_bytes_us: AtomicU64::new(0),
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer_delivery::DeliveryCount;
 use crate::gateway::call_service::serve_call;
 use crate::gateway::duty_task::run_duties;
 use crate::gateway::entry_discovery::discover_entries;
@@ -44,7 +45,7 @@
 use crate::gateway::stream_exchange::receive_stream_notice;
 use crate::gateway::stream_exchange::receive_stream_reply;
 use crate::gateway::stream_exchange::run_stream_notices;
-use crate::http_server::serve_connections;
+use crate::http_server::serve_counted;
 use crate::metrics_export;
 use crate::peer_link::receive_frames_or_requests;
 use crate::quantity::Timestamp;
@@ -55,7 +56,7 @@
 const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_600);
 /// How long before the end of the grace period the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// The interval of checks whether all requests have ended.
+/// The interval of checks whether all answers have arrived.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval at which expired state is removed and the gauges are set.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
@@ -123,23 +124,31 @@
     }
 
     /// Stops the entry gracefully. It first reports that it is not ready and still
-    /// serves new requests, then refuses them and waits for open requests, at most
-    /// until shortly before the end of the grace period.
+    /// serves new requests, then refuses them and waits until the open ones have
+    /// their answers and these have reached their callers, at most until shortly
+    /// before the end of the grace period.
     pub async fn stop(self) {
         let context = self.context;
         let stop_began = context.now();
         let grace = context.settings.bounds.grace;
         context.begin_draining();
+        context.deliveries.watch();
         info!(context.log, "stopping"; "open_requests" => context.open_calls(),
             "grace_ms" => grace.as_millis() as u64);
         let serve_time = SERVE_AFTER_STOP.min(grace / 2);
         tokio::time::sleep(serve_time).await;
         context.begin_refusing();
         let drain_end = stop_began.after(grace.saturating_sub(EXIT_MARGIN));
-        while context.open_calls() > 0 && context.now() < drain_end {
+        if context.deliveries.open() > 0 {
+            info!(context.log, "waiting for callers"; "open_requests" => context.open_calls(),
+                "unread_answers" => context.deliveries.open(),
+                "until_ms" => drain_end.since(stop_began).as_millis() as u64);
+        }
+        while context.deliveries.open() > 0 && context.now() < drain_end {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         info!(context.log, "stopped"; "open_requests" => context.open_calls(),
+            "unread_answers" => context.deliveries.open(),
             "after_ms" => context.now().since(stop_began).as_millis() as u64);
         context.stop.cancel();
     }
@@ -170,26 +179,32 @@
             }
         })
     };
-    spawn_server(context, listener, service);
+    let deliveries = context.deliveries.clone();
+    spawn_server(context, listener, service, deliveries);
 }
 
-fn spawn_server<M, S, B>(context: &Arc<GatewayContext>, listener: TcpListener, make_service: M)
-where
+fn spawn_server<M, S, B>(
+    context: &Arc<GatewayContext>,
+    listener: TcpListener,
+    make_service: M,
+    deliveries: DeliveryCount,
+) where
     M: Fn(SocketAddr) -> S + Send + 'static,
     S: hyper::service::Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
         + Send
         + 'static,
-    S::Future: Send,
-    B: hyper::body::Body + Send + 'static,
+    S::Future: Send + 'static,
+    B: hyper::body::Body + Send + Unpin + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let stop = context.stop.clone();
-    tokio::spawn(serve_connections(
+    tokio::spawn(serve_counted(
         listener,
         make_service,
         stop,
         Duration::ZERO,
+        deliveries,
     ));
 }
 
@@ -207,7 +222,7 @@
             async move { Ok::<_, Infallible>(short_response(status, Bytes::new())) }
         })
     };
-    spawn_server(context, listener, service);
+    spawn_server(context, listener, service, DeliveryCount::default());
 }
 
 fn serve_metrics(context: &Arc<GatewayContext>, listener: TcpListener) {
@@ -224,7 +239,7 @@
             }
         })
     };
-    spawn_server(context, listener, service);
+    spawn_server(context, listener, service, DeliveryCount::default());
 }
 
 fn short_response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
--- a/lib/src/gateway/relay_server.rs
+++ b/lib/src/gateway/relay_server.rs
@@ -40,6 +40,9 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Sleep;
 
+use crate::abortable_socket::abortable;
+use crate::answer_delivery::AnswerDeadline;
+use crate::answer_delivery::AnswerDelivery;
 use crate::gateway::backend_pool::Exchange;
 use crate::gateway::backend_pool::ExchangeError;
 use crate::gateway::backend_pool::PooledConnection;
@@ -80,17 +83,18 @@
 pub async fn serve_relay_connection(context: Arc<GatewayContext>, socket: TcpStream) {
     // Small events must not wait for one another; a failure only adds delay.
     let _ = socket.set_nodelay(true);
+    let delivery = AnswerDelivery::new(context.deliveries.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
         async move { Ok::<_, Infallible>(serve_relay(context, request).await) }
     });
+    let (socket, service) = abortable(socket, service, &delivery);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .max_buf_size(READ_BUFFER_BYTES)
         .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(socket), service);
-    // A broken connection ends its request.
-    drop(connection.await);
+    delivery.drive(connection).await;
 }
 
 async fn serve_relay(context: Arc<GatewayContext>, request: Request<Incoming>) -> RelayResponse {
@@ -209,13 +213,10 @@
     context.note_server_bytes();
     note_path_success(context, backend);
     let sleep = Box::pin(tokio::time::sleep(context.clock.left(deadline)));
-    Ok(relayed_response(
-        context,
-        backend.clone(),
-        exchange,
-        room,
-        sleep,
-    ))
+    let answer_deadline = AnswerDeadline(sleep.deadline());
+    let mut response = relayed_response(context, backend.clone(), exchange, room, sleep);
+    response.extensions_mut().insert(answer_deadline);
+    Ok(response)
 }
 
 /// Returns whether a request names this incarnation, which nobody but an entry knows.
--- a/lib/src/http_server.rs
+++ b/lib/src/http_server.rs
@@ -27,6 +27,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::abortable_socket::abortable;
+use crate::answer_delivery::AnswerDelivery;
+use crate::answer_delivery::DeliveryCount;
 
 /// How long a client may take to send the head of a request.
 /// Also how long a connection may rest between requests: some callers take up
@@ -69,9 +71,29 @@
 ) where
     M: Fn(SocketAddr) -> S,
     S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
-    S::Future: Send,
+    S::Future: Send + 'static,
     S::Error: Into<BoxError>,
-    B: Body + Send + 'static,
+    B: Body + Send + Unpin + 'static,
+    B::Data: Send,
+    B::Error: Into<BoxError>,
+{
+    let deliveries = DeliveryCount::default();
+    serve_counted(listener, make, stop, drain, deliveries).await;
+}
+
+/// The same, and counts the answers that have not arrived.
+pub async fn serve_counted<M, S, B>(
+    listener: TcpListener,
+    make: M,
+    stop: CancellationToken,
+    drain: Duration,
+    deliveries: DeliveryCount,
+) where
+    M: Fn(SocketAddr) -> S,
+    S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+    S::Future: Send + 'static,
+    S::Error: Into<BoxError>,
+    B: Body + Send + Unpin + 'static,
     B::Data: Send,
     B::Error: Into<BoxError>,
 {
@@ -86,7 +108,8 @@
             () = stop.cancelled() => break,
             accepted = listener.accept() => match accepted {
                 Ok((socket, client)) => {
-                    serve_connection(&builder, &graceful, socket, make(client));
+                    let service = make(client);
+                    serve_connection(&builder, &graceful, socket, service, &deliveries);
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
@@ -102,19 +125,20 @@
     graceful: &GracefulShutdown,
     socket: TcpStream,
     service: S,
+    deliveries: &DeliveryCount,
 ) where
     S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
-    S::Future: Send,
+    S::Future: Send + 'static,
     S::Error: Into<BoxError>,
-    B: Body + Send + 'static,
+    B: Body + Send + Unpin + 'static,
     B::Data: Send,
     B::Error: Into<BoxError>,
 {
     // Small events must not wait for one another; a failure only adds delay.
     let _ = socket.set_nodelay(true);
-    let (socket, service) = abortable(socket, service);
+    let delivery = AnswerDelivery::new(deliveries.clone());
+    let (socket, service) = abortable(socket, service, &delivery);
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection);
-    // A broken connection is the client's affair; its request goes on.
-    tokio::spawn(async move { drop(connection.await) });
+    tokio::spawn(delivery.drive(connection));
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -43,6 +43,7 @@
 
 pub mod abortable_socket;
 pub mod answer;
+pub mod answer_delivery;
 pub mod answer_follower;
 pub mod api;
 pub mod backend_table;
