http: a connection that ends lets its client receive all

What callers saw: an answer that ended its connection broke off if the caller had sent more than the entry had read: 4,159 of 64,000 bytes came, with a reset.

Cause: a socket that is closed with unread bytes is reset, and the system drops what the peer has not received.

Change: a shutdown reads and drops what still comes until the peer has confirmed all bytes or is gone, for at most 30 s.

--- a/lib/src/abortable_socket.rs
+++ b/lib/src/abortable_socket.rs
@@ -3,6 +3,9 @@
 //! Callers that speak HTTP/1.0 know no chunks: the end of the connection marks the end of
 //! a body without a length. An aborted response must not end like a complete one, so its
 //! connection is reset, also if the process is killed.
+//!
+//! A socket that is closed with unread bytes is reset too, and drops what its client has not
+//! received. A shutdown therefore reads on until the client has received all.
 
 use std::future::Future;
 use std::io;
@@ -13,6 +16,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -22,10 +26,21 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
 
 use crate::answer_delivery::AnswerDeadline;
 use crate::answer_delivery::AnswerDelivery;
+use crate::answer_delivery::CHECK_INTERVAL;
 use crate::answer_delivery::TrackedBody;
+use crate::answer_delivery::has_confirmed_all;
+
+/// How long a client may take to receive what the system holds when its connection ends.
+const MAX_CLOSE_TIME: Duration = Duration::from_secs(30);
+/// How many unread bytes are read at once from a connection that ends.
+const DISCARD_BYTES: usize = 1_024;
+/// The most reads of such bytes before other tasks run.
+const MAX_DISCARDS: usize = 64;
 
 /// Whether a connection must end with a reset unless it is shut down. Set while requests
 /// are read, and applied before responses are written.
@@ -39,9 +54,29 @@
     socket: TcpStream,
     rule: ResetRule,
     will_reset: bool,
+    close_wait: Option<Box<CloseWait>>,
     delivery: Arc<AnswerDelivery>,
 }
 
+/// The wait of a connection that ends for its client.
+#[derive(Debug)]
+struct CloseWait {
+    next_check: Pin<Box<Sleep>>,
+    until: Instant,
+    /// Whether the client sends no more.
+    has_ended: bool,
+}
+
+impl CloseWait {
+    fn new() -> Self {
+        Self {
+            next_check: Box::pin(tokio::time::sleep(CHECK_INTERVAL)),
+            until: Instant::now() + MAX_CLOSE_TIME,
+            has_ended: false,
+        }
+    }
+}
+
 impl Drop for AbortableSocket {
     fn drop(&mut self) {
         self.delivery.note_closed();
@@ -68,6 +103,7 @@
         socket,
         rule: rule.clone(),
         will_reset: false,
+        close_wait: None,
         delivery: Arc::clone(delivery),
     };
     let recorder = CallRecorder {
@@ -112,6 +148,21 @@
         }
         Ok(())
     }
+
+    /// Reads and drops what the client still sends. Returns whether it has closed its side
+    /// or is gone.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<bool> {
+        let mut bytes = [0; DISCARD_BYTES];
+        for _ in 0..MAX_DISCARDS {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let read = Pin::new(&mut self.socket).poll_read(context, &mut buffer);
+            if ready!(read).is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(true);
+            }
+        }
+        context.waker().wake_by_ref();
+        Poll::Ready(false)
+    }
 }
 
 impl AsyncRead for AbortableSocket {
@@ -159,6 +210,26 @@
             self.socket.set_linger(None)?;
             self.will_reset = false;
         }
-        Pin::new(&mut self.socket).poll_shutdown(context)
+        let mut wait = match self.close_wait.take() {
+            Some(wait) => wait,
+            None => {
+                ready!(Pin::new(&mut self.socket).poll_shutdown(context))?;
+                Box::new(CloseWait::new())
+            }
+        };
+        wait.has_ended = wait.has_ended || self.poll_discard(context) == Poll::Ready(true);
+        loop {
+            let is_over = wait.until <= Instant::now();
+            if is_over || has_confirmed_all(&self.socket) {
+                return Poll::Ready(Ok(()));
+            }
+            if wait.next_check.as_mut().poll(context).is_pending() {
+                self.close_wait = Some(wait);
+                return Poll::Pending;
+            }
+            wait.next_check
+                .as_mut()
+                .reset(Instant::now() + CHECK_INTERVAL);
+        }
     }
 }
--- a/lib/src/answer_delivery.rs
+++ b/lib/src/answer_delivery.rs
@@ -22,7 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// How often a connection is checked for bytes that have not arrived.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 nix::ioctl_read_bad!(
     /// Reads the number of bytes that the peer of a socket has not confirmed.
@@ -32,7 +32,7 @@
 );
 
 /// Returns whether the peer has confirmed all bytes that were written to a socket, or is gone.
-fn has_confirmed_all(socket: &TcpStream) -> bool {
+pub fn has_confirmed_all(socket: &TcpStream) -> bool {
     // A connection that was reset keeps its count of unconfirmed bytes.
     if socket.peer_addr().is_err() {
         return true;
