Reset connections whose request was let go

Seen: a request that was given up, or whose caller had left, reached a server seconds later, when it had ended or was to get nothing more (DRAIN).

Cause: its connection was closed. The system goes on sending what was written to a connection that is closed, until it is acknowledged.

Change: connections to servers, to entries that relay and to the store use the socket that calls to the cloud have: it is reset if it ends with an open request, and closed in order otherwise.

--- a/lib/src/gateway/backend_pool.rs
+++ b/lib/src/gateway/backend_pool.rs
@@ -10,6 +10,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Weak;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,7 @@
 use crate::gateway::address_translation::AddressTranslation;
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::relay_helpers::HelperUse;
+use crate::gateway::server_connection::OpenRequest;
 use crate::gateway::server_connection::ServerConnection;
 use crate::id::Incarnation;
 use crate::quantity::Timestamp;
@@ -80,8 +82,8 @@
     expires_at: Timestamp,
 }
 
-/// A response and its connection. Dropping it before the body is complete closes
-/// the connection, so that the backend server stops its work.
+/// A response and its connection. Dropping it before the body is complete resets
+/// the connection, so that the backend server stops its work and gets nothing more.
 pub struct Exchange {
     /// The response.
     pub response: Response<Incoming>,
@@ -94,6 +96,7 @@
     connection: ServerConnection,
     /// The entry that relays the request, if one does.
     helper: Option<HelperUse>,
+    _request: Arc<OpenRequest>,
 }
 
 impl PooledConnection {
@@ -110,6 +113,8 @@
     clock: Arc<BootClock>,
     addresses: AddressTranslation,
     idle: Mutex<HashMap<PoolTarget, Vec<IdleConnection>>>,
+    /// The requests that are not over, by server.
+    open: Mutex<HashMap<BackendId, Vec<Weak<OpenRequest>>>>,
 }
 
 impl fmt::Debug for BackendPool {
@@ -126,6 +131,7 @@
             clock,
             addresses,
             idle: Mutex::default(),
+            open: Mutex::default(),
         }
     }
 
@@ -142,22 +148,23 @@
     ) -> Result<Exchange, ExchangeError> {
         let target = PoolTarget::Server(id.clone());
         let reached = self.addresses.translate(address);
-        self.exchange_with(&target, reached, request).await
+        self.exchange_with(&target, id, reached, request).await
     }
 
-    /// Sends a request to another entry, which relays it, and waits for the response head.
+    /// Sends a request to another entry, which relays it to the server `id`, and waits for the response head.
     ///
     /// # Errors
     ///
     /// [`ExchangeError::NotSent`] only if certainly no byte was sent.
     pub async fn exchange_with_helper(
         &self,
+        id: &BackendId,
         helper: HelperUse,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
         let target = PoolTarget::Helper(helper.helper.incarnation);
         let address = helper.helper.address;
-        let mut exchange = self.exchange_with(&target, address, request).await?;
+        let mut exchange = self.exchange_with(&target, id, address, request).await?;
         exchange.connection.helper = Some(helper);
         Ok(exchange)
     }
@@ -165,6 +172,7 @@
     async fn exchange_with(
         &self,
         target: &PoolTarget,
+        id: &BackendId,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeError> {
@@ -172,8 +180,9 @@
         // An idle connection may turn out to be closed before anything is written.
         // hyper then returns the request, and another connection is used.
         while let Some(mut connection) = self.take_idle(target) {
+            let open = self.track(id, &connection);
             match connection.send(request).await {
-                Ok(response) => return Ok(Exchange::new(response, connection)),
+                Ok(response) => return Ok(Exchange::new(response, connection, open)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(ExchangeError::Lost(error.into_error().to_string())),
@@ -181,8 +190,9 @@
             }
         }
         let mut connection = connect(address).await?;
+        let open = self.track(id, &connection);
         match connection.send(request).await {
-            Ok(response) => Ok(Exchange::new(response, connection)),
+            Ok(response) => Ok(Exchange::new(response, connection, open)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -195,6 +205,28 @@
         }
     }
 
+    fn track(&self, id: &BackendId, connection: &ServerConnection) -> Arc<OpenRequest> {
+        let request = Arc::new(connection.open_request());
+        let mut open = self.open.lock();
+        if let Some(requests) = open.get_mut(id) {
+            requests.retain(|request| request.strong_count() > 0);
+            requests.push(Arc::downgrade(&request));
+        } else {
+            open.retain(|_, requests| requests.iter().any(|one| one.strong_count() > 0));
+            open.insert(id.clone(), vec![Arc::downgrade(&request)]);
+        }
+        request
+    }
+
+    /// Gives up the requests to a server that leaves whose bytes are not acknowledged soon:
+    /// they would arrive when it is gone. Those that have arrived go on.
+    pub fn limit_leaving(&self, id: &BackendId) {
+        let requests = self.open.lock().remove(id).unwrap_or_default();
+        for request in requests.iter().filter_map(Weak::upgrade) {
+            request.limit_unacknowledged();
+        }
+    }
+
     /// Returns whether a server refuses connections. A crashed server does; one
     /// that is only unreachable sends nothing.
     pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
@@ -226,11 +258,14 @@
         connection: PooledConnection,
         keep_alive: Option<Duration>,
     ) {
+        connection.connection.complete();
         let idle_time = match keep_alive {
             Some(keep_alive) => keep_alive.saturating_sub(KEEP_ALIVE_MARGIN),
             None => DEFAULT_KEEP_ALIVE,
         };
-        if idle_time.is_zero() || connection.connection.is_closed() {
+        let cannot_be_kept =
+            connection.connection.is_closed() || connection.connection.is_limited();
+        if idle_time.is_zero() || cannot_be_kept {
             return;
         }
         let now = self.clock.now();
@@ -301,10 +336,15 @@
 }
 
 impl Exchange {
-    fn new(response: Response<Incoming>, connection: ServerConnection) -> Self {
+    fn new(
+        response: Response<Incoming>,
+        connection: ServerConnection,
+        request: Arc<OpenRequest>,
+    ) -> Self {
         let connection = PooledConnection {
             connection,
             helper: None,
+            _request: request,
         };
         Self {
             response,
@@ -322,8 +362,6 @@
         Ok(Err(error)) => return Err(not_sent(error.to_string())),
         Err(_) => return Err(not_sent("timed out while connecting".to_owned())),
     };
-    // Small requests must not wait for Nagle's algorithm. A failure only adds delay.
-    let _ = socket.set_nodelay(true);
     let connection = ServerConnection::open(socket).await;
     connection.map_err(|error| not_sent(error.to_string()))
 }
--- a/lib/src/gateway/relay_client.rs
+++ b/lib/src/gateway/relay_client.rs
@@ -248,7 +248,11 @@
             incarnation,
             has_ended: false,
         };
-        let result = context.pool.exchange_with_helper(helper, request).await;
+        let result = {
+            let pool = &context.pool;
+            pool.exchange_with_helper(target.backend, helper, request)
+                .await
+        };
         relay_wait.has_ended = true;
         let outcome = match &result {
             // Whoever answers without a result is no entry, and may have used the request.
--- a/lib/src/gateway/report_handler.rs
+++ b/lib/src/gateway/report_handler.rs
@@ -45,6 +45,7 @@
     }
     if report.draining {
         context.backends.lock().note_reported_draining(id);
+        context.pool.limit_leaving(id);
     }
     if let Some(back_off) = report.back_off {
         context.backends.lock().note_back_off(now, id, back_off);
--- a/lib/src/gateway/server_connection.rs
+++ b/lib/src/gateway/server_connection.rs
@@ -28,6 +28,10 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::request_socket::RequestEnd;
+use crate::request_socket::RequestSocket;
+use crate::request_socket::SocketUse;
+
 /// The largest read buffer of a connection. Response heads are small.
 const READ_BUFFER_BYTES: usize = 16 * 1_024;
 /// The most bytes up to the end of a response head, with interim responses and the beginning
@@ -36,11 +40,24 @@
 /// Stands for no limit.
 const UNLIMITED: usize = usize::MAX;
 
-/// A connection that serves one request after another. It closes when it is dropped.
+/// A connection that serves one request after another. When it is dropped, it closes in
+/// order, or is reset if its request is not over.
 #[derive(Debug)]
 pub struct ServerConnection {
     sender: SendRequest<Full<Bytes>>,
     head_limit: Arc<HeadLimit>,
+    socket_use: Arc<SocketUse>,
+}
+
+/// A request whose answer was not read completely yet.
+#[derive(Debug)]
+pub struct OpenRequest(Arc<SocketUse>);
+
+impl OpenRequest {
+    /// Gives the connection up if its bytes are not acknowledged soon.
+    pub fn limit_unacknowledged(&self) {
+        self.0.limit_unacknowledged();
+    }
 }
 
 impl ServerConnection {
@@ -49,8 +66,10 @@
     /// # Errors
     ///
     /// The connection is closed.
-    pub async fn open(socket: TcpStream) -> Result<Self, hyper::Error> {
+    pub async fn open(socket: TcpStream) -> Result<Self, Error> {
         let head_limit = Arc::new(HeadLimit::default());
+        let socket = RequestSocket::new(socket, RequestEnd::Told)?;
+        let socket_use = socket.socket_use();
         let socket = LimitedSocket {
             socket,
             head_limit: Arc::clone(&head_limit),
@@ -58,10 +77,20 @@
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
-            .await?;
+            .await
+            .map_err(Error::other)?;
         // The request that waits for a response gets any error of the connection.
         tokio::spawn(async move { drop(connection.await) });
-        Ok(Self { sender, head_limit })
+        Ok(Self {
+            sender,
+            head_limit,
+            socket_use,
+        })
+    }
+
+    /// Returns the request that the connection carries next.
+    pub fn open_request(&self) -> OpenRequest {
+        OpenRequest(Arc::clone(&self.socket_use))
     }
 
     /// Sends a request and waits for the head of its response.
@@ -74,11 +103,23 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.head_limit.set(MAX_HEAD_BYTES);
+        self.socket_use.begin();
         let result = self.sender.try_send_request(request).await;
         self.head_limit.set(UNLIMITED);
         result
     }
 
+    /// Notes that the response was read completely.
+    pub fn complete(&self) {
+        self.socket_use.complete();
+    }
+
+    /// Returns whether the connection must not be kept, since a server leaves to which it
+    /// carried a request.
+    pub fn is_limited(&self) -> bool {
+        self.socket_use.is_limited()
+    }
+
     /// Returns whether the next request can be sent now: the last response ended cleanly.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -90,6 +131,12 @@
     }
 }
 
+impl Drop for ServerConnection {
+    fn drop(&mut self) {
+        self.socket_use.release();
+    }
+}
+
 /// How many more bytes may arrive before the head of a response is complete.
 #[derive(Debug)]
 struct HeadLimit(AtomicUsize);
@@ -117,7 +164,7 @@
 
 /// A socket that fails once too much has arrived before a response head.
 struct LimitedSocket {
-    socket: TcpStream,
+    socket: RequestSocket,
     head_limit: Arc<HeadLimit>,
 }
 
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -359,7 +359,8 @@
 }
 
 /// Closes idle connections to a server that is gone, or to earlier incarnations of a
-/// server that restarted, and cancels the requests that those will never answer.
+/// server that restarted, and cancels the requests that those will never answer. Gives up
+/// the requests that have not arrived at a server that leaves.
 fn drop_stale_state(context: &GatewayContext, change: &BackendChange) {
     match change {
         BackendChange::Joined(record) => {
@@ -370,8 +371,12 @@
                     "requests_lost" => ended);
             }
         }
-        BackendChange::Gone(id) => context.pool.close_idle(id),
-        BackendChange::Draining(_) | BackendChange::Missing(_) => {}
+        BackendChange::Gone(id) => {
+            context.pool.close_idle(id);
+            context.pool.limit_leaving(id);
+        }
+        BackendChange::Draining(id) => context.pool.limit_leaving(id),
+        BackendChange::Missing(_) => {}
     }
 }
 
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -1,11 +1,16 @@
 //! Requests to the platform, to backend servers and to other entries.
 
 use std::fmt;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use http::Request;
 use http::Response;
+use http::Uri;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -13,7 +18,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
+use tower_service::Service;
+
+use crate::request_socket::RequestEnd;
+use crate::request_socket::RequestSocket;
 
 /// The largest answer that is read whole.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
@@ -59,8 +69,32 @@
 /// An HTTP client. Clones share connections.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    fresh: Client<HttpConnector, Full<Bytes>>,
+    pooled: Client<ResetConnector, Full<Bytes>>,
+    fresh: Client<ResetConnector, Full<Bytes>>,
+}
+
+/// Opens connections that are reset if they end before an answer begins.
+#[derive(Clone, Debug)]
+struct ResetConnector(HttpConnector);
+
+impl Service<Uri> for ResetConnector {
+    type Response = TokioIo<RequestSocket>;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx).map_err(Into::into)
+    }
+
+    fn call(&mut self, destination: Uri) -> Self::Future {
+        let opening = self.0.call(destination);
+        async move {
+            let socket = opening.await?.into_inner();
+            let socket = RequestSocket::new(socket, RequestEnd::AnswerBegins)?;
+            Ok(TokioIo::new(socket))
+        }
+        .boxed()
+    }
 }
 
 impl Default for HttpClient {
@@ -75,6 +109,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let connector = ResetConnector(connector);
         let pooled = Client::builder(TokioExecutor::new()).build(connector.clone());
         // A kept connection may be closed just as a request goes out, which
         // looks the same as a server that ran it and died. Requests that
@@ -168,7 +203,7 @@
 }
 
 async fn send_with(
-    client: &Client<HttpConnector, Full<Bytes>>,
+    client: &Client<ResetConnector, Full<Bytes>>,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, HttpError> {
     client.request(request).await.map_err(|error| {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -94,6 +94,7 @@
 pub mod query_api;
 pub mod refusal;
 pub mod request;
+pub mod request_socket;
 pub mod request_table;
 pub mod request_work;
 pub mod reset_call;
--- a/lib/src/reset_call.rs
+++ b/lib/src/reset_call.rs
@@ -1,7 +1,5 @@
-//! Requests of which nothing arrives any more once they were given up.
-//!
-//! The system goes on sending what was written to a connection that is closed,
-//! for minutes where packets are lost. A connection that is reset sends nothing.
+//! Requests on connections of their own, of which nothing arrives any more once they were
+//! given up.
 
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -18,6 +16,8 @@
 use crate::http_client::CONNECT_TIMEOUT;
 use crate::http_client::HttpError;
 use crate::http_client::read_body;
+use crate::request_socket::RequestEnd;
+use crate::request_socket::RequestSocket;
 
 /// Sends a request, whose URI is a path, on a connection of its own and reads
 /// the whole answer. Nothing is sent unless `may_send` holds once the connection
@@ -60,14 +60,16 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<TcpStream, HttpError> {
+async fn open(address: SocketAddr) -> Result<RequestSocket, HttpError> {
     let not_sent = |cause: std::io::Error| HttpError::NotSent(cause.to_string());
     let opening = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let socket = match opening.await {
         Ok(opened) => opened.map_err(not_sent)?,
         Err(_) => return Err(HttpError::NotSent("not opened in time".to_owned())),
     };
-    let prepared = socket.set_nodelay(true).and(socket.set_zero_linger());
-    prepared.map_err(not_sent)?;
+    let socket = RequestSocket::new(socket, RequestEnd::Told).map_err(not_sent)?;
+    let socket_use = socket.socket_use();
+    socket_use.begin();
+    socket_use.release();
     Ok(socket)
 }
