event_relay: an answer that its connection ends before any event is cut, whoever has the beginning

Callers that took a stream up with Last-Event-Id got a complete answer without an event when the server that went on with it was killed between head and first event, if its answers have neither length nor chunks. The same for a stream that the entry resumed itself.

Cause: the check for an answer without an event was off as soon as anybody had an event, be it from the caller's Last-Event-Id or from an earlier answer.

The check now counts the events of the present answer only. That also holds where a further event was known to be begun, so that state is gone. The server counts as failed, the stream goes on at another one if it may, and else the caller's answer is broken off.

--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -84,6 +84,8 @@
     connection: PooledConnection,
     guard: SendGuard,
     keep_alive: Option<Duration>,
+    /// The events that came in this response.
+    events: usize,
 }
 
 /// Relays one event stream to its caller, from one backend server after another.
@@ -103,8 +105,6 @@
     /// The id of the last event that was passed on.
     last_event: Option<u64>,
     events: usize,
-    /// Whether a server began an event after the last one that was passed on.
-    has_further_event: bool,
     first_event_delay: Option<Duration>,
     stall_detector: StallDetector,
     pauses: EventPauses,
@@ -148,7 +148,6 @@
             splitter: EventSplitter::new(),
             late_bytes: LateBytes::default(),
             events: 0,
-            has_further_event: false,
             first_event_delay: None,
             is_finished: false,
         };
@@ -232,12 +231,12 @@
     }
 
     /// Returns whether the end of the response is no end of the stream: it lies inside an
-    /// event, or the connection ended before an event that must follow: the first one, or
-    /// one that another server began.
+    /// event, or the connection ended before any event of this response. What the caller has
+    /// of the stream does not count: a server that crashes ends its connection the same way
+    /// as one that has no further event.
     fn ends_early(&self) -> bool {
-        let is_empty = self.last_event.is_none() && self.events == 0;
-        let misses_event = is_empty || self.has_further_event;
-        let is_cut_before_event = misses_event && self.framing == ResponseFraming::Close;
+        let is_empty = self.response.as_ref().is_some_and(|one| one.events == 0);
+        let is_cut_before_event = is_empty && self.framing == ResponseFraming::Close;
         is_cut_before_event || self.splitter.has_unfinished_event()
     }
 
@@ -254,6 +253,7 @@
         }
         let event_time = self.pauses.note_event(Instant::now());
         if let Some(response) = self.response.as_mut() {
+            response.events += batch.count;
             response.guard.note_first_event();
             if let Some(event_time) = event_time {
                 response.guard.note_event_time(event_time);
@@ -264,7 +264,6 @@
             note_stream(&self.context, &self.call, self.version.as_ref());
         }
         self.events += batch.count;
-        self.has_further_event &= batch.count == 0;
         self.last_event = batch.last_id.or(self.last_event);
     }
 
@@ -313,7 +312,6 @@
         response.guard.note_interrupted(outcome);
         log_send_failed(&self.context, &self.call, backend, outcome);
         // The next backend server sends the unfinished event again.
-        self.has_further_event |= self.splitter.has_unfinished_event();
         self.splitter.take_pending();
         // Releasing bytes always succeeds.
         let _ = self.reservation.resize(0);
@@ -439,5 +437,6 @@
         connection: backend_response.exchange.connection,
         guard: backend_response.guard,
         keep_alive: backend_response.head.keep_alive,
+        events: 0,
     }
 }
