event_relay: a stream that breaks off before its first bytes is refused as lost or timed out

Callers saw a head of 200 and then the end of the connection, or the end alone, when a server broke a stream off before its first event and no other might go on with it.

Cause: the head was passed on as soon as the server had sent it, so no other answer could be chosen any more.

The head now goes out with the first bytes of the body. A stream that breaks off before is answered with 502 (lost), or 504 (timed_out) if its time is over; the request may have run. A comment before the first event is passed on at once, as before, and with it the head.

--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -112,42 +112,46 @@
         .retry_budget
         .lock()
         .note_request(now, &call.service, rule);
-    match serve_admitted(context, call).await {
-        Ok(response) => Ok(response),
-        Err((call, refusal)) => {
-            if !refusal.may_have_run() {
-                refund_units(context, &call);
-            }
-            Err(refusal)
-        }
-    }
+    serve_admitted(context, call).await
 }
 
-type CallResult = Result<Response<CallerBody>, (AdmittedCall, CallRefusal)>;
+/// Refunds the units of a request that certainly did not run.
+fn refund_unless_run(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    refusal: CallRefusal,
+) -> CallRefusal {
+    if !refusal.may_have_run() {
+        refund_units(context, call);
+    }
+    refusal
+}
 
-async fn serve_admitted(context: &Arc<GatewayContext>, call: AdmittedCall) -> CallResult {
+async fn serve_admitted(
+    context: &Arc<GatewayContext>,
+    call: AdmittedCall,
+) -> Result<Response<CallerBody>, CallRefusal> {
     let mut retry_state = RetryState::new(&call);
     match bind_request(context, &call).await {
         Ok(binding) => retry_state.binding = binding,
-        Err(refusal) => return Err((call, refusal)),
+        Err(refusal) => return Err(refund_unless_run(context, &call, refusal)),
     }
     // The error response of an earlier attempt. The caller gets it if no other
     // server responds.
     let mut error_response: Option<Response<CallerBody>> = None;
     loop {
-        let mut backend_response =
-            match send_until_response(context, &call, &mut retry_state, None).await {
-                Ok(backend_response) => backend_response,
-                Err(refusal) => return error_response.ok_or((call, refusal)),
-            };
+        let mut backend_response = match send_until_response(context, &call, &mut retry_state, None)
+            .await
+        {
+            Ok(backend_response) => backend_response,
+            Err(refusal) => {
+                return error_response.ok_or_else(|| refund_unless_run(context, &call, refusal));
+            }
+        };
         let status = backend_response.exchange.response.status();
         if call.route.streaming && is_event_stream(&backend_response.exchange.response) {
-            return Ok(EventRelay::start(
-                Arc::clone(context),
-                call,
-                retry_state,
-                backend_response,
-            ));
+            let context = Arc::clone(context);
+            return EventRelay::start(context, call, retry_state, backend_response).await;
         }
         count_usage(context, call.account_name());
         let backend = backend_response.guard.backend().clone();
@@ -177,7 +181,7 @@
         drop(backend_response);
         log_send_failed(context, &call, &backend, refusal.code());
         if refusal != CallRefusal::Lost || !take_retry(context, &call, &retry_state) {
-            return Err((call, refusal));
+            return Err(refund_unless_run(context, &call, refusal));
         }
     }
 }
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -5,11 +5,15 @@
 //!
 //! When a caller disconnects, hyper drops the body. This closes the connection to
 //! the backend server, so that the server stops its work.
+//!
+//! The head of a response is passed on with the first bytes of its body. Until then, a
+//! stream that breaks off is refused with a status of its own.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use futures_util::stream;
 use http::HeaderValue;
 use http::Response;
@@ -36,6 +40,7 @@
 use crate::gateway::call_dispatch::send_until_response;
 use crate::gateway::call_log::count_usage;
 use crate::gateway::call_log::log_send_failed;
+use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::event_pauses::EventPauses;
 use crate::gateway::event_splitter::EventBatch;
 use crate::gateway::event_splitter::EventSplitter;
@@ -45,6 +50,7 @@
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::response_framing::ResponseFraming;
 use crate::gateway::retry_exchange::take_retry_budget;
+use crate::gateway::retry_state::MIN_TIME_LEFT;
 use crate::gateway::retry_state::RetryState;
 use crate::gateway::send_choice::has_other_backend;
 use crate::gateway::send_guard::RESPONSE_INTERRUPTED;
@@ -116,13 +122,18 @@
 }
 
 impl EventRelay {
-    /// Builds the response to the caller from the first response head.
-    pub fn start(
+    /// Waits for the first bytes of the stream, and builds the response to the caller from
+    /// the first response head.
+    ///
+    /// # Errors
+    ///
+    /// The stream broke off before its first bytes. The request may have run.
+    pub async fn start(
         context: Arc<GatewayContext>,
         call: AdmittedCall,
         retry_state: RetryState,
         backend_response: BackendResponse,
-    ) -> Response<CallerBody> {
+    ) -> Result<Response<CallerBody>, CallRefusal> {
         let mut call = call;
         if !call.route.may_repeat() {
             call.release_body();
@@ -151,8 +162,24 @@
             first_event_delay: None,
             is_finished: false,
         };
-        let frames = stream::unfold(relay, EventRelay::next_frame);
-        response.map(|()| StreamBody::new(frames).boxed_unsync())
+        match relay.next_frame().await {
+            Some((Ok(first), relay)) => {
+                let rest = stream::unfold(relay, Self::next_frame);
+                let frames = stream::iter([Ok(first)]).chain(rest);
+                Ok(response.map(|()| StreamBody::new(frames).boxed_unsync()))
+            }
+            Some((Err(_), relay)) => Err(relay.break_refusal()),
+            None => Ok(response.map(|()| full_body(Bytes::new()))),
+        }
+    }
+
+    /// Returns the refusal of a request whose stream broke off before its first bytes.
+    fn break_refusal(&self) -> CallRefusal {
+        if self.call.time_left() <= MIN_TIME_LEFT {
+            CallRefusal::TimedOut
+        } else {
+            CallRefusal::Lost
+        }
     }
 
     async fn next_frame(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
@@ -161,7 +188,10 @@
                 return None;
             }
             let Some(response) = self.response.as_mut() else {
-                return self.resume_or_interrupt().await;
+                if let Err(code) = self.resume().await {
+                    return Some(self.interrupt(code));
+                }
+                continue;
             };
             let frame = frame_or_stall(&mut response.body, self.stall_detector.stalled_at());
             let restart_token = response.guard.restart_token.clone();
@@ -317,12 +347,13 @@
         let _ = self.reservation.resize(0);
     }
 
-    async fn resume_or_interrupt(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
+    /// Has another backend server go on with the stream. Otherwise returns why none does.
+    async fn resume(&mut self) -> Result<(), &'static str> {
         let has_budget = std::mem::take(&mut self.has_resume_budget);
         let is_allowed =
             has_budget || (self.may_resume() && take_retry_budget(&self.context, &self.call));
         if !is_allowed {
-            return Some(self.interrupt(RESPONSE_INTERRUPTED));
+            return Err(RESPONSE_INTERRUPTED);
         }
         let result = send_until_response(
             &self.context,
@@ -345,11 +376,10 @@
                 self.response = Some(open_response(backend_response));
                 self.stall_detector.note_resumed(Instant::now());
                 self.pauses.note_resumed();
-                let empty = Frame::data(Bytes::new());
-                Some((Ok(empty), self))
+                Ok(())
             }
-            Ok(_) => Some(self.interrupt("resume_refused")),
-            Err(refusal) => Some(self.interrupt(refusal.code())),
+            Ok(_) => Err("resume_refused"),
+            Err(refusal) => Err(refusal.code()),
         }
     }
 
