relay_server: take the headers that the other entry adds beside a caller's hundred

A request with 97 to 100 headers was answered 502 by an entry that is cut off, and 200 by the others.

Cause: the HTTP library takes 100 headers; an entry adds some of its own before another one relays the request, which then got 431.

The port for relays takes 128. The bound for callers stays at 100, since the library holds that many without taking memory for each request; settings.md says so.

--- a/lib/src/gateway/relay_server.rs
+++ b/lib/src/gateway/relay_server.rs
@@ -67,6 +67,9 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
 /// The largest read buffer of a connection.
 const READ_BUFFER_BYTES: usize = 64 * 1_024;
+/// The most headers of a request: as many as the HTTP library takes from a caller, and those
+/// that the other entry adds.
+const MAX_HEADERS: usize = 128;
 /// The longest time for which a request is relayed, in milliseconds.
 const MAX_TIME_LEFT_MS: u64 = 600_000;
 
@@ -87,6 +90,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .max_buf_size(READ_BUFFER_BYTES)
+        .max_headers(MAX_HEADERS)
         .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(socket), service);
     // A broken connection ends its request.
