crash_detector: a server that ends a response with its connection and lives on has survived the request

Cause: servers whose responses only the end of their connection ends did not count as survivors, or eight together as one, since a crash may have truncated each response.

If servers crashed under the same request, the entry now connects to the server that ended such a response; one that accepts has survived. Requests under which no server crashed cost no connection.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -195,6 +195,27 @@
     }
 }
 
+/// Records that a server ended a response with its connection. If servers crashed under the
+/// same request, one that still accepts connections has survived it.
+pub fn note_unsure_completion(
+    context: &Arc<GatewayContext>,
+    address: SocketAddr,
+    features: &CallFeatures,
+) {
+    if !context.crashes.lock().has_crashes(features) {
+        note_completed(context, features, ResponseEnd::Unsure);
+        return;
+    }
+    let (context, features) = (Arc::clone(context), features.clone());
+    tokio::spawn(async move {
+        let end = match context.pool.opens_connection(address).await {
+            true => ResponseEnd::Marked,
+            false => ResponseEnd::Unsure,
+        };
+        note_completed(&context, &features, end);
+    });
+}
+
 /// Merges the crash reports of another entry.
 pub fn merge_crash_reports(context: &GatewayContext, reports: &[CrashReport]) {
     let now = context.now();
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -300,6 +300,13 @@
         self.crash_times.contains_key(&incarnation_digest(id))
     }
 
+    /// Returns whether servers are known to have crashed under the same request.
+    pub fn has_crashes(&self, features: &CallFeatures) -> bool {
+        let request = features.whole_request();
+        let mut known = request.iter();
+        known.any(|feature| self.records.contains_key(&feature))
+    }
+
     /// Records that a server completed a request and did not crash. Returns
     /// whether this may change which requests are refused.
     pub fn note_completed(
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -15,6 +15,7 @@
 use crate::gateway::call_work::WorkEstimate;
 use crate::gateway::crash_detector::InterruptedRun;
 use crate::gateway::crash_detector::note_completed;
+use crate::gateway::crash_detector::note_unsure_completion;
 use crate::gateway::crash_detector::probe_for_crash;
 use crate::gateway::crash_detector::record_crash;
 use crate::gateway::crash_ledger::ResponseEnd;
@@ -193,11 +194,18 @@
     /// Notes that the response is complete.
     pub fn note_completed(&self) {
         self.context.note_first_response();
-        let end = match self.framing {
-            ResponseFraming::Length | ResponseFraming::Chunks => ResponseEnd::Marked,
-            ResponseFraming::Close => ResponseEnd::Unsure,
-        };
-        note_completed(&self.context, &self.request.features, end);
+        let features = &self.request.features;
+        match self.framing {
+            ResponseFraming::Length | ResponseFraming::Chunks => {
+                note_completed(&self.context, features, ResponseEnd::Marked);
+            }
+            ResponseFraming::Close if self.is_relayed => {
+                note_completed(&self.context, features, ResponseEnd::Unsure);
+            }
+            ResponseFraming::Close => {
+                note_unsure_completion(&self.context, self.request.address, features);
+            }
+        }
         if let Some(work) = self.request.work.as_ref().filter(|_| self.is_success) {
             work.note_completed(&self.context);
         }
