--- a/lib/src/gateway/call_feature.rs
+++ b/lib/src/gateway/call_feature.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Returns these features without the parts of the prompt.
+    pub fn whole_request(&self) -> Self {
+        Self::of_request(self.request)
+    }
+
     /// Returns whether this is a request to the service of a part, without the part.
     pub fn lacks(&self, part: &PromptPart) -> bool {
         self.service == part.service && self.parts.binary_search(part).is_err()
--- a/lib/src/gateway/event_relay.rs
+++ b/lib/src/gateway/event_relay.rs
@@ -5,11 +5,15 @@
 //!
 //! When a caller disconnects, hyper drops the body. This closes the connection to
 //! the backend server, so that the server stops its work.
+//!
+//! The head of a response is passed on with the first bytes of its body. Until then, a
+//! stream that breaks off is refused with a status of its own.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use futures_util::stream;
 use http::HeaderValue;
 use http::Response;
@@ -36,6 +40,7 @@
 use crate::gateway::call_dispatch::send_until_response;
 use crate::gateway::call_log::count_usage;
 use crate::gateway::call_log::log_send_failed;
+use crate::gateway::call_refusal::CallRefusal;
 use crate::gateway::event_pauses::EventPauses;
 use crate::gateway::event_splitter::EventBatch;
 use crate::gateway::event_splitter::EventSplitter;
@@ -45,6 +50,7 @@
 use crate::gateway::log_budget::LineClass;
 use crate::gateway::response_framing::ResponseFraming;
 use crate::gateway::retry_exchange::take_retry_budget;
+use crate::gateway::retry_state::MIN_TIME_LEFT;
 use crate::gateway::retry_state::RetryState;
 use crate::gateway::send_choice::has_other_backend;
 use crate::gateway::send_guard::RESPONSE_INTERRUPTED;
@@ -84,6 +90,8 @@
     connection: PooledConnection,
     guard: SendGuard,
     keep_alive: Option<Duration>,
+    /// The events that came in this response.
+    events: usize,
 }
 
 /// Relays one event stream to its caller, from one backend server after another.
@@ -103,8 +111,6 @@
     /// The id of the last event that was passed on.
     last_event: Option<u64>,
     events: usize,
-    /// Whether a server began an event after the last one that was passed on.
-    has_further_event: bool,
     first_event_delay: Option<Duration>,
     stall_detector: StallDetector,
     pauses: EventPauses,
@@ -116,13 +122,18 @@
 }
 
 impl EventRelay {
-    /// Builds the response to the caller from the first response head.
-    pub fn start(
+    /// Waits for the first bytes of the stream, and builds the response to the caller from
+    /// the first response head.
+    ///
+    /// # Errors
+    ///
+    /// The stream broke off before its first bytes. The request may have run.
+    pub async fn start(
         context: Arc<GatewayContext>,
         call: AdmittedCall,
         retry_state: RetryState,
         backend_response: BackendResponse,
-    ) -> Response<CallerBody> {
+    ) -> Result<Response<CallerBody>, CallRefusal> {
         let mut call = call;
         if !call.route.may_repeat() {
             call.release_body();
@@ -148,12 +159,27 @@
             splitter: EventSplitter::new(),
             late_bytes: LateBytes::default(),
             events: 0,
-            has_further_event: false,
             first_event_delay: None,
             is_finished: false,
         };
-        let frames = stream::unfold(relay, EventRelay::next_frame);
-        response.map(|()| StreamBody::new(frames).boxed_unsync())
+        match relay.next_frame().await {
+            Some((Ok(first), relay)) => {
+                let rest = stream::unfold(relay, Self::next_frame);
+                let frames = stream::iter([Ok(first)]).chain(rest);
+                Ok(response.map(|()| StreamBody::new(frames).boxed_unsync()))
+            }
+            Some((Err(_), relay)) => Err(relay.break_refusal()),
+            None => Ok(response.map(|()| full_body(Bytes::new()))),
+        }
+    }
+
+    /// Returns the refusal of a request whose stream broke off before its first bytes.
+    fn break_refusal(&self) -> CallRefusal {
+        if self.call.time_left() <= MIN_TIME_LEFT {
+            CallRefusal::TimedOut
+        } else {
+            CallRefusal::Lost
+        }
     }
 
     async fn next_frame(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
@@ -162,7 +188,10 @@
                 return None;
             }
             let Some(response) = self.response.as_mut() else {
-                return self.resume_or_interrupt().await;
+                if let Err(code) = self.resume().await {
+                    return Some(self.interrupt(code));
+                }
+                continue;
             };
             let frame = frame_or_stall(&mut response.body, self.stall_detector.stalled_at());
             let restart_token = response.guard.restart_token.clone();
@@ -232,12 +261,12 @@
     }
 
     /// Returns whether the end of the response is no end of the stream: it lies inside an
-    /// event, or the connection ended before an event that must follow: the first one, or
-    /// one that another server began.
+    /// event, or the connection ended before any event of this response. What the caller has
+    /// of the stream does not count: a server that crashes ends its connection the same way
+    /// as one that has no further event.
     fn ends_early(&self) -> bool {
-        let is_empty = self.last_event.is_none() && self.events == 0;
-        let misses_event = is_empty || self.has_further_event;
-        let is_cut_before_event = misses_event && self.framing == ResponseFraming::Close;
+        let is_empty = self.response.as_ref().is_some_and(|one| one.events == 0);
+        let is_cut_before_event = is_empty && self.framing == ResponseFraming::Close;
         is_cut_before_event || self.splitter.has_unfinished_event()
     }
 
@@ -254,6 +283,7 @@
         }
         let event_time = self.pauses.note_event(Instant::now());
         if let Some(response) = self.response.as_mut() {
+            response.events += batch.count;
             response.guard.note_first_event();
             if let Some(event_time) = event_time {
                 response.guard.note_event_time(event_time);
@@ -264,7 +294,6 @@
             note_stream(&self.context, &self.call, self.version.as_ref());
         }
         self.events += batch.count;
-        self.has_further_event &= batch.count == 0;
         self.last_event = batch.last_id.or(self.last_event);
     }
 
@@ -313,18 +342,18 @@
         response.guard.note_interrupted(outcome);
         log_send_failed(&self.context, &self.call, backend, outcome);
         // The next backend server sends the unfinished event again.
-        self.has_further_event |= self.splitter.has_unfinished_event();
         self.splitter.take_pending();
         // Releasing bytes always succeeds.
         let _ = self.reservation.resize(0);
     }
 
-    async fn resume_or_interrupt(mut self) -> Option<(Result<Frame<Bytes>, RelayError>, Self)> {
+    /// Has another backend server go on with the stream. Otherwise returns why none does.
+    async fn resume(&mut self) -> Result<(), &'static str> {
         let has_budget = std::mem::take(&mut self.has_resume_budget);
         let is_allowed =
             has_budget || (self.may_resume() && take_retry_budget(&self.context, &self.call));
         if !is_allowed {
-            return Some(self.interrupt(RESPONSE_INTERRUPTED));
+            return Err(RESPONSE_INTERRUPTED);
         }
         let result = send_until_response(
             &self.context,
@@ -348,11 +377,10 @@
                 self.response = Some(open_response(backend_response));
                 self.stall_detector.note_resumed(Instant::now());
                 self.pauses.note_resumed();
-                let empty = Frame::data(Bytes::new());
-                Some((Ok(empty), self))
+                Ok(())
             }
-            Ok(_) => Some(self.interrupt("resume_refused")),
-            Err(refusal) => Some(self.interrupt(refusal.code())),
+            Ok(_) => Err("resume_refused"),
+            Err(refusal) => Err(refusal.code()),
         }
     }
 
@@ -440,5 +468,6 @@
         connection: backend_response.exchange.connection,
         guard: backend_response.guard,
         keep_alive: backend_response.head.keep_alive,
+        events: 0,
     }
 }
--- a/lib/src/gateway/send_guard.rs
+++ b/lib/src/gateway/send_guard.rs
@@ -17,6 +17,7 @@
 use crate::gateway::call_work::WorkEstimate;
 use crate::gateway::crash_detector::InterruptedRun;
 use crate::gateway::crash_detector::note_completed;
+use crate::gateway::crash_detector::note_unsure_completion;
 use crate::gateway::crash_detector::probe_for_crash;
 use crate::gateway::crash_detector::record_crash;
 use crate::gateway::crash_detector::watch_released;
@@ -207,13 +208,19 @@
     /// survived the request: it may not have run.
     pub fn note_completed(&self) {
         self.context.note_first_response();
-        let end = match self.framing {
-            ResponseFraming::Length | ResponseFraming::Chunks => ResponseEnd::Marked,
-            ResponseFraming::Close => ResponseEnd::Unsure,
-        };
         self.note_resolved();
-        if self.is_success {
-            note_completed(&self.context, &self.request.features, end);
+        let features = &self.request.features;
+        match self.framing {
+            _ if !self.is_success => {}
+            ResponseFraming::Length | ResponseFraming::Chunks => {
+                note_completed(&self.context, features, ResponseEnd::Marked);
+            }
+            ResponseFraming::Close if self.is_relayed => {
+                note_completed(&self.context, features, ResponseEnd::Unsure);
+            }
+            ResponseFraming::Close => {
+                note_unsure_completion(&self.context, self.request.address, features);
+            }
         }
         if let Some(work) = self.request.work.as_ref().filter(|_| self.is_success) {
             work.note_completed(&self.context);
