streams: replace a record of the store that cannot be read

Not seen by callers; found by reading. With a record of versions and shares that cannot be decoded, each new holder of the lease would have read it once a second and never written, and hubs that start would have read it for 30 s.

Such a record is no evidence of what served, and the holder replaces it; a hub reads once. an_invalid_record_in_the_store_is_replaced: four reads and one write at three entries, nothing is joined after a restart of all. The test was not run on the code before.

--- a/lib/src/gateway/history_sync.rs
+++ b/lib/src/gateway/history_sync.rs
@@ -165,10 +165,11 @@
         if !is_hub(context) {
             continue;
         }
-        if let Err(error) = read_record(context).await {
-            warn!(context.log, "reading the history of streams from the store failed"; "error" => %error);
-            tokio::time::sleep(CALL_PAUSE).await;
-        }
+        let Err(error) = read_record(context).await else {
+            return;
+        };
+        warn!(context.log, "reading the history of streams from the store failed"; "error" => %error);
+        tokio::time::sleep(CALL_PAUSE).await;
     }
 }
 
@@ -178,20 +179,27 @@
 }
 
 /// Reads the record and adds it to what this entry knows. Without a record no stream began
-/// before.
+/// before; one that cannot be read tells nothing.
 async fn read_record(context: &GatewayContext) -> Result<StoreState, PlatformError> {
     let topic = LogTopic::StreamHistory;
     let slice = context.platform.store.read_latest(topic).await?;
     let is_record = |key: Option<&str>| key == Some(RECORD_KEY);
     let mut records = slice.records.iter();
     let record = records.rfind(|record| is_record(record.key.as_deref()));
-    let history: Option<StoredHistory> = match record {
-        Some(record) => Some(serde_json::from_slice(&record.value).map_err(invalid_record)?),
-        None => None,
-    };
-    let versions = match &history {
-        Some(history) => history.versions().ok_or_else(|| invalid_record("names"))?,
-        None => BTreeMap::new(),
+    let (history, evidence) = match record.map(|record| decode_history(&record.value)) {
+        None => {
+            let shares = StoredShares::NothingServed;
+            (StoredHistory::default(), Some((BTreeMap::new(), shares)))
+        }
+        Some(Some((history, versions))) => {
+            let shares = StoredShares::Known(history.shares());
+            (history, Some((versions, shares)))
+        }
+        // The lease holder replaces it.
+        Some(None) => {
+            warn!(context.log, "invalid history of streams ignored"; "key" => RECORD_KEY);
+            (StoredHistory::default(), None)
+        }
     };
     let now = context.now();
     let is_known = context.version_history.lock().is_complete(now);
@@ -202,24 +210,24 @@
             receive_stream_notice(context, notice);
         }
     }
-    info!(context.log, "history of streams read"; "services" => versions.len(),
-        "routes" => history.as_ref().map(|history| history.shares.len()),
+    info!(context.log, "history of streams read"; "is_first" => record.is_none(),
+        "services" => history.versions.len(), "routes" => history.shares.len(),
         "writes" => notices.len(), "is_start" => !is_known);
-    context.version_history.lock().restore(now, &versions);
-    let shares = match &history {
-        Some(history) => StoredShares::Known(history.shares()),
-        None => StoredShares::NothingServed,
-    };
-    context.weight_history.lock().restore(shares);
+    if let Some((versions, shares)) = evidence {
+        context.version_history.lock().restore(now, &versions);
+        context.weight_history.lock().restore(shares);
+    }
     Ok(StoreState {
-        history: history.unwrap_or_default(),
+        history,
         end: slice.end,
         slot: RingSlot::after(&slice.records),
     })
 }
 
-fn invalid_record(cause: impl ToString) -> PlatformError {
-    PlatformError::NotApplied(cause.to_string())
+fn decode_history(value: &[u8]) -> Option<(StoredHistory, BTreeMap<ServiceName, VersionSet>)> {
+    let history: StoredHistory = serde_json::from_slice(value).ok()?;
+    let versions = history.versions()?;
+    Some((history, versions))
 }
 
 /// Returns what this entry knows, as it has to be in the store.
@@ -237,7 +245,8 @@
     stored: &mut StoreState,
     history: StoredHistory,
 ) -> Result<(), PlatformError> {
-    let value = serde_json::to_vec(&history).map_err(invalid_record)?;
+    let value = serde_json::to_vec(&history);
+    let value = value.map_err(|error| PlatformError::NotApplied(error.to_string()))?;
     append(context, stored, RECORD_KEY, Bytes::from(value)).await?;
     stored.history = history;
     Ok(())
