request_socket, http_client: no new direct dependencies

The socket option is set with the `libc` that `nix` exports, the connector's trait is that of `gotham`.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use gotham::tower_service::Service;
 use http::Request;
 use http::Response;
 use http::Uri;
@@ -20,7 +21,6 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use tower_service::Service;
 
 use crate::request_socket::RequestEnd;
 use crate::request_socket::RequestSocket;
--- a/lib/src/request_socket.rs
+++ b/lib/src/request_socket.rs
@@ -5,6 +5,7 @@
 //! request is closed in order.
 
 use std::io::Error;
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -18,7 +19,7 @@
 use hyper_util::client::legacy::connect::Connected;
 use hyper_util::client::legacy::connect::Connection;
 use metrics::counter;
-use socket2::SockRef;
+use nix::libc;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -126,7 +127,7 @@
     fn apply_limit(&mut self) -> Result<(), Error> {
         if !self.has_limit && self.socket_use.is_limited() {
             self.has_limit = true;
-            SockRef::from(&self.socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+            limit_unacknowledged(&self.socket)?;
         }
         Ok(())
     }
@@ -138,7 +139,28 @@
     }
 
     fn close_in_order(&self) -> Result<(), Error> {
-        SockRef::from(&self.socket).set_linger(None)
+        #[expect(deprecated, reason = "without a linger time, closing never blocks")]
+        self.socket.set_linger(None)
+    }
+}
+
+/// Ends a connection whose bytes are not acknowledged for [`UNACKNOWLEDGED_LIMIT`].
+fn limit_unacknowledged(socket: &TcpStream) -> Result<(), Error> {
+    let limit_ms = UNACKNOWLEDGED_LIMIT.as_millis() as libc::c_uint;
+    // SAFETY: the descriptor is open while the socket is borrowed, and the option is read from
+    // one integer of the given size.
+    let result = unsafe {
+        libc::setsockopt(
+            socket.as_raw_fd(),
+            libc::IPPROTO_TCP,
+            libc::TCP_USER_TIMEOUT,
+            (&raw const limit_ms).cast(),
+            size_of_val(&limit_ms) as libc::socklen_t,
+        )
+    };
+    match result {
+        0 => Ok(()),
+        _ => Err(Error::last_os_error()),
     }
 }
 
