--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -17,6 +17,8 @@
 use crate::gateway::backend_record::BackendId;
 use crate::gateway::call_feature::CallFeature;
 use crate::gateway::call_feature::CallFeatures;
+use crate::gateway::crash_trials::CrashTrials;
+use crate::gateway::crash_trials::TrialCase;
 use crate::gateway::crash_verdict::CrashRecord;
 use crate::gateway::crash_verdict::CrashTimes;
 use crate::gateway::crash_verdict::CrashVerdict;
@@ -64,17 +66,6 @@
 /// The shortest time between two such reports. Crashes in between wait for the next gossip
 /// round: hundreds of servers may crash together.
 const URGENT_INTERVAL: Duration = Duration::from_millis(500);
-/// How long after the last crash a request with a fatal feature is let through again, to find
-/// out whether servers were fixed. The time doubles with each one that crashes its server.
-const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(60);
-/// The most times that it doubles.
-const MAX_DOUBLINGS: u32 = 6;
-/// The time to the next such request after one that a server survived.
-const NEXT_TRIAL_AFTER: Duration = Duration::from_secs(1);
-/// How long after the last crash the first of all entries lets a request with a suspected part
-/// through. Each further entry waits so much longer, and each doubles its time with each request
-/// that crashes its server.
-const SUSPECT_TRIAL_AFTER: Duration = Duration::from_secs(1);
 /// The shortest time that a server takes to restart. A request that reaches it
 /// sooner after a crash uses a connection to the old incarnation.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
@@ -139,15 +130,6 @@
     Unsure,
 }
 
-/// The requests of a fatal group that this entry let through.
-#[derive(Clone, Copy, Debug)]
-struct FatalTrial {
-    started_at: Timestamp,
-    count: u32,
-    /// The survivors that were known before the last one.
-    survivors: usize,
-}
-
 impl KnownRecord {
     fn was_recently_observed(&self, now: Timestamp) -> bool {
         self.observed_at
@@ -163,7 +145,7 @@
     completed: HashMap<CallFeature, usize>,
     completed_order: VecDeque<CallFeature>,
     verdict: CrashVerdict,
-    trials: BTreeMap<FatalGroup, FatalTrial>,
+    trials: CrashTrials,
     urgent_report_at: Option<Timestamp>,
 }
 
@@ -219,44 +201,23 @@
 
     /// Returns whether a request that is refused may run all the same, to find out whether
     /// servers crash under it. If so, records that it runs. `rank` is the place of this entry
-    /// among all: the first one alone tries what is fatal, the others try what is suspected
-    /// later than those before them.
+    /// among all.
     pub fn begin_trial(&mut self, now: Timestamp, features: &CallFeatures, rank: usize) -> bool {
         let Some((group, safety)) = matching_group(&self.verdict, features) else {
             return false;
         };
-        let first_after = match safety {
-            CallSafety::Suspected => SUSPECT_TRIAL_AFTER * (rank as u32 + 1),
-            CallSafety::Fatal if rank == 0 => FIRST_TRIAL_AFTER,
-            CallSafety::Fatal | CallSafety::Harmless => return false,
-        };
         let known = group.iter().filter_map(|feature| self.records.get(feature));
         let crashed_at = known.clone().map(|known| known.crashed_at).max();
         let survivors = known.map(|known| known.record.survivors.len()).min();
-        let survivors = survivors.unwrap_or(0);
         let Some(crashed_at) = crashed_at else {
             return false;
         };
-        let trial = self.trials.get(group).copied();
-        let due_at = match trial {
-            None => crashed_at.after(first_after),
-            Some(trial) if survivors > trial.survivors => trial.started_at.after(NEXT_TRIAL_AFTER),
-            Some(trial) => {
-                let pause = first_after * 2_u32.pow(trial.count.min(MAX_DOUBLINGS));
-                trial.started_at.max(crashed_at).after(pause)
-            }
+        let case = TrialCase {
+            safety,
+            crashed_at,
+            survivors: survivors.unwrap_or(0),
         };
-        if now < due_at {
-            return false;
-        }
-        let trial = FatalTrial {
-            started_at: now,
-            count: trial.map_or(1, |trial| trial.count + 1),
-            survivors,
-        };
-        let group = group.clone();
-        self.trials.insert(group, trial);
-        true
+        self.trials.begin(now, group, case, rank)
     }
 
     /// Returns what is refused.
@@ -350,6 +311,11 @@
         self.crashed_at(id).is_some()
     }
 
+    /// Returns when this entry last learned that a server crashed.
+    pub fn last_crash_at(&self) -> Option<Timestamp> {
+        self.crash_times.values().max().copied()
+    }
+
     /// Returns when this entry learned that an incarnation crashed.
     pub fn crashed_at(&self, id: &BackendId) -> Option<Timestamp> {
         self.crash_times.get(&incarnation_digest(id)).copied()
@@ -554,7 +520,7 @@
             verdict.fatal.contains(group) && known.fatal.contains(group)
                 || verdict.suspected.contains(group) && known.suspected.contains(group)
         };
-        self.trials.retain(|group, _| is_same(group));
+        self.trials.retain(is_same);
         self.verdict = verdict;
         newly_found
     }
@@ -633,7 +599,7 @@
         let is_known = |group: &FatalGroup| group.iter().all(|one| records.contains_key(one));
         self.verdict.fatal.retain(is_known);
         self.verdict.suspected.retain(is_known);
-        self.trials.retain(|group, _| is_known(group));
+        self.trials.retain(is_known);
         drop_lowest(&mut self.records, MAX_RECORDS, |known| {
             (known.record.crashes.len(), known.seen_at)
         });
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -29,8 +29,8 @@
 //!   this entry holds a valid lease.
 //!
 //! Requests that crash backend servers are refused: [`crash_detector`] records
-//! which requests ran on a crashed server, [`crash_ledger`] stores these runs, and
-//! [`crash_verdict`] finds the cause.
+//! which requests ran on a crashed server, [`crash_ledger`] stores these runs,
+//! [`crash_verdict`] finds the cause, and [`crash_trials`] lets single requests run.
 //!
 //! [`report_handler`] reads what backend servers report of themselves in
 //! responses. [`server_limits`] stores the limits that they report, and
@@ -97,6 +97,7 @@
 pub mod crash_detector;
 pub mod crash_frames;
 pub mod crash_ledger;
+pub mod crash_trials;
 pub mod crash_verdict;
 pub mod dependency_monitor;
 pub mod document_parts;
