crash_detector: judge again once servers are listed; probe only after crashes

The verdict depends on the number of servers; an entry that gets the reports before its list judged by one server, and never again. A group with a whole request needs no contrasts, whichever of its features is taken for the cause.

They are made only within 30 s of a known crash now.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -60,6 +60,8 @@
 /// two: it doubles in between. A server takes longer than that to restart.
 const FIRST_RELEASED_PROBE: Duration = Duration::from_millis(300);
 const MAX_RELEASED_PAUSE: Duration = Duration::from_millis(1_200);
+/// How long after a crash these probes go on.
+const PROBED_AFTER_CRASH: Duration = Duration::from_secs(30);
 /// The most servers that are watched for released requests, and the most of these requests at
 /// one server.
 const MAX_WATCHED_SERVERS: usize = 16;
@@ -170,6 +172,8 @@
             };
             if !may_have_crashed(&context, &id) {
                 detector.take_released(&id, context.now());
+            } else if !has_recent_crash(&context) {
+                // Another entry or a later incarnation may still tell of a crash.
             } else if context.pool.refuses_connections(address).await {
                 note_refused_connection(&context, &id).await;
             } else {
@@ -182,6 +186,14 @@
     });
 }
 
+/// Returns whether a crash became known a short time ago. Callers leave on calm days, too, and
+/// a probe for each would be in vain.
+fn has_recent_crash(context: &GatewayContext) -> bool {
+    let now = context.now();
+    let last = context.crashes.lock().last_crash_at();
+    last.is_some_and(|at| now.since(at) < PROBED_AFTER_CRASH)
+}
+
 /// Finds out whether a server that refuses connections crashed, and if so, records it with all
 /// requests that were interrupted there or released.
 async fn note_refused_connection(context: &Arc<GatewayContext>, id: &BackendId) {
@@ -382,6 +394,13 @@
     }
 }
 
+/// Forgets crashes that are too old, and recomputes what is refused: it depends on the number of
+/// servers, which an entry that starts learns after the crashes.
+pub fn maintain_crashes(context: &GatewayContext) {
+    context.crashes.lock().drop_old(context.now());
+    update_fatal(context);
+}
+
 /// Recomputes what is refused. Returns whether any of it was not refused, or only suspected,
 /// before.
 fn update_fatal(context: &GatewayContext) -> bool {
--- a/lib/src/gateway/crash_verdict.rs
+++ b/lib/src/gateway/crash_verdict.rs
@@ -193,7 +193,7 @@
         if is_likely || is_certain {
             let cause = most_specific(suspect, &suspects);
             let group = group_of(cause, &suspects);
-            match cause.is_proved() {
+            match cause.is_proved() || refuses_one_request(&group, cause) {
                 true => verdict.fatal.insert(group),
                 false => verdict.suspected.insert(group),
             };
@@ -222,6 +222,14 @@
     }
 }
 
+/// Returns whether a group has a whole request, which needs no contrasts whichever of the
+/// features that it came with is taken for the cause.
+fn refuses_one_request(group: &FatalGroup, cause: &Suspect<'_>) -> bool {
+    let mut features = group.iter();
+    let has_request = features.any(|feature| matches!(feature, CallFeature::Request(_)));
+    has_request && cause.score >= MIN_SCORE
+}
+
 /// Returns whether enough servers survived to rule out the feature as the cause. While nothing
 /// tells what requests without a part do, one server that survives the part is enough.
 fn is_survived(feature: &CallFeature, record: &CrashRecord) -> bool {
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -23,6 +23,7 @@
 
 use crate::answer_delivery::DeliveryCount;
 use crate::gateway::call_service::serve_call;
+use crate::gateway::crash_detector::maintain_crashes;
 use crate::gateway::duty_task::run_duties;
 use crate::gateway::entry_discovery::discover_entries;
 use crate::gateway::fatal_sync::read_without_lease;
@@ -296,7 +297,7 @@
         // An entry without usage of its own still receives the counts of others.
         let window = context.usage_window();
         context.usage.lock().drop_old(window);
-        context.crashes.lock().drop_old(context.now());
+        maintain_crashes(&context);
         let dropped = context.log_budget.lock().take_dropped();
         if dropped > 0 {
             counter!("cloverbend_log_lines_dropped_total").increment(dropped);
--- a/lib/tests/test_crash_parts.rs
+++ b/lib/tests/test_crash_parts.rs
@@ -137,6 +137,25 @@
     assert_eq!(judged, [CallSafety::Suspected, CallSafety::Harmless]);
 }
 
+/// The parts of one request that is repeated come with it, and any of them may be taken for the
+/// cause.
+#[test]
+fn a_repeated_request_is_fatal_with_the_parts_that_come_with_it() {
+    let request = features(7, &[SOUND, 3]);
+    let mut ledger = CrashLedger::new();
+    for number in 0..4 {
+        crash(&mut ledger, &request, number, 80);
+    }
+    let reports = ledger.reports(at(11_000));
+    let mut later = CrashLedger::new();
+    for report in reports.into_iter().rev() {
+        later.merge_reports(at(11_000), &[report]);
+        later.update_fatal(SERVERS);
+    }
+    let judged = [&mut ledger, &mut later].map(|known| known.judge(at(11_000), &request));
+    assert_eq!(judged, [CallSafety::Fatal; 2]);
+}
+
 /// However long a response goes on before its server crashes.
 #[rstest]
 #[case(80)]
