crash_detector: a server that accepts after an unmarked end survived all of the request

The price, by reading: a part that crashes servers which answer without length or chunks and are back at once may be cleared.

--- a/lib/src/gateway/crash_detector.rs
+++ b/lib/src/gateway/crash_detector.rs
@@ -357,8 +357,7 @@
 }
 
 /// Records that a server ended a response with its connection. If servers crashed under the
-/// same request, one that still accepts connections has survived it. It proves little about the
-/// parts of its prompt: the server may have crashed and be back.
+/// same request, one that still accepts connections has survived it.
 pub fn note_unsure_completion(
     context: &Arc<GatewayContext>,
     address: SocketAddr,
@@ -370,10 +369,11 @@
     }
     let (context, features) = (Arc::clone(context), features.clone());
     tokio::spawn(async move {
-        if context.pool.opens_connection(address).await {
-            note_completed(&context, &features.whole_request(), ResponseEnd::Marked);
-        }
-        note_completed(&context, &features, ResponseEnd::Unsure);
+        let end = match context.pool.opens_connection(address).await {
+            true => ResponseEnd::Marked,
+            false => ResponseEnd::Unsure,
+        };
+        note_completed(&context, &features, end);
     });
 }
 
