--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -4,7 +4,6 @@
 //! reports of other entries. Both are sets that only grow, so a report that
 //! arrives twice, late or through another entry changes nothing.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
