--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -71,14 +71,6 @@
 }
 
 impl Entry {
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args([name, &id]).status();
-        }
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -111,7 +103,10 @@
         let settings = self.folder.join(format!("{}.ini", self.name));
         std::fs::write(&settings, text)?;
         let log = self.folder.join(format!("{}.log", self.name));
-        let log = std::fs::File::options().create(true).append(true).open(log)?;
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)?;
         let child = Command::new(root.join(PROGRAM))
             .args(["--interface", "platform", "--settings"])
             .arg(&settings)
@@ -158,7 +153,10 @@
         socket.read_to_end(&mut answer).await?;
         Ok::<_, std::io::Error>(answer.starts_with(b"HTTP/1.1 200"))
     };
-    matches!(tokio::time::timeout(Duration::from_secs(1), ask).await, Ok(Ok(true)))
+    matches!(
+        tokio::time::timeout(Duration::from_secs(1), ask).await,
+        Ok(Ok(true))
+    )
 }
 
 /// Entries and stand-ins.
@@ -219,16 +217,6 @@
         Ok(deployment)
     }
 
-    /// Starts all entries again that were killed.
-    pub fn start_again(&mut self) -> std::io::Result<()> {
-        for entry in &mut self.entries {
-            if entry.child.is_none() {
-                entry.start(&self.root, false)?;
-            }
-        }
-        Ok(())
-    }
-
     /// Starts a backend server of a service, whose streams have so many events.
     pub async fn add_replica(
         &mut self,
--- a/review/standins-2/src/quota.rs
+++ b/review/standins-2/src/quota.rs
@@ -43,7 +43,12 @@
     at: Instant,
 }
 
-pub async fn run(root: &Path, folder: &Path, record: &Record, trouble: bool) -> std::io::Result<Verdict> {
+pub async fn run(
+    root: &Path,
+    folder: &Path,
+    record: &Record,
+    trouble: bool,
+) -> std::io::Result<Verdict> {
     let mut deployment = Deployment::start(root, folder, ENTRIES).await?;
     for _ in 0..REPLICAS {
         deployment
@@ -72,7 +77,11 @@
             began,
         };
         // Without the trouble the clients take turns.
-        let offset = if trouble { Duration::ZERO } else { pause.mul_f64(number as f64 / ENTRIES as f64) };
+        let offset = if trouble {
+            Duration::ZERO
+        } else {
+            pause.mul_f64(number as f64 / ENTRIES as f64)
+        };
         clients.push(tokio::spawn(client.run(offset, pause)));
     }
     for client in clients {
@@ -84,7 +93,11 @@
         for seen in replica.seen().iter().filter(|seen| seen.ran) {
             let sent_at = sent.iter().find(|one| one.id == seen.id).map(|one| one.at);
             if let Some(sent_at) = sent_at {
-                record.line(began, seen.at, &format!("run {} at {}", seen.id, replica.id()));
+                record.line(
+                    began,
+                    seen.at,
+                    &format!("run {} at {}", seen.id, replica.id()),
+                );
                 runs.push((sent_at, seen.at));
             }
         }
@@ -168,17 +181,25 @@
             .header("x-request-id", id)
             .header("x-model", "m")
             .header("x-token-usage", format!("{PROMPT},{GENERATED}"))
-            .header("x-prompt-prefix", format!("a1:512,b2:4870,{:x}:{}", hash(id), PROMPT - 5_382))
+            .header(
+                "x-prompt-prefix",
+                format!("a1:512,b2:4870,{:x}:{}", hash(id), PROMPT - 5_382),
+            )
             .header("x-deadline-ms", left.as_millis().to_string())
             .header("authorization", "Bearer key-one")
             .body(Full::new(Bytes::from_static(b"{}")))
             .ok()?;
         let at = Instant::now();
-        self.sent.lock().push(Sent { id: id.to_owned(), at });
-        self.record.line(self.began, at, &format!("sent {id} to {}", self.url));
+        self.sent.lock().push(Sent {
+            id: id.to_owned(),
+            at,
+        });
+        self.record
+            .line(self.began, at, &format!("sent {id} to {}", self.url));
         let response = tokio::time::timeout(left, self.http.send(request)).await;
         let Ok(Ok(response)) = response else {
-            self.record.line(self.began, Instant::now(), &format!("answer {id}: none"));
+            self.record
+                .line(self.began, Instant::now(), &format!("answer {id}: none"));
             return None;
         };
         let status = response.status();
@@ -187,14 +208,16 @@
         let _ = response.into_body().collect().await;
         let text = format!("answer {id}: {} retry-after {after:?}", status.as_u16());
         self.record.line(self.began, Instant::now(), &text);
-        let is_refused = status == StatusCode::TOO_MANY_REQUESTS
-            || status == StatusCode::SERVICE_UNAVAILABLE;
+        let is_refused =
+            status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
         Some(Duration::from_secs_f64(after?)).filter(|_| is_refused)
     }
 }
 
 fn hash(id: &str) -> u64 {
-    id.bytes().fold(17_u64, |sum, byte| sum.wrapping_mul(131).wrapping_add(u64::from(byte))) >> 8
+    id.bytes().fold(17_u64, |sum, byte| {
+        sum.wrapping_mul(131).wrapping_add(u64::from(byte))
+    }) >> 8
 }
 
 fn configuration() -> String {
