--- /dev/null
+++ b/lib/src/gateway/config_log.rs
@@ -0,0 +1,141 @@
+//! Reads the configuration from the log of the platform's store and keeps it up to date.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use metrics::counter;
+use slog::info;
+use slog::warn;
+
+use crate::gateway::dependency_monitor::DependencyMonitor;
+use crate::gateway::document_transfer::ReceivedDocument;
+use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::packed_document::PackedDocument;
+use crate::gateway::platform_interface::LogRecord;
+use crate::gateway::platform_interface::LogSlice;
+use crate::gateway::platform_interface::LogTopic;
+use crate::gateway::platform_interface::PlatformError;
+use crate::gateway::read_schedule::ReadSchedule;
+use crate::gateway::store_task::TopicView;
+use crate::gateway::store_task::wait_until_read_due;
+use crate::id::LogOffset;
+
+fn config_view(context: &GatewayContext) -> TopicView {
+    TopicView {
+        confirmed_at: context.config.lock().confirmed_at(),
+        // Reads are cheap: they return nothing while nothing changes.
+        max_readers: usize::MAX,
+    }
+}
+
+/// Keeps the configuration up to date until the entry stops.
+pub async fn follow_config(context: Arc<GatewayContext>) {
+    let mut monitor = DependencyMonitor::new("store: configuration");
+    let schedule = ReadSchedule::with_bound(context.settings.bounds.config_apply);
+    loop {
+        wait_until_read_due(&context, schedule, || config_view(&context)).await;
+        let requested_at = context.now();
+        let store = &context.platform.store;
+        let topic = LogTopic::Configuration;
+        let next = context.config.lock().log_end();
+        let result = match next {
+            None => store.read_latest(topic).await,
+            Some(from) => {
+                store
+                    .read(topic, from, monitor.poll_timeout(schedule.poll_timeout()))
+                    .await
+            }
+        };
+        monitor.record(&context, &result);
+        match result {
+            Ok(slice) if slice.misses_records(next) => context.config.lock().reset_log_end(),
+            Ok(slice) => {
+                apply_config(&context, &slice);
+                let mut config = context.config.lock();
+                config.note_read(slice.end);
+                let revision = config.revision();
+                config.confirm(revision, requested_at);
+            }
+            Err(PlatformError::OffsetOutOfRange(_)) => context.config.lock().reset_log_end(),
+            Err(_) => monitor.wait_after_failure(&context).await,
+        }
+    }
+}
+
+/// Adopts the newest configuration of a slice and ignores earlier ones.
+fn apply_config(context: &GatewayContext, slice: &LogSlice) {
+    let key = context.platform.format.config_key();
+    let published =
+        |record: &&LogRecord| record.key.as_deref() == Some(key) && !record.value.is_empty();
+    let Some(record) = slice.records.iter().rev().find(published) else {
+        return;
+    };
+    let log_end = LogOffset(record.offset.0 + 1);
+    let known = context.config.lock().log_end();
+    // Another entry may have sent the document before the store returned it.
+    if known.is_some_and(|known| known >= log_end) {
+        return;
+    }
+    if !adopt_published(context, &record.value, log_end) {
+        context.config.lock().note_unusable(log_end);
+    }
+}
+
+/// Adopts a document from the store. `log_end` is the offset after its record.
+/// Returns whether the document could be read.
+pub fn adopt_published(context: &GatewayContext, document: &Bytes, log_end: LogOffset) -> bool {
+    let outcome = PackedDocument::pack(document)
+        .map_err(|error| error.to_string())
+        .and_then(|packed| adopt_if_newer(context, document, packed, Some(log_end), "store"));
+    log_unreadable(context, "store", &outcome);
+    outcome.is_ok()
+}
+
+/// Adopts a complete document from another entry. Returns whether its revision, or
+/// a later one, is now in force here.
+pub fn adopt_received(context: &GatewayContext, received: ReceivedDocument) -> bool {
+    let ReceivedDocument {
+        revision,
+        document,
+        log_end,
+    } = received;
+    let outcome = document
+        .unpack()
+        .map_err(|error| error.to_string())
+        .and_then(|unpacked| adopt_if_newer(context, &unpacked, document, log_end, "entry"));
+    log_unreadable(context, "entry", &outcome);
+    context.config.lock().revision() >= revision
+}
+
+fn log_unreadable(context: &GatewayContext, source: &str, outcome: &Result<(), String>) {
+    if let Err(error) = outcome {
+        counter!("cloverbend_configs_unreadable_total").increment(1);
+        warn!(context.log, "configuration refused"; "source" => source, "error" => error);
+    }
+}
+
+/// Decodes a configuration and adopts it if it is newer.
+fn adopt_if_newer(
+    context: &GatewayContext,
+    document: &[u8],
+    packed: PackedDocument,
+    log_end: Option<LogOffset>,
+    source: &str,
+) -> Result<(), String> {
+    counter!("cloverbend_config_documents_decoded_total").increment(1);
+    let decoded = context.platform.format.decode_config(document);
+    let config = decoded.map_err(|error| error.to_string())?;
+    let revision = config.revision;
+    let routes = config.routes.len();
+    let packed_bytes = packed.bytes().len();
+    let now = context.now();
+    if context.config.lock().offer(now, config, packed, log_end) {
+        context.gossip_due.notify_one();
+        context.stream_notice_due.notify_one();
+        counter!("cloverbend_configs_adopted_total").increment(1);
+        info!(context.log, "configuration adopted"; "revision" => revision.0,
+            "source" => source, "routes" => routes, "bytes" => document.len(),
+            "packed_bytes" => packed_bytes);
+    }
+    Ok(())
+}
--- a/lib/src/gateway/gateway_daemon.rs
+++ b/lib/src/gateway/gateway_daemon.rs
@@ -23,6 +23,7 @@
 
 use crate::answer_delivery::DeliveryCount;
 use crate::gateway::call_service::serve_call;
+use crate::gateway::config_log::follow_config;
 use crate::gateway::crash_detector::maintain_crashes;
 use crate::gateway::duty_task::run_duties;
 use crate::gateway::entry_discovery::discover_entries;
@@ -41,7 +42,6 @@
 use crate::gateway::rollout_task::run_rollouts;
 use crate::gateway::state_sizes::SizeReporter;
 use crate::gateway::store_task::follow_backends;
-use crate::gateway::store_task::follow_config;
 use crate::gateway::stream_exchange::receive_stream_notice;
 use crate::gateway::stream_exchange::receive_stream_query;
 use crate::gateway::stream_exchange::receive_stream_reply;
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -20,8 +20,8 @@
 //!
 //! Background tasks keep the state of the entry up to date:
 //!
-//! - [`store_task`] follows the configuration and the backend servers in the log
-//!   store, and [`entry_discovery`] finds the other entries there.
+//! - [`config_log`] follows the configuration in the log store and [`store_task`] the
+//!   backend servers, and [`entry_discovery`] finds the other entries there.
 //! - [`gossip_task`] exchanges gossip with other entries and fetches the
 //!   configuration from them with [`document_transfer`].
 //! - [`lease_task`] claims and renews the lease ([`lease_state`], [`duty_log`]).
@@ -94,6 +94,7 @@
 pub mod call_work;
 pub mod change_counts;
 pub mod config_follower;
+pub mod config_log;
 pub mod crash_detector;
 pub mod crash_frames;
 pub mod crash_ledger;
