Log which configurations a read of the log passes over, and why a request is refused first

An entry looks at the last document of a read only and says nothing of the others. A line and a metric now name the highest revision that was passed over beside the one in force; configuration adopted has its place in the log.

Lines of refusals and lost dependencies are written with their last field first, and the users' record cuts them: request, reason, status and the name of the dependency now come first. Only these lines are changed, no decision is.

--- a/lib/src/gateway/call_service.rs
+++ b/lib/src/gateway/call_service.rs
@@ -81,12 +81,13 @@
         let config = context.config.lock();
         let (revision, age) = (config.revision(), config.age(context.now()));
         drop(config);
-        info!(context.log, "request refused"; "request" => id, "reason" => refusal.code(),
-            "status" => status.as_u16(), "revision" => revision.0,
-            "revision_age_ms" => age.map(|age| age.as_millis() as u64),
+        // The last field is written first, and lines may be cut short.
+        info!(context.log, "request refused"; "is_return" => refusal.is_return(),
             "after_ms" => context.now().since(arrived_at).as_millis() as u64,
             "retry_after_ms" => retry_after.map(|after| after.as_millis() as u64),
-            "is_return" => refusal.is_return());
+            "revision_age_ms" => age.map(|age| age.as_millis() as u64),
+            "revision" => revision.0, "status" => status.as_u16(),
+            "reason" => refusal.code(), "request" => id);
     }
     let mut response = Response::new(full_body(Bytes::from(format!("{}\n", refusal.code()))));
     *response.status_mut() = status;
--- a/lib/src/gateway/config_log.rs
+++ b/lib/src/gateway/config_log.rs
@@ -11,10 +11,10 @@
 use crate::gateway::document_transfer::ReceivedDocument;
 use crate::gateway::gateway_context::GatewayContext;
 use crate::gateway::packed_document::PackedDocument;
-use crate::gateway::platform_interface::LogRecord;
 use crate::gateway::platform_interface::LogSlice;
 use crate::gateway::platform_interface::LogTopic;
 use crate::gateway::platform_interface::PlatformError;
+use crate::gateway::published_config::PublishedConfig;
 use crate::gateway::read_schedule::ReadSchedule;
 use crate::gateway::store_task::TopicView;
 use crate::gateway::store_task::wait_until_read_due;
@@ -50,7 +50,9 @@
         match result {
             Ok(slice) if slice.misses_records(next) => context.config.lock().reset_log_end(),
             Ok(slice) => {
-                apply_config(&context, &slice);
+                let published = PublishedConfig::all_of(context.platform.format.as_ref(), &slice);
+                apply_config(&context, &published);
+                log_passed_over(&context, &slice, &published);
                 let mut config = context.config.lock();
                 config.note_read(slice.end);
                 let revision = config.revision();
@@ -63,24 +65,38 @@
 }
 
 /// Adopts the newest configuration of a slice and ignores earlier ones.
-fn apply_config(context: &GatewayContext, slice: &LogSlice) {
-    let key = context.platform.format.config_key();
-    let published =
-        |record: &&LogRecord| record.key.as_deref() == Some(key) && !record.value.is_empty();
-    let Some(record) = slice.records.iter().rev().find(published) else {
+fn apply_config(context: &GatewayContext, published: &[PublishedConfig]) {
+    let Some(last) = published.last() else {
         return;
     };
-    let log_end = LogOffset(record.offset.0 + 1);
     let known = context.config.lock().log_end();
     // Another entry may have sent the document before the store returned it.
-    if known.is_some_and(|known| known >= log_end) {
+    if known.is_some_and(|known| known >= last.log_end) {
         return;
     }
-    if !adopt_published(context, &record.value, log_end) {
-        context.config.lock().note_unusable(log_end);
+    if !adopt_published(context, &last.document, last.log_end) {
+        context.config.lock().note_unusable(last.log_end);
     }
 }
 
+/// Logs the configurations of a read that are not in force after it.
+fn log_passed_over(context: &GatewayContext, slice: &LogSlice, published: &[PublishedConfig]) {
+    let in_force = context.config.lock().revision();
+    let is_passed_over = |config: &&PublishedConfig| config.revision != Some(in_force);
+    let passed_over: Vec<_> = published.iter().filter(is_passed_over).collect();
+    let Some(first) = passed_over.first() else {
+        return;
+    };
+    let highest = passed_over
+        .iter()
+        .filter_map(|config| config.revision)
+        .max();
+    counter!("cloverbend_configs_passed_over_total").increment(passed_over.len() as u64);
+    info!(context.log, "configurations passed over"; "log_end" => slice.end.0,
+        "first_end" => first.log_end.0, "count" => passed_over.len(),
+        "highest" => highest.map(|revision| revision.0), "in_force" => in_force.0);
+}
+
 /// Adopts a document from the store. `log_end` is the offset after its record.
 /// Returns whether the document could be read.
 pub fn adopt_published(context: &GatewayContext, document: &Bytes, log_end: LogOffset) -> bool {
@@ -135,7 +151,7 @@
         counter!("cloverbend_configs_adopted_total").increment(1);
         info!(context.log, "configuration adopted"; "revision" => revision.0,
             "source" => source, "routes" => routes, "bytes" => document.len(),
-            "packed_bytes" => packed_bytes);
+            "packed_bytes" => packed_bytes, "log_end" => log_end.map(|end| end.0));
     }
     Ok(())
 }
--- a/lib/src/gateway/dependency_monitor.rs
+++ b/lib/src/gateway/dependency_monitor.rs
@@ -77,7 +77,7 @@
         self.is_up = up;
         if let (true, Err(error)) = (changed, result) {
             counter!("cloverbend_dependency_losses_total").increment(1);
-            warn!(context.log, "dependency lost"; "dependency" => self.name, "error" => %error);
+            warn!(context.log, "dependency lost"; "error" => %error, "dependency" => self.name);
         }
         if changed && up {
             info!(context.log, "dependency regained"; "dependency" => self.name);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -148,6 +148,7 @@
 pub mod prefill_speed;
 pub mod promise_frames;
 pub mod prompt_pacing;
+pub mod published_config;
 pub mod read_schedule;
 pub mod relay_client;
 pub mod relay_helpers;
--- a/lib/src/gateway/platform_interface.rs
+++ b/lib/src/gateway/platform_interface.rs
@@ -26,6 +26,7 @@
 use crate::id::EntryName;
 use crate::id::FenceToken;
 use crate::id::LogOffset;
+use crate::id::RevisionNumber;
 use crate::id::ServiceName;
 use crate::id::StoreGeneration;
 use crate::id::ZoneName;
@@ -103,6 +104,13 @@
     /// The document has another format.
     fn decode_config(&self, document: &[u8]) -> Result<SiteConfig, FormatError>;
 
+    /// Decodes the revision of a configuration alone.
+    ///
+    /// # Errors
+    ///
+    /// The document has another format.
+    fn decode_config_revision(&self, document: &[u8]) -> Result<RevisionNumber, FormatError>;
+
     /// Decodes the record of a backend server.
     ///
     /// # Errors
--- /dev/null
+++ b/lib/src/gateway/published_config.rs
@@ -0,0 +1,36 @@
+//! The configurations among the records of a read of the log.
+
+use bytes::Bytes;
+
+use crate::gateway::platform_interface::LogSlice;
+use crate::gateway::platform_interface::PlatformFormat;
+use crate::id::LogOffset;
+use crate::id::RevisionNumber;
+
+/// A configuration as one record of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishedConfig {
+    /// The revision, if it can be decoded.
+    pub revision: Option<RevisionNumber>,
+    /// The offset after the record.
+    pub log_end: LogOffset,
+    /// The document.
+    pub document: Bytes,
+}
+
+impl PublishedConfig {
+    /// Returns the configurations of a slice in log order.
+    pub fn all_of(format: &dyn PlatformFormat, slice: &LogSlice) -> Vec<Self> {
+        let key = format.config_key();
+        let is_config = |key_of: Option<&str>| key_of == Some(key);
+        let records = slice.records.iter();
+        records
+            .filter(|record| is_config(record.key.as_deref()) && !record.value.is_empty())
+            .map(|record| Self {
+                revision: format.decode_config_revision(&record.value).ok(),
+                log_end: LogOffset(record.offset.0 + 1),
+                document: record.value.clone(),
+            })
+            .collect()
+    }
+}
