Adopt the highest revision of a read of the log, not the last one

Callers saw 401 to a key that a confirmed configuration had, at all entries and for as long as they asked. An entry looked at the last document of a read only, and noted the log as read to its end. The platform may do a write that got no response seconds later, so an older revision can lie behind a newer one; if one read returned both, the newer one was never looked at again, and the read confirmed the older one as the newest.

A document that cannot be decoded no longer hides one before it, and a later document of a lower revision no longer makes up for it.

Store calls are as before.

--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -24,8 +24,10 @@
     cache: DocumentCache,
     confirmed_at: Option<Timestamp>,
     log_end: Option<LogOffset>,
-    /// The log offset after the newest known document, if that is unusable.
+    /// The log offset after the last unusable document without a revision.
     unusable_end: Option<LogOffset>,
+    /// The highest revision whose document is unusable.
+    unusable_revision: Option<RevisionNumber>,
 }
 
 impl ConfigFollower {
@@ -69,15 +71,23 @@
         self.adopted = Some(Arc::new(config));
         self.log_end = self.log_end.max(log_end);
         self.unusable_end = self.unusable_end.filter(|end| Some(*end) > log_end);
+        let revision = self.revision();
+        self.unusable_revision = self.unusable_revision.filter(|other| *other > revision);
         true
     }
 
     /// Records an unusable document in the log, after which the log continues at
-    /// `end`. The adopted configuration no longer counts as the newest until a later
-    /// document is adopted.
-    pub fn note_unusable(&mut self, end: LogOffset) {
+    /// `end`. The adopted configuration no longer counts as the newest until one is
+    /// adopted that is newer than the document: by its `revision`, or else by its place.
+    pub fn note_unusable(&mut self, end: LogOffset, revision: Option<RevisionNumber>) {
         self.note_read(end);
-        self.unusable_end = self.unusable_end.max(Some(end));
+        match revision {
+            Some(revision) => {
+                let newer = Some(revision).filter(|revision| *revision > self.revision());
+                self.unusable_revision = self.unusable_revision.max(newer);
+            }
+            None => self.unusable_end = self.unusable_end.max(Some(end)),
+        }
     }
 
     /// Returns the part of a document that another entry pulls.
@@ -113,9 +123,10 @@
 
     /// Records that no revision above `newest` existed at `requested_at`. This
     /// confirms the adopted configuration unless `newest` is higher than its revision
-    /// or the newest document in the log is unusable.
+    /// or an unusable document may be newer.
     pub fn confirm(&mut self, newest: RevisionNumber, requested_at: Timestamp) {
-        let is_newest = newest <= self.revision() && self.unusable_end.is_none();
+        let has_unusable = self.unusable_end.is_some() || self.unusable_revision.is_some();
+        let is_newest = newest <= self.revision() && !has_unusable;
         if !is_newest || self.adopted.is_none() {
             return;
         }
--- a/lib/src/gateway/config_log.rs
+++ b/lib/src/gateway/config_log.rs
@@ -64,18 +64,17 @@
     }
 }
 
-/// Adopts the newest configuration of a slice and ignores earlier ones.
+/// Adopts the highest revision among the configurations of a read, which need not be the
+/// last of them: a write without a response may be done late.
 fn apply_config(context: &GatewayContext, published: &[PublishedConfig]) {
-    let Some(last) = published.last() else {
-        return;
-    };
-    let known = context.config.lock().log_end();
-    // Another entry may have sent the document before the store returned it.
-    if known.is_some_and(|known| known >= last.log_end) {
-        return;
-    }
-    if !adopt_published(context, &last.document, last.log_end) {
-        context.config.lock().note_unusable(last.log_end);
+    let in_force = context.config.lock().revision();
+    for config in PublishedConfig::by_precedence(published, in_force) {
+        let is_adopted = adopt_published(context, &config.document, config.log_end);
+        if is_adopted {
+            break;
+        }
+        let mut follower = context.config.lock();
+        follower.note_unusable(config.log_end, config.revision);
     }
 }
 
--- a/lib/src/gateway/published_config.rs
+++ b/lib/src/gateway/published_config.rs
@@ -1,5 +1,7 @@
 //! The configurations among the records of a read of the log.
 
+use std::cmp::Reverse;
+
 use bytes::Bytes;
 
 use crate::gateway::platform_interface::LogSlice;
@@ -33,4 +35,17 @@
             })
             .collect()
     }
+
+    /// Returns the configurations that may replace the revision `in_force`, in the order in
+    /// which to try them: first those whose revision is unknown, then the highest ones. Of
+    /// those with the same revision the first counts, as if they were read one by one.
+    pub fn by_precedence(published: &[Self], in_force: RevisionNumber) -> Vec<&Self> {
+        let may_replace = |config: &&Self| config.revision.is_none_or(|own| own > in_force);
+        let mut newer: Vec<&Self> = published.iter().filter(may_replace).collect();
+        newer.sort_by_key(|config| match config.revision {
+            None => (false, Reverse(RevisionNumber(0)), config.log_end),
+            Some(revision) => (true, Reverse(revision), config.log_end),
+        });
+        newer
+    }
 }
--- a/lib/tests/test_gateway_config.rs
+++ b/lib/tests/test_gateway_config.rs
@@ -129,7 +129,7 @@
     let at = Timestamp::from_millis;
     assert!(offer(&mut follower, 3, Some(8)));
     follower.confirm(RevisionNumber(3), at(10));
-    follower.note_unusable(LogOffset(9));
+    follower.note_unusable(LogOffset(9), None);
     // The unusable document is not read again, and nothing is confirmed meanwhile.
     assert_eq!(follower.log_end(), Some(LogOffset(9)));
     follower.confirm(RevisionNumber(3), at(500));
@@ -144,6 +144,25 @@
     assert_eq!(follower.confirmed_at(), Some(at(700)));
 }
 
+/// The document of revision 5 lies before one of a lower revision.
+#[test]
+fn an_unusable_revision_is_replaced_by_a_higher_one_only() {
+    let mut follower = ConfigFollower::new();
+    let at = Timestamp::from_millis;
+    assert!(offer(&mut follower, 3, Some(8)));
+    follower.note_unusable(LogOffset(9), Some(RevisionNumber(5)));
+    assert!(offer(&mut follower, 4, Some(10)));
+    follower.confirm(RevisionNumber(4), at(10));
+    assert_eq!(follower.confirmed_at(), None);
+    assert!(offer(&mut follower, 6, Some(7)));
+    follower.confirm(RevisionNumber(6), at(20));
+    assert_eq!(follower.confirmed_at(), Some(at(20)));
+    // One that is older than the adopted revision is no obstacle.
+    follower.note_unusable(LogOffset(11), Some(RevisionNumber(5)));
+    follower.confirm(RevisionNumber(6), at(30));
+    assert_eq!(follower.confirmed_at(), Some(at(30)));
+}
+
 #[test]
 fn a_confirmation_counts_from_the_time_of_the_request() {
     let mut follower = ConfigFollower::new();
