Read the older configurations that a read of the newest records hides

Callers saw 401 to a key of the highest revision at every entry after all of them were lost, for good. An entry that starts, or has fallen behind what the store keeps, read the newest record of each key; where an older revision was written last, that is the older one, and the read confirmed it as the newest. Entries that had read the records as they came served the higher one, so two reads of the same log disagreed.

What a read of the newest records hides is read as well, as far as the store still has it, before anything is confirmed, and a long log is read on page by page instead of from its newest records. An offset is passed on to other entries only if all records before it are known.

Calls to the store: none more while an entry runs, and none more at a start where nothing is hidden (the first start of all); one more where the store has dropped everything hidden or still has all of it, two more where it has a part.

--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -11,7 +11,11 @@
 use crate::gateway::document_parts::DocumentPull;
 use crate::gateway::document_transfer::CachedDocument;
 use crate::gateway::document_transfer::DocumentCache;
+use crate::gateway::log_position::LogPosition;
+use crate::gateway::log_position::LogRead;
+use crate::gateway::log_position::ReadProgress;
 use crate::gateway::packed_document::PackedDocument;
+use crate::gateway::platform_interface::LogSlice;
 use crate::gateway::site_config::SiteConfig;
 use crate::id::LogOffset;
 use crate::id::RevisionNumber;
@@ -23,7 +27,7 @@
     adopted: Option<Arc<SiteConfig>>,
     cache: DocumentCache,
     confirmed_at: Option<Timestamp>,
-    log_end: Option<LogOffset>,
+    position: LogPosition,
     /// The log offset after the last unusable document without a revision.
     unusable_end: Option<LogOffset>,
     /// The highest revision whose document is unusable.
@@ -51,7 +55,7 @@
     }
 
     /// Adopts a configuration if its revision is higher; returns whether it was
-    /// adopted. `log_end` is the offset of the next log record, if known.
+    /// adopted. No record before the offset `log_end` has a higher one, if that is known.
     pub fn offer(
         &mut self,
         now: Timestamp,
@@ -69,18 +73,18 @@
         };
         self.cache.put(now, cached);
         self.adopted = Some(Arc::new(config));
-        self.log_end = self.log_end.max(log_end);
+        if let Some(end) = log_end {
+            self.position.note_sent(end);
+        }
         self.unusable_end = self.unusable_end.filter(|end| Some(*end) > log_end);
         let revision = self.revision();
         self.unusable_revision = self.unusable_revision.filter(|other| *other > revision);
         true
     }
 
-    /// Records an unusable document in the log, after which the log continues at
-    /// `end`. The adopted configuration no longer counts as the newest until one is
+    /// Records an unusable document, after which the log continues at `end`. The adopted configuration no longer counts as the newest until one is
     /// adopted that is newer than the document: by its `revision`, or else by its place.
     pub fn note_unusable(&mut self, end: LogOffset, revision: Option<RevisionNumber>) {
-        self.note_read(end);
         match revision {
             Some(revision) => {
                 let newer = Some(revision).filter(|revision| *revision > self.revision());
@@ -105,20 +109,34 @@
         self.cache.cached_bytes()
     }
 
-    /// Returns the offset at which to read the log next, after everything that came
-    /// from other entries. None if the newest record must be read first.
+    /// Returns the offset before which all records of the log are known here, from reads
+    /// or from other entries. None if older records may have to be read.
     pub fn log_end(&self) -> Option<LogOffset> {
-        self.log_end
+        self.position.complete_end()
     }
 
-    /// Records that the log was read up to `end`.
-    pub fn note_read(&mut self, end: LogOffset) {
-        self.log_end = self.log_end.max(Some(end));
+    /// Returns the next read of the log.
+    pub fn next_read(&self) -> LogRead {
+        self.position.next_read()
     }
 
-    /// Resets the read offset, because the log no longer has the next records.
-    pub fn reset_log_end(&mut self) {
-        self.log_end = None;
+    /// Records the result of a read of the log that was sent at `requested_at`.
+    pub fn note_slice(
+        &mut self,
+        read: LogRead,
+        slice: &LogSlice,
+        requested_at: Timestamp,
+    ) -> ReadProgress {
+        self.position.note_slice(read, slice, requested_at)
+    }
+
+    /// Records that the log no longer has the records before `oldest`, which were to be read
+    /// next. Confirms the adopted configuration if a read of the newest records found it, and
+    /// hid none that are left.
+    pub fn note_dropped(&mut self, oldest: LogOffset) {
+        if let Some(read_at) = self.position.note_dropped(oldest) {
+            self.confirm(self.revision(), read_at);
+        }
     }
 
     /// Records that no revision above `newest` existed at `requested_at`. This
--- a/lib/src/gateway/config_log.rs
+++ b/lib/src/gateway/config_log.rs
@@ -1,6 +1,7 @@
 //! Reads the configuration from the log of the platform's store and keeps it up to date.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use metrics::counter;
@@ -10,6 +11,8 @@
 use crate::gateway::dependency_monitor::DependencyMonitor;
 use crate::gateway::document_transfer::ReceivedDocument;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::log_position::LogRead;
+use crate::gateway::log_position::ReadProgress;
 use crate::gateway::packed_document::PackedDocument;
 use crate::gateway::platform_interface::LogSlice;
 use crate::gateway::platform_interface::LogTopic;
@@ -19,6 +22,7 @@
 use crate::gateway::store_task::TopicView;
 use crate::gateway::store_task::wait_until_read_due;
 use crate::id::LogOffset;
+use crate::quantity::Timestamp;
 
 fn config_view(context: &GatewayContext) -> TopicView {
     TopicView {
@@ -37,40 +41,50 @@
         let requested_at = context.now();
         let store = &context.platform.store;
         let topic = LogTopic::Configuration;
-        let next = context.config.lock().log_end();
-        let result = match next {
-            None => store.read_latest(topic).await,
-            Some(from) => {
-                store
-                    .read(topic, from, monitor.poll_timeout(schedule.poll_timeout()))
-                    .await
+        let read = context.config.lock().next_read();
+        let result = match read {
+            LogRead::Newest => store.read_latest(topic).await,
+            LogRead::Hidden(from) => store.read(topic, from, Duration::ZERO).await,
+            LogRead::Following(from) => {
+                let timeout = monitor.poll_timeout(schedule.poll_timeout());
+                store.read(topic, from, timeout).await
             }
         };
         monitor.record(&context, &result);
         match result {
-            Ok(slice) if slice.misses_records(next) => context.config.lock().reset_log_end(),
-            Ok(slice) => {
-                let published = PublishedConfig::all_of(context.platform.format.as_ref(), &slice);
-                apply_config(&context, &published);
-                log_passed_over(&context, &slice, &published);
-                let mut config = context.config.lock();
-                config.note_read(slice.end);
-                let revision = config.revision();
-                config.confirm(revision, requested_at);
+            Ok(slice) => apply_slice(&context, read, &slice, requested_at),
+            Err(PlatformError::OffsetOutOfRange(oldest)) => {
+                context.config.lock().note_dropped(oldest);
             }
-            Err(PlatformError::OffsetOutOfRange(_)) => context.config.lock().reset_log_end(),
             Err(_) => monitor.wait_after_failure(&context).await,
         }
     }
 }
 
+/// Applies the result of a read that was sent at `requested_at`.
+fn apply_slice(context: &GatewayContext, read: LogRead, slice: &LogSlice, requested_at: Timestamp) {
+    let published = PublishedConfig::all_of(context.platform.format.as_ref(), slice);
+    let mut follower = context.config.lock();
+    let progress = follower.note_slice(read, slice, requested_at);
+    let is_complete = follower.log_end().is_some();
+    drop(follower);
+    apply_config(context, &published, is_complete);
+    log_passed_over(context, slice, &published);
+    if progress == ReadProgress::Current {
+        let mut follower = context.config.lock();
+        let revision = follower.revision();
+        follower.confirm(revision, requested_at);
+    }
+}
+
 /// Adopts the highest revision among the configurations of a read, which need not be the
-/// last of them: a write without a response may be done late.
-fn apply_config(context: &GatewayContext, published: &[PublishedConfig]) {
+/// last of them: a write without a response may be done late. `is_complete` tells whether all
+/// earlier records are known.
+fn apply_config(context: &GatewayContext, published: &[PublishedConfig], is_complete: bool) {
     let in_force = context.config.lock().revision();
     for config in PublishedConfig::by_precedence(published, in_force) {
-        let is_adopted = adopt_published(context, &config.document, config.log_end);
-        if is_adopted {
+        let log_end = is_complete.then_some(config.log_end);
+        if adopt_published(context, &config.document, log_end) {
             break;
         }
         let mut follower = context.config.lock();
@@ -96,12 +110,16 @@
         "highest" => highest.map(|revision| revision.0), "in_force" => in_force.0);
 }
 
-/// Adopts a document from the store. `log_end` is the offset after its record.
-/// Returns whether the document could be read.
-pub fn adopt_published(context: &GatewayContext, document: &Bytes, log_end: LogOffset) -> bool {
+/// Adopts a document from the store. `log_end` is the offset after its record, if all
+/// earlier records are known. Returns whether the document could be read.
+pub fn adopt_published(
+    context: &GatewayContext,
+    document: &Bytes,
+    log_end: Option<LogOffset>,
+) -> bool {
     let outcome = PackedDocument::pack(document)
         .map_err(|error| error.to_string())
-        .and_then(|packed| adopt_if_newer(context, document, packed, Some(log_end), "store"));
+        .and_then(|packed| adopt_if_newer(context, document, packed, log_end, "store"));
     log_unreadable(context, "store", &outcome);
     outcome.is_ok()
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -138,6 +138,7 @@
 pub mod list_update_cache;
 pub mod load_shedding;
 pub mod log_budget;
+pub mod log_position;
 pub mod packed_document;
 pub mod path_evidence;
 pub mod path_monitor;
--- a/lib/tests/test_gateway_config.rs
+++ b/lib/tests/test_gateway_config.rs
@@ -1,7 +1,11 @@
 //! Lookup of routes and API keys, and confirmation of the newest configuration.
 
+use bytes::Bytes;
 use cloverbend::gateway::config_follower::ConfigFollower;
+use cloverbend::gateway::log_position::LogRead;
 use cloverbend::gateway::packed_document::PackedDocument;
+use cloverbend::gateway::platform_interface::LogRecord;
+use cloverbend::gateway::platform_interface::LogSlice;
 use cloverbend::gateway::site_config::AccountRule;
 use cloverbend::gateway::site_config::CallerLimits;
 use cloverbend::gateway::site_config::LimitUnit;
@@ -107,6 +111,22 @@
     follower.offer(Timestamp(0), config(revision), document, log_end)
 }
 
+/// A read of the records from one offset to the end of the log at another.
+fn slice_between(from: u64, end: u64) -> LogSlice {
+    let record = |offset| LogRecord {
+        offset: LogOffset(offset),
+        key: None,
+        value: Bytes::from_static(b"{}"),
+    };
+    LogSlice {
+        records: (from..end).map(record).collect(),
+        oldest: LogOffset(0),
+        read_end: LogOffset(end),
+        end: LogOffset(end),
+        ..LogSlice::default()
+    }
+}
+
 #[test]
 fn a_configuration_from_another_entry_is_not_read_from_the_log_again() {
     let mut follower = ConfigFollower::new();
@@ -114,12 +134,14 @@
     assert!(offer(&mut follower, 3, Some(8)));
     assert_eq!(follower.log_end(), Some(LogOffset(8)));
     // A read that was already pending ends at a lower offset.
-    follower.note_read(LogOffset(6));
+    let slice = slice_between(4, 6);
+    follower.note_slice(LogRead::Following(LogOffset(4)), &slice, Timestamp(0));
     assert_eq!(follower.log_end(), Some(LogOffset(8)));
     // A configuration without a known log offset does not change the offset.
     assert!(offer(&mut follower, 4, None));
     assert_eq!(follower.log_end(), Some(LogOffset(8)));
-    follower.reset_log_end();
+    // The log no longer has the next records.
+    follower.note_dropped(LogOffset(12));
     assert_eq!(follower.log_end(), None);
 }
 
@@ -129,6 +151,8 @@
     let at = Timestamp::from_millis;
     assert!(offer(&mut follower, 3, Some(8)));
     follower.confirm(RevisionNumber(3), at(10));
+    let slice = slice_between(8, 9);
+    follower.note_slice(LogRead::Following(LogOffset(8)), &slice, at(20));
     follower.note_unusable(LogOffset(9), None);
     // The unusable document is not read again, and nothing is confirmed meanwhile.
     assert_eq!(follower.log_end(), Some(LogOffset(9)));
