A log of the configuration that ends too early confirms nothing

A read of the configuration's topic that got 404, or a log that ends before the offset asked for, was counted as a proof that nothing newer exists: an entry went on rejecting unknown keys for good, and serving removed ones, on a configuration of which it knew nothing any more. Such a response is now taken for what it is, the log is read anew after a pause, and a line and a metric tell of it.

--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -127,6 +127,11 @@
         slice: &LogSlice,
         requested_at: Timestamp,
     ) -> ReadProgress {
+        // An empty log cannot be the one in which the adopted configuration was published.
+        if slice.end == LogOffset(0) && self.adopted.is_some() {
+            self.position = LogPosition::Unread;
+            return ReadProgress::Contradicted;
+        }
         self.position.note_slice(read, slice, requested_at)
     }
 
--- a/lib/src/gateway/config_log.rs
+++ b/lib/src/gateway/config_log.rs
@@ -11,6 +11,7 @@
 use crate::gateway::dependency_monitor::DependencyMonitor;
 use crate::gateway::document_transfer::ReceivedDocument;
 use crate::gateway::gateway_context::GatewayContext;
+use crate::gateway::log_budget::LineClass;
 use crate::gateway::log_position::LogRead;
 use crate::gateway::log_position::ReadProgress;
 use crate::gateway::packed_document::PackedDocument;
@@ -52,7 +53,13 @@
         };
         monitor.record(&context, &result);
         match result {
-            Ok(slice) => apply_slice(&context, read, &slice, requested_at),
+            Ok(slice) => match apply_slice(&context, read, &slice, requested_at) {
+                ReadProgress::Current | ReadProgress::Behind => {}
+                ReadProgress::Contradicted => {
+                    log_contradicted(&context, read, &slice);
+                    monitor.wait_after_failure(&context).await;
+                }
+            },
             Err(PlatformError::OffsetOutOfRange(oldest)) => {
                 context.config.lock().note_dropped(oldest);
             }
@@ -62,7 +69,12 @@
 }
 
 /// Applies the result of a read that was sent at `requested_at`.
-fn apply_slice(context: &GatewayContext, read: LogRead, slice: &LogSlice, requested_at: Timestamp) {
+fn apply_slice(
+    context: &GatewayContext,
+    read: LogRead,
+    slice: &LogSlice,
+    requested_at: Timestamp,
+) -> ReadProgress {
     let published = PublishedConfig::all_of(context.platform.format.as_ref(), slice);
     let mut follower = context.config.lock();
     let progress = follower.note_slice(read, slice, requested_at);
@@ -75,6 +87,16 @@
         let revision = follower.revision();
         follower.confirm(revision, requested_at);
     }
+    progress
+}
+
+fn log_contradicted(context: &GatewayContext, read: LogRead, slice: &LogSlice) {
+    counter!("cloverbend_config_reads_contradicted_total").increment(1);
+    let revision = context.config.lock().revision();
+    if context.may_log("configuration", LineClass::Failure) {
+        info!(context.log, "configuration's log ends too early"; "revision" => revision.0,
+            "log_end" => slice.end.0, "read" => %read);
+    }
 }
 
 /// Adopts the highest revision among the configurations of a read, which need not be the
--- a/lib/src/gateway/log_position.rs
+++ b/lib/src/gateway/log_position.rs
@@ -5,6 +5,8 @@
 //! as far as the store still has them, so that an entry that starts knows as much as one
 //! that read every record as it came.
 
+use std::fmt;
+
 use crate::gateway::platform_interface::LogSlice;
 use crate::id::LogOffset;
 use crate::quantity::Timestamp;
@@ -20,6 +22,16 @@
     Following(LogOffset),
 }
 
+impl fmt::Display for LogRead {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Newest => write!(f, "newest"),
+            Self::Hidden(from) => write!(f, "hidden from {from}"),
+            Self::Following(from) => write!(f, "from {from}"),
+        }
+    }
+}
+
 /// What is known of a log after a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadProgress {
@@ -27,6 +39,8 @@
     Current,
     /// There is more to be read.
     Behind,
+    /// Nothing: the response contradicts what was read before.
+    Contradicted,
 }
 
 /// How far a log was read.
@@ -74,6 +88,11 @@
         read_at: Timestamp,
     ) -> ReadProgress {
         match read {
+            // The log was longer before: it is another one, or an older copy.
+            LogRead::Hidden(from) | LogRead::Following(from) if slice.end < from => {
+                *self = Self::Unread;
+                ReadProgress::Contradicted
+            }
             LogRead::Newest => self.note_newest(slice, read_at),
             LogRead::Hidden(from) => self.note_hidden(from, slice),
             LogRead::Following(from) => self.note_following(from, slice),
--- a/lib/tests/test_config_reads.rs
+++ b/lib/tests/test_config_reads.rs
@@ -16,6 +16,7 @@
 use cloverbend::id::RevisionNumber;
 use cloverbend::quantity::Timestamp;
 use proptest::prelude::*;
+use rstest::rstest;
 
 const LIMITS: CallerLimits = CallerLimits {
     head_bytes: 1_000,
@@ -262,3 +263,24 @@
         LogRead::Following(LogOffset(2))
     );
 }
+
+/// A store that answers so may lack a newer revision as well.
+#[rstest]
+#[case::shorter_than_before(LogRead::Following(LogOffset(3)), 2)]
+#[case::empty(LogRead::Newest, 0)]
+fn a_log_that_ends_too_early_confirms_nothing(#[case] read: LogRead, #[case] end: u64) {
+    let mut log = LogModel::default();
+    log.append(Timestamp(0), vec![Some(3), Some(4), Some(5)]);
+    let mut reader = ReaderModel::default();
+    while reader.follower.confirmed_at().is_none() {
+        reader.step(&log, 10, Timestamp(1)).unwrap();
+    }
+    let slice = LogSlice {
+        read_end: LogOffset(end),
+        end: LogOffset(end),
+        ..LogSlice::default()
+    };
+    let progress = reader.follower.note_slice(read, &slice, Timestamp(2));
+    assert_eq!(progress, ReadProgress::Contradicted);
+    assert_eq!(reader.follower.next_read(), LogRead::Newest);
+}
