Reject an unknown key for good only if no other entry can know better

An entry that started where the store's newest record was an older revision, and the higher one had been dropped, took the older one for the newest until the first message of another entry, and callers of the others' revision got 401. Until another entry has sent a message, or the list names none, or three seconds are over, an unknown route or key is answered 503 with Retry-After; so is one while a reachable entry has a higher revision. A read of the store does not confirm a revision below one that another entry had before the read.

Callers with a known key and route are served as before.

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -35,6 +35,7 @@
 use crate::gateway::takeup_binding::bind_request;
 use crate::gateway::version_binding::VersionBinding;
 use crate::id::AccountName;
+use crate::id::RevisionNumber;
 use crate::id::ServiceName;
 use crate::quantity::Timestamp;
 
@@ -260,6 +261,15 @@
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
 
+/// Returns whether another entry has a higher revision, or may have one that the store has
+/// dropped.
+fn may_be_superseded(context: &GatewayContext, revision: RevisionNumber) -> bool {
+    let now = context.now();
+    let peers = context.peers.lock();
+    let uptime = now.since(Timestamp(0));
+    peers.highest_revision(now) > revision || peers.awaits_first_message(uptime)
+}
+
 /// Finds the route and the account of a request. An unknown route or key is
 /// reported as such only while the configuration is fresh.
 fn authorize(
@@ -271,7 +281,7 @@
     let age = context.config.lock().age(context.now());
     let is_fresh = age.is_some_and(|age| age < FRESH_CONFIG_AGE);
     let reject = |refusal| {
-        if is_fresh {
+        if is_fresh && !may_be_superseded(context, config.revision) {
             refusal
         } else {
             CallRefusal::NoConfig
--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -136,12 +136,10 @@
     }
 
     /// Records that the log no longer has the records before `oldest`, which were to be read
-    /// next. Confirms the adopted configuration if a read of the newest records found it, and
-    /// hid none that are left.
-    pub fn note_dropped(&mut self, oldest: LogOffset) {
-        if let Some(read_at) = self.position.note_dropped(oldest) {
-            self.confirm(self.revision(), read_at);
-        }
+    /// next. If a read of the newest records hid none that are left, returns when that read
+    /// was sent: the adopted configuration was the newest then.
+    pub fn note_dropped(&mut self, oldest: LogOffset) -> Option<Timestamp> {
+        self.position.note_dropped(oldest)
     }
 
     /// Records that no revision above `newest` existed at `requested_at`. This
--- a/lib/src/gateway/config_log.rs
+++ b/lib/src/gateway/config_log.rs
@@ -23,6 +23,7 @@
 use crate::gateway::store_task::TopicView;
 use crate::gateway::store_task::wait_until_read_due;
 use crate::id::LogOffset;
+use crate::id::RevisionNumber;
 use crate::quantity::Timestamp;
 
 fn config_view(context: &GatewayContext) -> TopicView {
@@ -40,6 +41,7 @@
     loop {
         wait_until_read_due(&context, schedule, || config_view(&context)).await;
         let requested_at = context.now();
+        let known = context.peers.lock().highest_revision(requested_at);
         let store = &context.platform.store;
         let topic = LogTopic::Configuration;
         let read = context.config.lock().next_read();
@@ -54,14 +56,18 @@
         monitor.record(&context, &result);
         match result {
             Ok(slice) => match apply_slice(&context, read, &slice, requested_at) {
-                ReadProgress::Current | ReadProgress::Behind => {}
+                ReadProgress::Current => confirm_read(&context, known, requested_at),
+                ReadProgress::Behind => {}
                 ReadProgress::Contradicted => {
                     log_contradicted(&context, read, &slice);
                     monitor.wait_after_failure(&context).await;
                 }
             },
             Err(PlatformError::OffsetOutOfRange(oldest)) => {
-                context.config.lock().note_dropped(oldest);
+                let read_at = context.config.lock().note_dropped(oldest);
+                if let Some(read_at) = read_at {
+                    confirm_read(&context, known, read_at);
+                }
             }
             Err(_) => monitor.wait_after_failure(&context).await,
         }
@@ -82,14 +88,17 @@
     drop(follower);
     apply_config(context, &published, is_complete);
     log_passed_over(context, slice, &published);
-    if progress == ReadProgress::Current {
-        let mut follower = context.config.lock();
-        let revision = follower.revision();
-        follower.confirm(revision, requested_at);
-    }
     progress
 }
 
+/// Confirms the adopted configuration by a read that was sent at `requested_at`, when other
+/// entries had revisions up to `known`. The store may no longer have the highest one.
+fn confirm_read(context: &GatewayContext, known: RevisionNumber, requested_at: Timestamp) {
+    let mut follower = context.config.lock();
+    let newest = follower.revision().max(known);
+    follower.confirm(newest, requested_at);
+}
+
 fn log_contradicted(context: &GatewayContext, read: LogRead, slice: &LogSlice) {
     counter!("cloverbend_config_reads_contradicted_total").increment(1);
     let revision = context.config.lock().revision();
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -41,6 +41,10 @@
 const STANDBY_HUB_TIMEOUT: Duration = Duration::from_millis(2_200);
 /// A hub that has not replied for this time is replaced by the next entry.
 const SUSPECT_AFTER: Duration = Duration::from_millis(2_000);
+/// How long after its start an entry waits for the first message of another one before it
+/// relies on the store alone. Hubs reply within two rounds of gossip, once the list of
+/// entries was read; it covers the replacement of a hub that is gone.
+const FIRST_MESSAGE_WAIT: Duration = Duration::from_millis(3_000);
 /// How long to wait before the same list of backend servers is sent to an entry
 /// again. The entry acknowledges it with its next gossip, 250 ms later.
 const LIST_RESEND_DELAY: Duration = Duration::from_millis(600);
@@ -142,6 +146,11 @@
         }
     }
 
+    /// Returns whether it sent a message recently.
+    fn is_reachable(&self, now: Timestamp) -> bool {
+        now.since(self.last_seen_at) < STANDBY_HUB_TIMEOUT
+    }
+
     /// Returns whether it sent its state here recently.
     pub fn is_reporting(&self, now: Timestamp) -> bool {
         self.reported_at
@@ -366,8 +375,7 @@
         own_revision: RevisionNumber,
     ) -> Vec<DocumentSource> {
         let is_newer = |peer: &PeerState| {
-            let is_reachable = now.since(peer.last_seen_at) < STANDBY_HUB_TIMEOUT;
-            peer.revision > own_revision && peer.answers_pulls && is_reachable
+            peer.revision > own_revision && peer.answers_pulls && peer.is_reachable(now)
         };
         let newer = self.peers.iter().filter(|(_, peer)| is_newer(peer));
         let mut ranked: Vec<_> = newer
@@ -543,6 +551,21 @@
         self.is_list_read || self.peers.values().any(has_view)
     }
 
+    /// Returns whether other entries may know more than the store can tell: this one has
+    /// just started and has received no message, and others are listed, or may be.
+    pub fn awaits_first_message(&self, uptime: Duration) -> bool {
+        let has_message = self.peers.values().any(|peer| peer.has_gossiped);
+        let is_alone = self.is_list_read && self.peers.is_empty();
+        uptime < FIRST_MESSAGE_WAIT && !has_message && !is_alone
+    }
+
+    /// Returns the highest revision that a reachable entry has; 0 if there is none.
+    pub fn highest_revision(&self, now: Timestamp) -> RevisionNumber {
+        let reachable = self.peers.values().filter(|peer| peer.is_reachable(now));
+        let revisions = reachable.map(|peer| peer.revision);
+        revisions.max().unwrap_or(RevisionNumber(0))
+    }
+
     /// Returns how many entries share limits, and how many of them send their
     /// state here. Only these counts may be sent to other entries: if hubs relayed
     /// the counts of each other, entries that are gone would still be counted.
--- a/lib/tests/test_config_reads.rs
+++ b/lib/tests/test_config_reads.rs
@@ -122,7 +122,11 @@
         };
         let confirmed_before = self.follower.confirmed_at();
         match result {
-            ReadResult::OutOfRange(oldest) => self.follower.note_dropped(oldest),
+            ReadResult::OutOfRange(oldest) => {
+                if let Some(read_at) = self.follower.note_dropped(oldest) {
+                    self.follower.confirm(self.follower.revision(), read_at);
+                }
+            }
             ReadResult::Slice(records, slice) => {
                 let progress = self.follower.note_slice(read, &slice, sent_at);
                 self.adopt_highest(&records);
--- a/lib/tests/test_gateway_peers.rs
+++ b/lib/tests/test_gateway_peers.rs
@@ -1,6 +1,8 @@
 //! Hubs, their summaries, gossip frames between gateway entries, and the splitting
 //! of event streams.
 
+use std::time::Duration;
+
 use cloverbend::gateway::hub_capacity::HubCapacity;
 use cloverbend::gateway::peer_gossip::FreshnessEcho;
 use cloverbend::gateway::peer_gossip::GatewayGossip;
@@ -384,3 +386,30 @@
     assert_eq!(table.relay_helpers(now), [able]);
     assert_eq!(table.relay_helpers(Timestamp::from_millis(1_300)), []);
 }
+
+/// The store may have dropped what another entry knows.
+#[test]
+fn an_entry_that_starts_waits_for_a_message_unless_it_is_alone() {
+    let [start, later] = [0, 3_000].map(Duration::from_millis);
+    let mut alone = PeerTable::new(entry_name(0), HUB_CAPACITY);
+    assert!(alone.awaits_first_message(start));
+    assert!(!alone.awaits_first_message(later));
+    alone.note_list_read();
+    assert!(!alone.awaits_first_message(start));
+
+    let now = Timestamp(0);
+    let mut table = PeerCluster::new(3).tables.remove(0);
+    table.note_list_read();
+    assert!(table.awaits_first_message(start));
+    let gossip = GatewayGossip {
+        revision: RevisionNumber(5),
+        ..entry_gossip(1, 1)
+    };
+    table.apply_gossip(now, &gossip);
+    assert!(!table.awaits_first_message(start));
+    assert_eq!(table.highest_revision(now), RevisionNumber(5));
+    assert_eq!(
+        table.highest_revision(Timestamp::from_millis(3_000)),
+        RevisionNumber(0)
+    );
+}
