Fresh configuration: a share of the operator's bound instead of a constant

An unknown key was rejected for good on a configuration up to 1,800 ms old, whatever the time is within which a change has to be in force: later than allowed where that is a second, and answered 503 too early where it is four. The share is the one that the constant had of the usual bound of 2,000 ms.

--- a/lib/src/gateway/call_admission.rs
+++ b/lib/src/gateway/call_admission.rs
@@ -43,10 +43,11 @@
 /// share of the time for which a revoked key may work. The remaining share covers
 /// the time from the caller to this entry and on to the backend server.
 const MAX_CONFIG_AGE_SHARE: f64 = 0.85;
-/// The age up to which the configuration counts as the newest: gossip arrives
-/// within a second. A request with an unknown route or key is rejected for good
-/// only while the configuration is fresh; later its caller is asked to retry.
-const FRESH_CONFIG_AGE: Duration = Duration::from_millis(1_800);
+/// The age up to which the configuration counts as the newest, as a share of the time
+/// within which a change has to be in force. A request with an unknown route or key is
+/// rejected for good only while the configuration is fresh; later its caller is asked to
+/// retry. The remaining share covers the time from the caller to this entry.
+const FRESH_CONFIG_SHARE: f64 = 0.9;
 
 /// A request that passed all checks and may be sent.
 pub struct AdmittedCall {
@@ -279,7 +280,9 @@
     parts: &http::request::Parts,
 ) -> Result<(RouteRule, Option<AccountRule>), CallRefusal> {
     let age = context.config.lock().age(context.now());
-    let is_fresh = age.is_some_and(|age| age < FRESH_CONFIG_AGE);
+    let bounds = &context.settings.bounds;
+    let fresh_age = bounds.config_apply.mul_f64(FRESH_CONFIG_SHARE);
+    let is_fresh = age.is_some_and(|age| age < fresh_age);
     let reject = |refusal| {
         if is_fresh && !may_be_superseded(context, config.revision) {
             refusal
@@ -293,7 +296,6 @@
     if !config.needs_key(route) {
         return Ok((route.clone(), None));
     }
-    let bounds = &context.settings.bounds;
     let max_age = bounds.key_age.mul_f64(MAX_CONFIG_AGE_SHARE);
     // With `fail_closed = false` an outage of the store refuses nobody, and a
     // revoked key may work for longer.
