An older record of a server in the same read does not undo a newer one

Behind its record that it drains, a late write of its former state hid that it drains, and behind that of a new incarnation one of the former brought the former back, until its next heartbeat. Read one by one, the records gave the right result.

A removal still counts by its place.

Calls to the store are as before.

--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -175,13 +175,22 @@
     note_received_changes(context, &changes);
 }
 
-/// Returns the last record of each key. Earlier ones must not be applied, because
-/// this entry may have received later ones from other entries.
-fn latest_by_key(slice: &LogSlice) -> BTreeMap<&str, &LogRecord> {
-    let records = slice.records.iter();
-    records
-        .filter_map(|record| Some((record.key.as_deref()?, record)))
-        .collect()
+/// Returns the records of each key, back to the last removal of the key. The last one need
+/// not be the newest: a write without a response may be done late.
+fn records_by_key(slice: &LogSlice) -> BTreeMap<&str, Vec<&LogRecord>> {
+    let mut by_key: BTreeMap<&str, Vec<&LogRecord>> = BTreeMap::new();
+    for record in &slice.records {
+        let Some(key) = record.key.as_deref() else {
+            continue;
+        };
+        let records = by_key.entry(key).or_default();
+        let is_removed = records.last().is_some_and(|last| last.value.is_empty());
+        if is_removed || record.value.is_empty() {
+            records.clear();
+        }
+        records.push(record);
+    }
+    by_key
 }
 
 fn apply_backends(context: &GatewayContext, slice: &LogSlice, is_full_list: bool) {
@@ -189,12 +198,20 @@
     let mut records = Vec::new();
     let mut changes = Vec::new();
     let mut backends = context.backends.lock();
-    for (key, record) in latest_by_key(slice) {
+    for (key, keyed) in records_by_key(slice) {
         let name = BackendName(key.to_owned());
+        let Some((record, earlier)) = keyed.split_last() else {
+            continue;
+        };
         if record.value.is_empty() {
             changes.extend(backends.note_absent(now, &name));
             continue;
         }
+        for record in earlier {
+            let decoded = context.platform.format.decode_backend(key, &record.value);
+            let usable = decoded.and_then(|decoded| check_start(&backends, decoded));
+            changes.extend(usable.ok().and_then(|usable| backends.put(usable)));
+        }
         let decoded = context.platform.format.decode_backend(key, &record.value);
         match decoded.and_then(|decoded| check_start(&backends, decoded)) {
             Ok(decoded) if is_full_list => records.push(decoded),
