A response with a status of none counts as lost

A backend server answered 101, or a number from 600 to 999, with the request's identifier and its signature, and the caller got it as the answer; hyper takes any number of three digits. 000 and other malformed statuses were no answer before, since hyper refuses them.

A status below 200 or above 599 is no final response: the request counts as lost, its connection is closed, and it is sent elsewhere if it may run again. The check stands where all connections to servers and to entries that relay come together, so that it holds over another entry as well.

--- a/lib/src/gateway/backend_pool.rs
+++ b/lib/src/gateway/backend_pool.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Weak;
 use std::time::Duration;
@@ -41,6 +42,9 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(2_000);
 /// How long before the server's timeout an idle connection is closed.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(800);
+/// The statuses that a final response may have (RFC 9110, section 15). hyper takes any number
+/// of three digits. 101 ends the protocol on its connection, which no entry asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// The largest number of idle connections to one backend server.
 const MAX_IDLE_PER_BACKEND: usize = 8;
 /// The largest number of idle connections in total: enough for 20 requests a
@@ -187,7 +191,7 @@
         while let Some(mut connection) = self.take_idle(target) {
             let open = self.track(id, &connection);
             match connection.send(request).await {
-                Ok(response) => return Ok(Exchange::new(response, connection, open)),
+                Ok(response) => return Exchange::new(response, connection, open),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(ExchangeError::Lost(error.into_error().to_string())),
@@ -197,7 +201,7 @@
         let mut connection = connect(address).await?;
         let open = self.track(id, &connection);
         match connection.send(request).await {
-            Ok(response) => Ok(Exchange::new(response, connection, open)),
+            Ok(response) => Exchange::new(response, connection, open),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -351,16 +355,22 @@
         response: Response<Incoming>,
         connection: ServerConnection,
         request: Arc<OpenRequest>,
-    ) -> Self {
+    ) -> Result<Self, ExchangeError> {
+        let status = response.status();
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            counter!("cloverbend_backend_invalid_statuses_total").increment(1);
+            let cause = format!("{} is not the status of a response", status.as_u16());
+            return Err(ExchangeError::Lost(cause));
+        }
         let connection = PooledConnection {
             connection,
             helper: None,
             _request: request,
         };
-        Self {
+        Ok(Self {
             response,
             connection,
-        }
+        })
     }
 }
 
