A status of none is no answer of the platform or a plain service either

The same cause elsewhere: the client of the product's own interface and of the platform's calls took 101 and 600 to 999 as well. A caller of a plain service would have got them, and an append or a call to the cloud with such a status counted as certainly not applied, though nothing is known of it. All clients share one check now; such a call may have taken effect.

--- a/lib/src/gateway/backend_pool.rs
+++ b/lib/src/gateway/backend_pool.rs
@@ -9,7 +9,6 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Weak;
 use std::time::Duration;
@@ -29,6 +28,7 @@
 use crate::gateway::relay_helpers::HelperUse;
 use crate::gateway::server_connection::OpenRequest;
 use crate::gateway::server_connection::ServerConnection;
+use crate::http_client::check_status;
 use crate::id::Incarnation;
 use crate::quantity::Timestamp;
 
@@ -42,9 +42,6 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(2_000);
 /// How long before the server's timeout an idle connection is closed.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(800);
-/// The statuses that a final response may have (RFC 9110, section 15). hyper takes any number
-/// of three digits. 101 ends the protocol on its connection, which no entry asks for.
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// The largest number of idle connections to one backend server.
 const MAX_IDLE_PER_BACKEND: usize = 8;
 /// The largest number of idle connections in total: enough for 20 requests a
@@ -356,11 +353,9 @@
         connection: ServerConnection,
         request: Arc<OpenRequest>,
     ) -> Result<Self, ExchangeError> {
-        let status = response.status();
-        if !FINAL_STATUSES.contains(&status.as_u16()) {
+        if let Err(error) = check_status(response.status()) {
             counter!("cloverbend_backend_invalid_statuses_total").increment(1);
-            let cause = format!("{} is not the status of a response", status.as_u16());
-            return Err(ExchangeError::Lost(cause));
+            return Err(ExchangeError::Lost(error.to_string()));
         }
         let connection = PooledConnection {
             connection,
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -1,6 +1,7 @@
 //! Requests to the platform, to backend servers and to other entries.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use gotham::tower_service::Service;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -27,6 +29,9 @@
 
 /// The largest answer that is read whole.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
+/// The statuses that a final response may have (RFC 9110, section 15). hyper takes any number
+/// of three digits. 101 ends the protocol on its connection, which no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// How long a connection may take to open.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -125,7 +130,7 @@
     ///
     /// # Errors
     ///
-    /// Only failures of the connection; every status is an answer.
+    /// Failures of the connection, or a status of none; every other status is an answer.
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
@@ -206,14 +211,29 @@
     client: &Client<ResetConnector, Full<Bytes>>,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, HttpError> {
-    client.request(request).await.map_err(|error| {
+    let response = client.request(request).await.map_err(|error| {
         let cause = full_cause(&error);
         if error.is_connect() {
             HttpError::NotSent(cause)
         } else {
             HttpError::Interrupted(cause)
         }
-    })
+    })?;
+    check_status(response.status())?;
+    Ok(response)
+}
+
+/// Checks that a response is final.
+///
+/// # Errors
+///
+/// The status is that of no final response, so that nothing is known of the request.
+pub(crate) fn check_status(status: StatusCode) -> Result<(), HttpError> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    let cause = format!("{} is not the status of a response", status.as_u16());
+    Err(HttpError::BadAnswer(cause))
 }
 
 fn full_cause(error: &dyn std::error::Error) -> String {
--- a/lib/src/reset_call.rs
+++ b/lib/src/reset_call.rs
@@ -15,6 +15,7 @@
 
 use crate::http_client::CONNECT_TIMEOUT;
 use crate::http_client::HttpError;
+use crate::http_client::check_status;
 use crate::http_client::read_body;
 use crate::request_socket::RequestEnd;
 use crate::request_socket::RequestSocket;
@@ -25,7 +26,7 @@
 ///
 /// # Errors
 ///
-/// Failures of the connection; every status is an answer.
+/// Failures of the connection, or a status of none; every other status is an answer.
 pub async fn send_resetting(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
@@ -45,6 +46,7 @@
         }
         let response = sender.send_request(request).await;
         let response = response.map_err(|error| HttpError::Interrupted(error.to_string()))?;
+        check_status(response.status())?;
         let (head, body) = response.into_parts();
         Ok(Response::from_parts(head, read_body(body).await?))
     };
