An empty log contradicts only a configuration from before the read

A read that was sent before the first configuration was published may return after another entry has sent it; the log was read anew after a pause then.

--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFollower {
     adopted: Option<Arc<SiteConfig>>,
+    /// When the first configuration was adopted.
+    first_adopted_at: Option<Timestamp>,
     cache: DocumentCache,
     confirmed_at: Option<Timestamp>,
     position: LogPosition,
@@ -73,6 +75,7 @@
         };
         self.cache.put(now, cached);
         self.adopted = Some(Arc::new(config));
+        self.first_adopted_at = self.first_adopted_at.or(Some(now));
         if let Some(end) = log_end {
             self.position.note_sent(end);
         }
@@ -127,8 +130,9 @@
         slice: &LogSlice,
         requested_at: Timestamp,
     ) -> ReadProgress {
-        // An empty log cannot be the one in which the adopted configuration was published.
-        if slice.end == LogOffset(0) && self.adopted.is_some() {
+        // An empty log is not the one in which an earlier configuration was published.
+        let had_config = self.first_adopted_at.is_some_and(|at| at < requested_at);
+        if slice.end == LogOffset(0) && had_config {
             self.position = LogPosition::Unread;
             return ReadProgress::Contradicted;
         }
