soak: changes in series, with older revisions written late

Callers on kept connections use the keys of recent revisions: none may be rejected for good 2.25 s after its revision, at any entry, and the last revision has to be in force everywhere.

--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -33,6 +33,7 @@
 #[case::paths_cut(58_000, 0, SoakFaults::Paths)]
 #[case::all_entries_lost_in_series(74_001, 0, SoakFaults::Losses)]
 #[case::slow_callers_broken_heads_and_late_bytes(95_001, 0, SoakFaults::Deliveries)]
+#[case::revisions_written_late(96_001, 0, SoakFaults::Changes)]
 #[tokio::test]
 async fn guarantees_hold_under_faults(
     #[case] seed: u64,
