The place of an adopted configuration makes up for an unusable document before it

By reading: an entry that knew of a document without a readable revision, and then got a later configuration from another entry without its place in the log, did not count it as newer when it read its record, and confirmed nothing until the next change. A case of test_gateway_config.

--- a/lib/src/gateway/config_follower.rs
+++ b/lib/src/gateway/config_follower.rs
@@ -79,14 +79,15 @@
         if let Some(end) = log_end {
             self.position.note_sent(end);
         }
-        self.unusable_end = self.unusable_end.filter(|end| Some(*end) > log_end);
+        self.note_place(log_end);
         let revision = self.revision();
         self.unusable_revision = self.unusable_revision.filter(|other| *other > revision);
         true
     }
 
-    /// Records an unusable document, after which the log continues at `end`. The adopted configuration no longer counts as the newest until one is
-    /// adopted that is newer than the document: by its `revision`, or else by its place.
+    /// Records an unusable document, after which the log continues at `end`. The adopted
+    /// configuration no longer counts as the newest until one is adopted that is newer than
+    /// the document: by its `revision`, or else by its place.
     pub fn note_unusable(&mut self, end: LogOffset, revision: Option<RevisionNumber>) {
         match revision {
             Some(revision) => {
@@ -97,6 +98,11 @@
         }
     }
 
+    /// Records that the adopted configuration lies before the offset `log_end`.
+    pub fn note_place(&mut self, log_end: Option<LogOffset>) {
+        self.unusable_end = self.unusable_end.filter(|end| Some(*end) > log_end);
+    }
+
     /// Returns the part of a document that another entry pulls.
     pub fn part_for(&mut self, now: Timestamp, pull: &DocumentPull) -> Option<DocumentPart> {
         self.cache.part_for(now, pull)
--- a/lib/src/gateway/config_log.rs
+++ b/lib/src/gateway/config_log.rs
@@ -121,6 +121,11 @@
         let mut follower = context.config.lock();
         follower.note_unusable(config.log_end, config.revision);
     }
+    // Another entry may have sent the document without its place in the log.
+    let mut follower = context.config.lock();
+    let in_force = Some(follower.revision());
+    let adopted = published.iter().rfind(|config| config.revision == in_force);
+    follower.note_place(adopted.map(|config| config.log_end));
 }
 
 /// Logs the configurations of a read that are not in force after it.
--- a/lib/src/gateway/published_config.rs
+++ b/lib/src/gateway/published_config.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use crate::gateway::platform_interface::LogRecord;
 use crate::gateway::platform_interface::LogSlice;
 use crate::gateway::platform_interface::PlatformFormat;
 use crate::id::LogOffset;
@@ -24,10 +25,11 @@
     /// Returns the configurations of a slice in log order.
     pub fn all_of(format: &dyn PlatformFormat, slice: &LogSlice) -> Vec<Self> {
         let key = format.config_key();
-        let is_config = |key_of: Option<&str>| key_of == Some(key);
+        let is_config =
+            |record: &&LogRecord| record.key.as_deref() == Some(key) && !record.value.is_empty();
         let records = slice.records.iter();
         records
-            .filter(|record| is_config(record.key.as_deref()) && !record.value.is_empty())
+            .filter(is_config)
             .map(|record| Self {
                 revision: format.decode_config_revision(&record.value).ok(),
                 log_end: LogOffset(record.offset.0 + 1),
--- a/lib/tests/test_gateway_config.rs
+++ b/lib/tests/test_gateway_config.rs
@@ -168,6 +168,22 @@
     assert_eq!(follower.confirmed_at(), Some(at(700)));
 }
 
+/// Another entry sent the configuration, and the log has it behind the unusable document.
+#[test]
+fn the_place_of_an_adopted_configuration_makes_up_for_an_unusable_document() {
+    let mut follower = ConfigFollower::new();
+    let at = Timestamp::from_millis;
+    follower.note_unusable(LogOffset(9), None);
+    assert!(offer(&mut follower, 4, None));
+    follower.confirm(RevisionNumber(4), at(10));
+    follower.note_place(Some(LogOffset(8)));
+    follower.confirm(RevisionNumber(4), at(20));
+    assert_eq!(follower.confirmed_at(), None);
+    follower.note_place(Some(LogOffset(10)));
+    follower.confirm(RevisionNumber(4), at(30));
+    assert_eq!(follower.confirmed_at(), Some(at(30)));
+}
+
 /// The document of revision 5 lies before one of a lower revision.
 #[test]
 fn an_unusable_revision_is_replaced_by_a_higher_one_only() {
