Take the locks of the lease and of the entries one after the other

A test of lost entries hung once, known from the review: a claim kept the lock of the lease while it took that of the entries, and the readers of the store the other way round. With one thread, as the deploy file runs it, an entry could not come to it. Neither is kept for the other any more.

--- a/lib/src/gateway/duty_log.rs
+++ b/lib/src/gateway/duty_log.rs
@@ -105,10 +105,8 @@
     if !may_claim() {
         return Ok(None);
     }
-    let record = context
-        .lease
-        .lock()
-        .claim_record(choose_successors(context));
+    let successors = choose_successors(context);
+    let record = context.lease.lock().claim_record(successors);
     append_record(context, record).await.map(Some)
 }
 
--- a/lib/src/gateway/store_task.rs
+++ b/lib/src/gateway/store_task.rs
@@ -66,12 +66,13 @@
 
 fn reader_state(context: &GatewayContext, view: TopicView) -> ReaderState {
     let now = context.now();
+    let holds_lease = context.lease.lock().is_holder();
     let peers = context.peers.lock();
     ReaderState {
         rank: peers.hub_rank(now),
         entries: peers.direct_entry_counts(now).entries,
         max_readers: view.max_readers,
-        holds_lease: context.lease.lock().is_holder(),
+        holds_lease,
         view_age: view.confirmed_at.map(|at| now.since(at)),
         first_start: context.settings.first_start,
         has_entry_list: peers.is_list_read(),
