Offsets of entries of earlier versions are not relied on

What all records before are known to lie under is sent in a field of its own; the former field goes on for the earlier versions, and is not read.

--- a/lib/src/gateway/document_parts.rs
+++ b/lib/src/gateway/document_parts.rs
@@ -39,8 +39,8 @@
     pub from: u64,
     /// The bytes of the part.
     pub bytes: Bytes,
-    /// The offset of the record after this revision in the log of the store, if
-    /// known.
+    /// An offset in the log of the store before which no record has a higher revision, if
+    /// one is known.
     pub log_end: Option<LogOffset>,
 }
 
@@ -75,7 +75,11 @@
     from: u64,
     #[prost(bytes = "bytes", tag = "5")]
     bytes: Bytes,
+    /// For entries of earlier versions. What they send here is the offset after the record,
+    /// and records before it may have a higher revision.
     #[prost(uint64, optional, tag = "6")]
+    record_end: Option<u64>,
+    #[prost(uint64, optional, tag = "7")]
     log_end: Option<u64>,
 }
 
@@ -110,6 +114,7 @@
             digest: part.digest,
             from: part.from,
             bytes: part.bytes,
+            record_end: part.log_end.map(|end| end.0),
             log_end: part.log_end.map(|end| end.0),
         }
     }
--- a/lib/tests/test_document_transfer.rs
+++ b/lib/tests/test_document_transfer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cloverbend::gateway::document_parts::DocumentPart;
+use cloverbend::gateway::document_parts::DocumentPartFrame;
 use cloverbend::gateway::document_parts::DocumentPull;
 use cloverbend::gateway::document_parts::PART_BYTES;
 use cloverbend::gateway::document_transfer::CachedDocument;
@@ -20,6 +21,7 @@
 use cloverbend::quantity::Timestamp;
 use cloverbend::wire::PeerMessage;
 use proptest::prelude::*;
+use prost::Message;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -338,3 +340,40 @@
         assert!(part.unpack().is_err(), "{end} bytes");
     }
 }
+
+/// A part as entries of earlier versions send it.
+#[derive(Clone, PartialEq, Message)]
+struct EarlierPartFrame {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(uint64, tag = "2")]
+    length: u64,
+    #[prost(bytes = "vec", tag = "5")]
+    bytes: Vec<u8>,
+    #[prost(uint64, optional, tag = "6")]
+    record_end: Option<u64>,
+}
+
+/// Records before the offset that they send may have a higher revision.
+#[test]
+fn the_offset_of_an_entry_of_an_earlier_version_is_not_relied_on() {
+    let earlier = EarlierPartFrame {
+        revision: 4,
+        length: 2,
+        bytes: b"{}".to_vec(),
+        record_end: Some(9),
+    };
+    let frame = DocumentPartFrame::decode(earlier.encode_to_vec().as_slice()).unwrap();
+    let part = DocumentPart::from(frame);
+    assert_eq!((part.revision, part.log_end), (RevisionNumber(4), None));
+    // Theirs is still sent to them.
+    let part = DocumentPart {
+        log_end: Some(LogOffset(7)),
+        ..part
+    };
+    let sent = DocumentPartFrame::from(part.clone()).encode_to_vec();
+    let read = EarlierPartFrame::decode(sent.as_slice()).unwrap();
+    assert_eq!(read.record_end, Some(7));
+    let frame = DocumentPartFrame::decode(sent.as_slice()).unwrap();
+    assert_eq!(DocumentPart::from(frame), part);
+}
